--- /dev/null
+++ b/scripts/check_layers.py
@@ -0,0 +1,48 @@
+#!/usr/bin/env python3
+"""Fails when a module includes a module that is not below it."""
+import pathlib
+import re
+import sys
+
+LAYERS = ["core", "settings", "config", "admission", "routing", "allotment", "dispatch", "membership",
+          "http", "store", "peer", "telemetry", "node"]
+# Modules that a module may use, beyond itself.
+ALLOWED = {
+    "core": set(),
+    "settings": {"core"},
+    "config": {"core"},
+    "admission": {"core"},
+    "routing": {"core"},
+    "allotment": {"core", "config"},
+    "dispatch": {"core", "config", "admission", "routing", "allotment"},
+    "membership": {"core", "config", "allotment", "dispatch"},
+    "http": {"core", "routing"},
+    "store": {"core", "http"},
+    "peer": {"core", "config", "http", "membership"},
+    "telemetry": {"core", "dispatch"},
+    "node": set(LAYERS) - {"node"},
+}
+MOST_LINES = 500
+
+
+def main() -> int:
+    root = pathlib.Path(__file__).resolve().parent.parent / "src"
+    failures = []
+    for path in sorted(root.rglob("*.[ch]pp")):
+        text = path.read_text()
+        lines = text.count("\n")
+        if lines > MOST_LINES:
+            failures.append(f"{path.relative_to(root)}: {lines} lines, at most {MOST_LINES}")
+        if path.relative_to(root).parts[0] != "oleanderwick":
+            continue
+        module = path.relative_to(root).parts[1]
+        for include in re.findall(r'#include "((?:\.\./)+)([a-z_]+)/', text):
+            target = include[1]
+            if target in ALLOWED and target != module and target not in ALLOWED[module]:
+                failures.append(f"{path.relative_to(root)}: {module} must not include {target}")
+    print("\n".join(failures))
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,284 @@
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+#include "oleanderwick/config/config.hpp"
+#include "oleanderwick/http/http.hpp"
+
+namespace
+{
+
+namespace config = oleanderwick::config;
+namespace core = oleanderwick::core;
+namespace http = oleanderwick::http;
+
+constexpr const char *version = "0.1.0";
+constexpr int exitUsage = 2;
+constexpr int statusOk = 200;
+constexpr int statusConflict = 412;
+constexpr int maxTries = 5;
+constexpr core::Duration callTimeout = std::chrono::seconds{10};
+
+/** @brief Options and words of one command line. */
+struct CommandLine {
+    std::string node;
+    std::string key;
+    std::string base;
+    std::string format;
+    std::string patchId;
+    std::vector<std::string> words;
+};
+
+/** @brief Operator API of one node. */
+class Operator
+{
+public:
+    Operator(http::Endpoint endpoint, std::string key) : m_client{std::move(endpoint)}, m_key{std::move(key)}
+    {
+    }
+
+    [[nodiscard]] absl::StatusOr<http::Response> get(const std::string &path)
+    {
+        return m_client.exchange(http::Request{"GET", path, {{"Authorization", "Bearer " + m_key}}, ""}, callTimeout);
+    }
+
+    [[nodiscard]] absl::StatusOr<http::Response> patch(const std::string &base, const std::string &type, const std::string &id, const std::string &body)
+    {
+        http::Request request{"PATCH", "/v1/config", {}, body};
+        request.headers = {{"Authorization", "Bearer " + m_key}, {"If-Match", "\"" + base + "\""}, {"Content-Type", type}, {"Oleanderwick-Patch-Id", id}};
+        return m_client.exchange(request, callTimeout);
+    }
+
+    [[nodiscard]] absl::StatusOr<std::string> currentVersion()
+    {
+        const absl::StatusOr<http::Response> response = get("/v1/config");
+        if (!response.ok()) {
+            return response.status();
+        }
+        const nlohmann::json json = nlohmann::json::parse(response->body, nullptr, false);
+        if (response->status != statusOk || !json.is_object() || !json.contains("version")) {
+            return absl::UnavailableError(response->body);
+        }
+        return std::to_string(json["version"].get<config::Version>());
+    }
+
+private:
+    http::Client m_client;
+    std::string m_key;
+};
+
+int print(const absl::StatusOr<http::Response> &response)
+{
+    if (!response.ok()) {
+        std::cerr << "oleanderwick: " << response.status().message() << '\n';
+        return EXIT_FAILURE;
+    }
+    const nlohmann::json json = nlohmann::json::parse(response->body, nullptr, false);
+    std::ostream &out = response->status == statusOk ? std::cout : std::cerr;
+    out << (json.is_discarded() ? response->body : json.dump(2)) << '\n';
+    return response->status == statusOk ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int show(Operator &node, const CommandLine &line, const char *path)
+{
+    (void)line;
+    return print(node.get(path));
+}
+
+int showConfig(Operator &node, const CommandLine &line)
+{
+    return show(node, line, "/v1/config");
+}
+
+int showHistory(Operator &node, const CommandLine &line)
+{
+    return show(node, line, "/v1/config/history");
+}
+
+int showStatus(Operator &node, const CommandLine &line)
+{
+    return show(node, line, "/v1/status");
+}
+
+std::string readAll(const std::string &path)
+{
+    if (path == "-") {
+        return std::string{std::istreambuf_iterator<char>{std::cin}, std::istreambuf_iterator<char>{}};
+    }
+    std::ifstream file{path};
+    return std::string{std::istreambuf_iterator<char>{file}, std::istreambuf_iterator<char>{}};
+}
+
+int patchConfig(Operator &node, const CommandLine &line)
+{
+    const absl::StatusOr<std::string> base = line.base.empty() ? node.currentVersion() : line.base;
+    if (!base.ok()) {
+        std::cerr << "oleanderwick: " << base.status().message() << '\n';
+        return EXIT_FAILURE;
+    }
+    const std::string type = line.format == "json" ? "application/json-patch+json" : "application/merge-patch+json";
+    const std::string id = line.patchId.empty() ? config::makeSecret() : line.patchId;
+    return print(node.patch(*base, type, id, readAll(line.words.at(2))));
+}
+
+/** Sends a small merge patch against the newest number, again if another operator was faster. */
+int mergeNow(Operator &node, const nlohmann::json &body)
+{
+    const std::string id = config::makeSecret();
+    for (int attempt = 0; attempt < maxTries; ++attempt) {
+        const absl::StatusOr<std::string> base = node.currentVersion();
+        if (!base.ok()) {
+            std::cerr << "oleanderwick: " << base.status().message() << '\n';
+            return EXIT_FAILURE;
+        }
+        const absl::StatusOr<http::Response> response = node.patch(*base, "application/merge-patch+json", id, body.dump());
+        if (!response.ok() || response->status != statusConflict) {
+            return print(response);
+        }
+    }
+    std::cerr << "oleanderwick: other operators were faster each time; nothing was changed\n";
+    return EXIT_FAILURE;
+}
+
+int addKey(Operator &node, const CommandLine &line)
+{
+    const std::string secret = config::makeSecret();
+    const std::string &team = line.words.at(2);
+    const std::string &id = line.words.at(3);
+    const nlohmann::json body = {{"teams", {{team, {{"keys", {{id, {{"hash", config::hashSecret(secret)}}}}}}}}}};
+    const int result = mergeNow(node, body);
+    if (result == EXIT_SUCCESS) {
+        std::cout << "key (shown once): " << id << '.' << secret << '\n';
+    }
+    return result;
+}
+
+int withdrawKey(Operator &node, const CommandLine &line)
+{
+    const nlohmann::json body = {{"teams", {{line.words.at(2), {{"keys", {{line.words.at(3), nullptr}}}}}}}};
+    return mergeNow(node, body);
+}
+
+/** @brief One command of the program. */
+struct Command {
+    const char *first;
+    const char *second;
+    std::size_t words;
+    const char *usage;
+    int (*run)(Operator &, const CommandLine &);
+};
+
+constexpr Command commands[] = {
+    {"config", "show", 2, "config show", &showConfig},
+    {"config", "history", 2, "config history", &showHistory},
+    {"config", "patch", 3, "config patch FILE|-   [--base N] [--format merge|json] [--patch-id ID]", &patchConfig},
+    {"key", "add", 4, "key add TEAM NAME", &addKey},
+    {"key", "withdraw", 4, "key withdraw TEAM NAME", &withdrawKey},
+    {"status", "", 1, "status", &showStatus},
+};
+
+std::string usage()
+{
+    std::string text = "\nCommands:\n";
+    for (const Command &command : commands) {
+        absl::StrAppend(&text, "  ", command.usage, "\n");
+    }
+    return text + "  key hash               digest of an operator's secret read from standard input, for the settings\n";
+}
+
+const Command *findCommand(const std::vector<std::string> &words)
+{
+    for (const Command &command : commands) {
+        const bool sameSecond = *command.second == '\0' || (words.size() > 1 && words[1] == command.second);
+        if (words[0] == command.first && sameSecond && words.size() == command.words) {
+            return &command;
+        }
+    }
+    return nullptr;
+}
+
+int hashFromInput()
+{
+    std::string secret;
+    std::getline(std::cin, secret);
+    std::cout << config::hashSecret(secret) << '\n';
+    return EXIT_SUCCESS;
+}
+
+int run(const CommandLine &line)
+{
+    if (line.words == std::vector<std::string>{"key", "hash"}) {
+        return hashFromInput();
+    }
+    const Command *command = line.words.empty() ? nullptr : findCommand(line.words);
+    if (command == nullptr) {
+        std::cerr << "oleanderwick: unknown command" << usage();
+        return exitUsage;
+    }
+    const absl::StatusOr<http::Endpoint> endpoint = http::parseEndpoint(line.node);
+    if (!endpoint.ok()) {
+        std::cerr << "oleanderwick: --node: " << endpoint.status().message() << '\n';
+        return exitUsage;
+    }
+    Operator node{*endpoint, line.key};
+    return command->run(node, line);
+}
+
+std::string keyFromEnvironment()
+{
+    const char *key = std::getenv("OLEANDERWICK_KEY");
+    return key == nullptr ? "" : key;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options{"oleanderwick", "Operators' command of a fleet."};
+    options.positional_help("COMMAND ...");
+    options.add_options()("n,node", "control address of a node", cxxopts::value<std::string>()->default_value("127.0.0.1:8081"));
+    options.add_options()("k,key", "operator's key; else the environment's OLEANDERWICK_KEY", cxxopts::value<std::string>()->default_value(""));
+    options.add_options()("base", "number that a patch is made against; else the newest", cxxopts::value<std::string>()->default_value(""));
+    options.add_options()("format", "merge (RFC 7396) or json (RFC 6902)", cxxopts::value<std::string>()->default_value("merge"));
+    options.add_options()("patch-id", "the patch's own mark, the same when it is sent again", cxxopts::value<std::string>()->default_value(""));
+    options.add_options()("version", "print the version and stop");
+    options.add_options()("h,help", "print this help and stop");
+    options.add_options()("words", "", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"words"});
+    try {
+        const cxxopts::ParseResult arguments = options.parse(argc, argv);
+        if (arguments.count("help") > 0) {
+            std::cout << options.help({""}) << usage();
+            return EXIT_SUCCESS;
+        }
+        if (arguments.count("version") > 0) {
+            std::cout << "oleanderwick " << version << '\n';
+            return EXIT_SUCCESS;
+        }
+        if (sodium_init() < 0) {
+            std::cerr << "oleanderwick: libsodium does not start\n";
+            return EXIT_FAILURE;
+        }
+        CommandLine line;
+        line.node = arguments["node"].as<std::string>();
+        line.key = arguments["key"].as<std::string>().empty() ? keyFromEnvironment() : arguments["key"].as<std::string>();
+        line.base = arguments["base"].as<std::string>();
+        line.format = arguments["format"].as<std::string>();
+        line.patchId = arguments["patch-id"].as<std::string>();
+        if (arguments.count("words") > 0) {
+            line.words = arguments["words"].as<std::vector<std::string>>();
+        }
+        return run(line);
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << "oleanderwick: " << error.what() << '\n';
+        return exitUsage;
+    }
+}
--- /dev/null
+++ b/src/oleanderwick/admission/fair_queue.cpp
@@ -0,0 +1,207 @@
+#include "fair_queue.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace oleanderwick::admission
+{
+
+FairQueue::size_type FairQueue::size() const noexcept
+{
+    return m_size;
+}
+
+FairQueue::size_type FairQueue::waiting(const core::QueueId &queue) const
+{
+    size_type count = 0;
+    for (const std::pair<const core::TeamId, TeamState> &team : m_teams) {
+        const auto lane = team.second.lanes.find(queue);
+        count += lane == team.second.lanes.end() ? 0 : lane->second.requests.size();
+    }
+    return count;
+}
+
+FairQueue::size_type FairQueue::waiting(const core::TeamId &team) const
+{
+    const auto found = m_teams.find(team);
+    return found == m_teams.end() ? 0 : found->second.waiting;
+}
+
+std::uint32_t FairQueue::running(const core::TeamId &team) const
+{
+    const auto found = m_teams.find(team);
+    return found == m_teams.end() ? 0 : found->second.running;
+}
+
+std::map<core::TeamId, std::uint32_t> FairQueue::running() const
+{
+    std::map<core::TeamId, std::uint32_t> counts;
+    for (const std::pair<const core::TeamId, TeamState> &team : m_teams) {
+        if (team.second.running > 0) {
+            counts.emplace(team.first, team.second.running);
+        }
+    }
+    return counts;
+}
+
+std::vector<core::TeamId> FairQueue::waitingTeams() const
+{
+    std::vector<core::TeamId> teams;
+    for (const std::pair<const core::TeamId, TeamState> &team : m_teams) {
+        if (team.second.waiting > 0) {
+            teams.push_back(team.first);
+        }
+    }
+    return teams;
+}
+
+double FairQueue::pressure(const TeamState &state)
+{
+    const double total = static_cast<double>(state.running) + state.elsewhere;
+    return state.share == 0 ? std::numeric_limits<double>::infinity() : total / state.share;
+}
+
+double FairQueue::pressure(const core::TeamId &team) const
+{
+    const auto found = m_teams.find(team);
+    return found == m_teams.end() ? std::numeric_limits<double>::infinity() : pressure(found->second);
+}
+
+std::optional<double> FairQueue::leastPressure(const Eligible &eligible) const
+{
+    std::optional<double> least;
+    for (const std::pair<const core::TeamId, TeamState> &team : m_teams) {
+        if (team.second.waiting == 0 || !eligible(team.first)) {
+            continue;
+        }
+        const double own = pressure(team.second);
+        least = least ? std::min(*least, own) : own;
+    }
+    return least;
+}
+
+void FairQueue::setShare(const core::TeamId &team, std::uint32_t share)
+{
+    m_teams[team].share = share;
+}
+
+void FairQueue::setElsewhere(const core::TeamId &team, std::uint32_t count)
+{
+    m_teams[team].elsewhere = count;
+}
+
+void FairQueue::clearElsewhere()
+{
+    for (std::pair<const core::TeamId, TeamState> &team : m_teams) {
+        team.second.elsewhere = 0;
+    }
+}
+
+void FairQueue::push(Waiting request)
+{
+    TeamState &state = m_teams[request.team];
+    std::deque<Waiting> &requests = state.lanes[request.queue].requests;
+    ++state.waiting;
+    ++m_size;
+    if (!request.urgent) {
+        requests.push_back(std::move(request));
+        return;
+    }
+    const auto firstNormal = std::find_if(requests.begin(), requests.end(), [](const Waiting &other) {
+        return !other.urgent;
+    });
+    requests.insert(firstNormal, std::move(request));
+}
+
+FairQueue::Lane &FairQueue::nextLane(TeamState &state)
+{
+    Lane *best = nullptr;
+    for (std::pair<const core::QueueId, Lane> &entry : state.lanes) {
+        Lane &lane = entry.second;
+        if (lane.requests.empty()) {
+            continue;
+        }
+        const bool earlier = best != nullptr && lane.running == best->running && lane.requests.front().arrival < best->requests.front().arrival;
+        if (best == nullptr || lane.running < best->running || earlier) {
+            best = &lane;
+        }
+    }
+    OLEANDERWICK_ASSERT(best != nullptr, "a team that waits has a request");
+    return *best;
+}
+
+std::optional<Waiting> FairQueue::pop(const Eligible &eligible)
+{
+    TeamState *best = nullptr;
+    for (std::pair<const core::TeamId, TeamState> &team : m_teams) {
+        TeamState &state = team.second;
+        if (state.waiting == 0 || !eligible(team.first)) {
+            continue;
+        }
+        if (best == nullptr || pressure(state) < pressure(*best)) {
+            best = &state;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    Lane &lane = nextLane(*best);
+    Waiting request = std::move(lane.requests.front());
+    lane.requests.pop_front();
+    ++lane.running;
+    ++best->running;
+    --best->waiting;
+    --m_size;
+    return request;
+}
+
+void FairQueue::finish(const core::TeamId &team, const core::QueueId &queue)
+{
+    TeamState &state = m_teams[team];
+    Lane &lane = state.lanes[queue];
+    OLEANDERWICK_ASSERT(state.running > 0 && lane.running > 0, "only a running request ends");
+    --state.running;
+    --lane.running;
+}
+
+std::optional<Waiting> FairQueue::erase(RequestNumber number)
+{
+    for (std::pair<const core::TeamId, TeamState> &team : m_teams) {
+        for (std::pair<const core::QueueId, Lane> &lane : team.second.lanes) {
+            std::deque<Waiting> &requests = lane.second.requests;
+            const auto found = std::find_if(requests.begin(), requests.end(), [number](const Waiting &request) {
+                return request.number == number;
+            });
+            if (found != requests.end()) {
+                Waiting request = std::move(*found);
+                requests.erase(found);
+                --team.second.waiting;
+                --m_size;
+                return request;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<Waiting> FairQueue::expire(core::TimePoint now)
+{
+    std::vector<Waiting> expired;
+    for (std::pair<const core::TeamId, TeamState> &team : m_teams) {
+        for (std::pair<const core::QueueId, Lane> &lane : team.second.lanes) {
+            std::deque<Waiting> &requests = lane.second.requests;
+            const auto kept = std::stable_partition(requests.begin(), requests.end(), [now](const Waiting &request) {
+                return now < request.latestStart;
+            });
+            const size_type count = static_cast<size_type>(requests.end() - kept);
+            std::move(kept, requests.end(), std::back_inserter(expired));
+            requests.erase(kept, requests.end());
+            team.second.waiting -= count;
+            m_size -= count;
+        }
+    }
+    return expired;
+}
+
+} // namespace oleanderwick::admission
--- /dev/null
+++ b/src/oleanderwick/admission/fwd.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace oleanderwick::admission
+{
+
+class FairQueue;
+class RunTimes;
+struct Waiting;
+
+/** @brief Number of a request within one node's run. */
+using RequestNumber = std::uint64_t;
+
+} // namespace oleanderwick::admission
--- /dev/null
+++ b/src/oleanderwick/admission/run_times.cpp
@@ -0,0 +1,36 @@
+#include "run_times.hpp"
+
+#include <algorithm>
+
+namespace oleanderwick::admission
+{
+
+namespace internal
+{
+
+/** Weight of a new run in the moving mean is one over this. */
+constexpr int smoothing = 16;
+
+} // namespace internal
+
+void RunTimes::observe(const core::QueueId &queue, core::Duration run)
+{
+    const auto [entry, first] = m_means.try_emplace(queue, run);
+    if (!first) {
+        entry->second += (run - entry->second) / internal::smoothing;
+    }
+}
+
+core::Duration RunTimes::mean(const core::QueueId &queue) const
+{
+    const auto entry = m_means.find(queue);
+    return entry == m_means.end() ? core::Duration::zero() : entry->second;
+}
+
+core::Duration RunTimes::expectedWait(const core::QueueId &queue, std::size_t ahead, std::uint32_t running) const
+{
+    const std::int64_t lanes = std::max<std::uint32_t>(running, 1);
+    return mean(queue) * static_cast<std::int64_t>(ahead) / lanes;
+}
+
+} // namespace oleanderwick::admission
--- /dev/null
+++ b/src/oleanderwick/allotment/fwd.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+namespace oleanderwick::allotment
+{
+
+struct Unit;
+struct Group;
+struct Want;
+struct Demand;
+struct LedgerRead;
+struct LedgerWrite;
+class Ledger;
+class Holder;
+
+/** @brief Rights of one node, by unit. */
+using Account = std::map<Unit, std::uint32_t>;
+
+} // namespace oleanderwick::allotment
--- /dev/null
+++ b/src/oleanderwick/core/ring.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstddef>
+#include <utility>
+
+#include <oneapi/tbb/concurrent_queue.h>
+
+#include "fwd.hpp"
+
+namespace oleanderwick::core
+{
+
+/**
+ * @brief Bounded queue that joins two duties, each on a thread of its own.
+ * @tparam Type Element carried.
+ */
+template <typename Type>
+class BoundedRing
+{
+public:
+    using value_type = Type;
+    using size_type = std::size_t;
+
+    /**
+     * @brief Makes an empty ring.
+     * @param capacity Most elements held at once.
+     */
+    explicit BoundedRing(size_type capacity)
+    {
+        m_queue.set_capacity(static_cast<typename queue_type::size_type>(capacity));
+    }
+
+    /**
+     * @brief Adds an element without waiting.
+     * @param value Element to add.
+     * @return False if the ring is full; the element is then dropped.
+     */
+    [[nodiscard]] bool tryPush(value_type value)
+    {
+        return m_queue.try_push(std::move(value));
+    }
+
+    /**
+     * @brief Adds an element, waiting for room.
+     * @param value Element to add.
+     */
+    void push(value_type value)
+    {
+        m_queue.push(std::move(value));
+    }
+
+    /**
+     * @brief Takes the oldest element, waiting for one.
+     * @return The element.
+     */
+    [[nodiscard]] value_type pop()
+    {
+        value_type value;
+        m_queue.pop(value);
+        return value;
+    }
+
+private:
+    using queue_type = tbb::concurrent_bounded_queue<value_type>;
+    queue_type m_queue;
+};
+
+} // namespace oleanderwick::core
--- /dev/null
+++ b/src/oleanderwick/dispatch/dispatcher.cpp
@@ -0,0 +1,487 @@
+#include "dispatcher.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace oleanderwick::dispatch
+{
+
+namespace internal
+{
+
+constexpr std::uint32_t maxAttempts = 3;
+constexpr core::Duration shortestRetryAfter = std::chrono::seconds{1};
+constexpr core::Duration refusalRetryAfter = std::chrono::seconds{2};
+/** An attempt that may be repeated is cut at half the time left when runs usually need less than an eighth of it. */
+constexpr int usualRunsInTime = 8;
+
+constexpr int statusUnauthorized = 401;
+constexpr int statusForbidden = 403;
+constexpr int statusNotFound = 404;
+constexpr int statusTooMany = 429;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+
+core::Refusal notRun(int status, std::string reason, core::Duration retryAfter = core::Duration::zero())
+{
+    return core::Refusal{status, core::Outcome::NotRun, std::move(reason), retryAfter};
+}
+
+allotment::Unit teamUnit(const core::TeamId &team)
+{
+    return allotment::Unit{allotment::Unit::Kind::Team, team.text()};
+}
+
+allotment::Unit instanceUnit(const core::InstanceId &instance)
+{
+    return allotment::Unit{allotment::Unit::Kind::Instance, instance.text()};
+}
+
+allotment::Group poolGroup(const core::PoolId &pool)
+{
+    return allotment::Group{allotment::Group::Kind::Pool, pool.text()};
+}
+
+} // namespace internal
+
+Dispatcher::Dispatcher(std::string zone, std::uint64_t seed, allotment::Holder &holder) : m_zone{std::move(zone)}, m_random{seed}, m_holder{holder}
+{
+}
+
+Dispatcher::size_type Dispatcher::size() const noexcept
+{
+    return m_requests.size();
+}
+
+bool Dispatcher::starved() const noexcept
+{
+    return std::any_of(m_pools.begin(), m_pools.end(), [](const std::pair<const core::PoolId, PoolState> &pool) {
+        return pool.second.queue.size() > 0;
+    });
+}
+
+std::vector<PoolUse> Dispatcher::uses() const
+{
+    std::vector<PoolUse> uses;
+    for (const std::pair<const core::PoolId, PoolState> &pool : m_pools) {
+        for (const std::pair<const core::TeamId, std::uint32_t> &team : pool.second.queue.running()) {
+            uses.push_back(PoolUse{pool.first, team.first, team.second});
+        }
+    }
+    return uses;
+}
+
+std::vector<Completion> Dispatcher::takeCompletions()
+{
+    return std::exchange(m_completions, {});
+}
+
+void Dispatcher::setFreshUntil(core::TimePoint until) noexcept
+{
+    m_freshUntil = until;
+}
+
+void Dispatcher::stop() noexcept
+{
+    m_stopping = true;
+}
+
+Dispatcher::PoolState &Dispatcher::poolOf(const core::PoolId &id)
+{
+    return m_pools.try_emplace(id, id, m_zone).first->second;
+}
+
+Actions Dispatcher::configure(config::SnapshotPtr snapshot, core::TimePoint now)
+{
+    Actions actions;
+    if (m_snapshot != nullptr && snapshot->version() <= m_snapshot->version()) {
+        return actions;
+    }
+    m_snapshot = std::move(snapshot);
+    m_holder.configure(*m_snapshot);
+    std::map<core::PoolId, std::vector<routing::UpstreamInfo>> upstreams;
+    for (const std::pair<const core::InstanceId, config::Instance> &entry : m_snapshot->document().instances) {
+        const config::Instance &instance = entry.second;
+        upstreams[instance.pool].push_back(routing::UpstreamInfo{entry.first, instance.address, instance.zone, instance.leaving});
+    }
+    for (const std::pair<const core::PoolId, config::Pool> &pool : m_snapshot->document().pools) {
+        (void)poolOf(pool.first);
+    }
+    for (std::pair<const core::PoolId, PoolState> &pool : m_pools) {
+        pool.second.upstreams.assign(upstreams[pool.first], now);
+        for (const std::pair<const core::TeamId, config::Team> &team : m_snapshot->document().teams) {
+            pool.second.queue.setShare(team.first, team.second.share);
+        }
+        pool.second.queue.setShare(config::openTeam(), 1);
+    }
+    refuseDisallowed(now, actions);
+    pumpAll(now, actions);
+    return actions;
+}
+
+bool Dispatcher::stillAllowed(const Request &request) const
+{
+    const config::Queue *queue = m_snapshot->queue(request.queue);
+    if (queue == nullptr || queue->pool != request.pool) {
+        return false;
+    }
+    if (request.team == config::openTeam()) {
+        return queue->open;
+    }
+    const auto team = m_snapshot->document().teams.find(request.team);
+    return team != m_snapshot->document().teams.end() && team->second.keys.contains(request.key) && config::Snapshot::allows(*queue, request.team);
+}
+
+void Dispatcher::refuseDisallowed(core::TimePoint now, Actions &actions)
+{
+    std::vector<admission::RequestNumber> disallowed;
+    for (const Requests::value_type &entry : m_requests) {
+        if (entry.second.upstream.empty() && !stillAllowed(entry.second)) {
+            disallowed.push_back(entry.first);
+        }
+    }
+    std::sort(disallowed.begin(), disallowed.end());
+    for (const admission::RequestNumber number : disallowed) {
+        const auto entry = m_requests.find(number);
+        poolOf(entry->second.pool).queue.erase(number);
+        refuse(entry, internal::notRun(internal::statusUnauthorized, "no_longer_allowed"), now, actions);
+    }
+}
+
+void Dispatcher::setElsewhere(const std::vector<PoolUse> &uses)
+{
+    for (std::pair<const core::PoolId, PoolState> &pool : m_pools) {
+        pool.second.queue.clearElsewhere();
+    }
+    for (const PoolUse &use : uses) {
+        const auto pool = m_pools.find(use.pool);
+        if (pool != m_pools.end()) {
+            pool->second.queue.setElsewhere(use.team, use.running);
+        }
+    }
+}
+
+std::optional<core::Refusal> Dispatcher::check(const Arrival &arrival, core::TimePoint now, core::TeamId &team) const
+{
+    if (m_stopping) {
+        return internal::notRun(internal::statusUnavailable, "node_stopping", internal::shortestRetryAfter);
+    }
+    if (m_snapshot == nullptr || now >= m_freshUntil) {
+        return internal::notRun(internal::statusUnavailable, "configuration_not_fresh", internal::refusalRetryAfter);
+    }
+    const config::Queue *queue = m_snapshot->queue(arrival.queue);
+    if (queue != nullptr && queue->open) {
+        team = config::openTeam();
+        return std::nullopt;
+    }
+    const std::optional<core::TeamId> owner = arrival.key ? m_snapshot->teamOf(*arrival.key) : std::nullopt;
+    if (!owner) {
+        return internal::notRun(internal::statusUnauthorized, arrival.key ? "bad_key" : "no_key");
+    }
+    if (queue == nullptr) {
+        return internal::notRun(internal::statusNotFound, "no_such_queue");
+    }
+    if (!config::Snapshot::allows(*queue, *owner)) {
+        return internal::notRun(internal::statusForbidden, "team_not_allowed");
+    }
+    if (m_snapshot->document().teams.at(*owner).upperLimit == 0) {
+        return internal::notRun(internal::statusTooMany, "upper_limit_zero", internal::refusalRetryAfter);
+    }
+    team = *owner;
+    return std::nullopt;
+}
+
+std::optional<core::Refusal> Dispatcher::checkRoom(const PoolState &pool, const Request &request, core::TimePoint now) const
+{
+    const config::Queue &queue = *m_snapshot->queue(request.queue);
+    if (pool.upstreams.size() == 0) {
+        return internal::notRun(internal::statusUnavailable, "pool_empty", internal::refusalRetryAfter);
+    }
+    if (pool.queue.waiting(request.queue) >= queue.maxLength) {
+        return internal::notRun(internal::statusTooMany, "queue_full", retryAfter(request, pool));
+    }
+    const core::Duration expected = m_runTimes.expectedWait(request.queue, pool.queue.waiting(request.team), pool.queue.running(request.team));
+    if (now + expected + m_runTimes.mean(request.queue) > request.deadline) {
+        return internal::notRun(internal::statusTooMany, "cannot_start_in_time", retryAfter(request, pool));
+    }
+    return std::nullopt;
+}
+
+core::Duration Dispatcher::retryAfter(const Request &request, const PoolState &pool) const
+{
+    const core::Duration wait = m_runTimes.expectedWait(request.queue, pool.queue.waiting(request.team), pool.queue.running(request.team));
+    return std::max(wait, internal::shortestRetryAfter);
+}
+
+Dispatcher::Request Dispatcher::makeRequest(const Arrival &arrival, const core::TeamId &team, core::TimePoint now) const
+{
+    const config::Queue &queue = *m_snapshot->queue(arrival.queue);
+    const core::Duration longest = std::chrono::milliseconds{queue.timeoutMs};
+    const bool asked = arrival.timeout > core::Duration::zero();
+    Request request;
+    request.team = team;
+    request.queue = arrival.queue;
+    request.pool = queue.pool;
+    request.key = arrival.key ? arrival.key->id : core::KeyId{};
+    request.idempotent = arrival.idempotent;
+    request.urgent = arrival.urgent;
+    request.arrival = now;
+    request.deadline = now + (asked ? std::min(arrival.timeout, longest) : longest);
+    return request;
+}
+
+Actions Dispatcher::arrive(const Arrival &arrival, core::TimePoint now)
+{
+    Actions actions;
+    core::TeamId team;
+    std::optional<core::Refusal> refusal = check(arrival, now, team);
+    if (refusal) {
+        m_completions.push_back(Completion{arrival.number, team, arrival.queue, {}, refusal->reason, 0, {}, {}});
+        actions.emplace_back(Refuse{arrival.number, *std::move(refusal)});
+        return actions;
+    }
+    const auto entry = m_requests.emplace(arrival.number, makeRequest(arrival, team, now)).first;
+    PoolState &pool = poolOf(entry->second.pool);
+    refusal = checkRoom(pool, entry->second, now);
+    if (refusal) {
+        refuse(entry, *std::move(refusal), now, actions);
+        return actions;
+    }
+    enqueue(arrival.number, entry->second, arrival.urgent);
+    pump(pool, now, actions);
+    return actions;
+}
+
+void Dispatcher::enqueue(admission::RequestNumber number, const Request &request, bool urgent)
+{
+    const core::TimePoint latestStart = request.deadline - std::min(m_runTimes.mean(request.queue), (request.deadline - request.arrival) / 2);
+    poolOf(request.pool).queue.push(admission::Waiting{number, request.team, request.queue, urgent, request.arrival, latestStart});
+}
+
+bool Dispatcher::eligible(const core::TeamId &team) const
+{
+    if (team == config::openTeam()) {
+        return true;
+    }
+    const auto running = m_teamRunning.find(team);
+    return (running == m_teamRunning.end() ? 0 : running->second) < m_holder.usable(internal::teamUnit(team));
+}
+
+void Dispatcher::pump(PoolState &pool, core::TimePoint now, Actions &actions)
+{
+    if (now >= m_freshUntil || m_snapshot == nullptr) {
+        return;
+    }
+    const admission::FairQueue::Eligible mayStart = [this](const core::TeamId &team) {
+        return eligible(team);
+    };
+    while (pool.queue.leastPressure(mayStart) && pool.running < m_holder.usable(internal::poolGroup(pool.id))) {
+        const std::optional<core::InstanceId> upstream = choose(pool, core::InstanceId{}, now);
+        if (!upstream) {
+            return;
+        }
+        const std::optional<admission::Waiting> next = pool.queue.pop(mayStart);
+        OLEANDERWICK_ASSERT(next.has_value(), "an eligible team waits");
+        const auto entry = m_requests.find(next->number);
+        const core::InstanceId &avoid = entry->second.avoid;
+        startAttempt(entry, pool, avoid == *upstream ? choose(pool, avoid, now).value_or(avoid) : *upstream, now, actions);
+    }
+}
+
+std::uint32_t Dispatcher::freeSlots(const PoolState &pool, const core::InstanceId &instance) const
+{
+    const auto running = m_instanceRunning.find(instance);
+    const std::uint32_t all = running == m_instanceRunning.end() ? 0 : running->second;
+    // An instance that was moved may still have work of the pool it was in before.
+    const std::uint32_t elsewhere = all - pool.upstreams.running(instance);
+    const std::uint32_t usable = m_holder.usable(internal::instanceUnit(instance));
+    return usable > elsewhere ? usable - elsewhere : 0;
+}
+
+std::optional<core::InstanceId> Dispatcher::choose(const PoolState &pool, const core::InstanceId &avoid, core::TimePoint now)
+{
+    const routing::UpstreamTable::SlotsOf slotsOf = [this, &pool](const core::InstanceId &instance) {
+        return freeSlots(pool, instance);
+    };
+    return pool.upstreams.choose(slotsOf, avoid, now, m_random);
+}
+
+void Dispatcher::pumpAll(core::TimePoint now, Actions &actions)
+{
+    for (std::pair<const core::PoolId, PoolState> &pool : m_pools) {
+        pump(pool.second, now, actions);
+    }
+}
+
+core::Duration Dispatcher::attemptTimeout(const Request &request, core::TimePoint now) const
+{
+    const core::Duration left = request.deadline - now;
+    const core::Duration usual = m_runTimes.mean(request.queue);
+    const bool shorten = request.idempotent && request.attempts < internal::maxAttempts && usual > core::Duration::zero();
+    return shorten && usual * internal::usualRunsInTime < left ? left / 2 : left;
+}
+
+void Dispatcher::startAttempt(Requests::iterator entry, PoolState &pool, const core::InstanceId &upstream, core::TimePoint now, Actions &actions)
+{
+    Request &request = entry->second;
+    pool.upstreams.start(upstream);
+    ++pool.running;
+    ++m_teamRunning[request.team];
+    ++m_instanceRunning[upstream];
+    ++request.attempts;
+    request.upstream = upstream;
+    request.attemptStart = now;
+    if (request.attempts == 1) {
+        request.firstStart = now;
+        m_budgets[request.queue].deposit();
+    }
+    const bool fresh = !request.idempotent || request.attempts > 1;
+    const std::string &address = pool.upstreams.find(upstream)->address;
+    const core::Duration timeout = attemptTimeout(request, now);
+    actions.emplace_back(StartAttempt{entry->first, upstream, address, request.attempts, timeout, request.deadline - now, fresh, m_freshUntil});
+}
+
+Actions Dispatcher::attemptEnded(const AttemptEnd &end, core::TimePoint now)
+{
+    Actions actions;
+    const auto entry = m_requests.find(end.number);
+    if (entry == m_requests.end() || entry->second.upstream.empty()) {
+        return actions;
+    }
+    Request &request = entry->second;
+    PoolState &pool = poolOf(request.pool);
+    const routing::Verdict verdict = routing::judge(routing::Attempt{end.end, request.idempotent});
+    const Lingering use{request.deadline, request.pool, request.team, request.queue, request.upstream, now - request.attemptStart, verdict.blamesUpstream};
+    if (end.leaving || end.end == routing::ExchangeEnd::RefusedNotRun) {
+        pool.upstreams.markLeaving(request.upstream, now);
+    }
+    const bool mayGoOn = verdict.step != routing::Verdict::Step::Deliver && verdict.outcome == core::Outcome::Unknown;
+    if (mayGoOn && now < request.deadline) {
+        m_lingering.push_back(use);
+    } else {
+        release(use, now);
+    }
+    if (verdict.step == routing::Verdict::Step::Deliver) {
+        m_runTimes.observe(request.queue, now - request.attemptStart);
+        complete(entry, "delivered", now);
+        actions.emplace_back(Deliver{end.number});
+    } else {
+        retryOrRefuse(entry, verdict, now, actions);
+    }
+    pump(pool, now, actions);
+    return actions;
+}
+
+void Dispatcher::retryOrRefuse(Requests::iterator entry, const routing::Verdict &verdict, core::TimePoint now, Actions &actions)
+{
+    Request &request = entry->second;
+    if (verdict.outcome != core::Outcome::NotRun) {
+        request.outcome = verdict.outcome;
+    }
+    const bool wanted = verdict.step == routing::Verdict::Step::Retry && request.attempts < internal::maxAttempts && now < request.deadline;
+    if (wanted && stillAllowed(request) && (!verdict.costsBudget || m_budgets[request.queue].withdraw())) {
+        request.avoid = std::exchange(request.upstream, core::InstanceId{});
+        enqueue(entry->first, request, true);
+        return;
+    }
+    const int status = now >= request.deadline     ? internal::statusTimeout
+        : request.outcome == core::Outcome::NotRun ? internal::statusUnavailable
+                                                   : internal::statusBadGateway;
+    const core::Duration retry = request.outcome == core::Outcome::NotRun ? internal::refusalRetryAfter : core::Duration::zero();
+    refuse(entry, core::Refusal{status, request.outcome, "upstream_failed", retry}, now, actions);
+}
+
+void Dispatcher::release(const Lingering &use, core::TimePoint now)
+{
+    PoolState &pool = poolOf(use.pool);
+    pool.queue.finish(use.team, use.queue);
+    pool.upstreams.finish(use.upstream, use.failed, use.run, now);
+    --pool.running;
+    --m_teamRunning[use.team];
+    const auto instance = m_instanceRunning.find(use.upstream);
+    if (--instance->second == 0) {
+        m_holder.setRunning(internal::instanceUnit(use.upstream), 0);
+        m_instanceRunning.erase(instance);
+    }
+}
+
+void Dispatcher::releaseLingering(core::TimePoint now)
+{
+    const auto kept = std::stable_partition(m_lingering.begin(), m_lingering.end(), [now](const Lingering &use) {
+        return now < use.until;
+    });
+    for (auto use = kept; use != m_lingering.end(); ++use) {
+        release(*use, now);
+    }
+    m_lingering.erase(kept, m_lingering.end());
+}
+
+void Dispatcher::refuseExpired(PoolState &pool, core::TimePoint now, Actions &actions)
+{
+    for (const admission::Waiting &waiting : pool.queue.expire(now)) {
+        const auto entry = m_requests.find(waiting.number);
+        const core::Refusal refusal{internal::statusTimeout, entry->second.outcome, "not_started_in_time", retryAfter(entry->second, pool)};
+        refuse(entry, refusal, now, actions);
+    }
+}
+
+Actions Dispatcher::tick(core::TimePoint now)
+{
+    Actions actions;
+    releaseLingering(now);
+    for (std::pair<const core::PoolId, PoolState> &pool : m_pools) {
+        refuseExpired(pool.second, now, actions);
+    }
+    pumpAll(now, actions);
+    return actions;
+}
+
+void Dispatcher::refuse(Requests::iterator entry, core::Refusal refusal, core::TimePoint now, Actions &actions)
+{
+    const admission::RequestNumber number = entry->first;
+    complete(entry, refusal.reason, now);
+    actions.emplace_back(Refuse{number, std::move(refusal)});
+}
+
+void Dispatcher::complete(Requests::iterator entry, std::string reason, core::TimePoint now)
+{
+    const Request &request = entry->second;
+    const bool started = request.attempts > 0;
+    const core::Duration wait = (started ? request.firstStart : now) - request.arrival;
+    const core::Duration run = started ? now - request.firstStart : core::Duration::zero();
+    m_completions.push_back(Completion{entry->first, request.team, request.queue, request.upstream, std::move(reason), request.attempts, wait, run});
+    m_requests.erase(entry);
+}
+
+void Dispatcher::updateDemand()
+{
+    std::map<core::TeamId, std::uint32_t> waiting;
+    for (const std::pair<const core::PoolId, PoolState> &pool : m_pools) {
+        const std::uint32_t size = static_cast<std::uint32_t>(pool.second.queue.size());
+        const double pressure = pool.second.queue
+                                    .leastPressure([](const core::TeamId &) {
+                                        return true;
+                                    })
+                                    .value_or(0.0);
+        m_holder.setDemand(internal::poolGroup(pool.first), allotment::Demand{pool.second.running, size, pressure});
+        for (const core::TeamId &team : pool.second.queue.waitingTeams()) {
+            waiting[team] += static_cast<std::uint32_t>(pool.second.queue.waiting(team));
+        }
+    }
+    if (m_snapshot == nullptr) {
+        return;
+    }
+    for (const std::pair<const core::InstanceId, std::uint32_t> &instance : m_instanceRunning) {
+        m_holder.setRunning(internal::instanceUnit(instance.first), instance.second);
+    }
+    for (const std::pair<const core::TeamId, config::Team> &team : m_snapshot->document().teams) {
+        const std::uint32_t running = m_teamRunning[team.first];
+        m_holder.setRunning(internal::teamUnit(team.first), running);
+        const allotment::Group group{allotment::Group::Kind::Team, team.first.text()};
+        m_holder.setDemand(group, allotment::Demand{running, waiting[team.first], 0.0});
+    }
+}
+
+} // namespace oleanderwick::dispatch
--- /dev/null
+++ b/src/oleanderwick/http/fwd.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+namespace oleanderwick::http
+{
+
+struct Header;
+struct Request;
+struct Response;
+struct Endpoint;
+struct ServerLimits;
+struct Exchange;
+struct ExchangeResult;
+class Loop;
+class Server;
+class Client;
+class UpstreamLinks;
+
+} // namespace oleanderwick::http
--- /dev/null
+++ b/src/oleanderwick/http/http.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+/** @file
+ * @brief HTTP/1.1: event loop, server, blocking client, connections to upstreams.
+ */
+
+#include "client.hpp"
+#include "fwd.hpp"
+#include "loop.hpp"
+#include "message.hpp"
+#include "server.hpp"
+#include "upstream_links.hpp"
--- /dev/null
+++ b/src/oleanderwick/http/loop.cpp
@@ -0,0 +1,107 @@
+#include "loop.hpp"
+
+#include <csignal>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "internal/loop_state.hpp"
+
+namespace oleanderwick::http
+{
+
+namespace internal
+{
+
+namespace asio = boost::asio;
+
+struct Repeater : std::enable_shared_from_this<Repeater> {
+    Repeater(asio::io_context &context, core::Duration span, std::function<void()> job) : timer{context}, period{span}, work{std::move(job)}
+    {
+    }
+
+    void arm()
+    {
+        timer.expires_after(period);
+        timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+            if (!error) {
+                self->work();
+                self->arm();
+            }
+        });
+    }
+
+    asio::steady_timer timer;
+    core::Duration period;
+    std::function<void()> work;
+};
+
+struct SignalWaiter : std::enable_shared_from_this<SignalWaiter> {
+    SignalWaiter(asio::io_context &context, std::function<void()> job) : signals{context, SIGTERM, SIGINT}, work{std::move(job)}
+    {
+    }
+
+    void arm()
+    {
+        signals.async_wait([self = shared_from_this()](const boost::system::error_code &error, int) {
+            if (!error) {
+                self->work();
+                self->arm();
+            }
+        });
+    }
+
+    asio::signal_set signals;
+    std::function<void()> work;
+};
+
+} // namespace internal
+
+Loop::Loop() : m_state{std::make_unique<internal::LoopState>()}
+{
+}
+
+Loop::~Loop() = default;
+
+void Loop::run()
+{
+    m_state->context.run();
+}
+
+void Loop::stop()
+{
+    m_state->context.stop();
+}
+
+void Loop::post(std::function<void()> work)
+{
+    boost::asio::post(m_state->context, std::move(work));
+}
+
+void Loop::after(core::Duration delay, std::function<void()> work)
+{
+    const std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_state->context, delay);
+    timer->async_wait([timer, job = std::move(work)](const boost::system::error_code &error) {
+        if (!error) {
+            job();
+        }
+    });
+}
+
+void Loop::every(core::Duration period, std::function<void()> work)
+{
+    std::make_shared<internal::Repeater>(m_state->context, period, std::move(work))->arm();
+}
+
+void Loop::onStopSignal(std::function<void()> work)
+{
+    std::make_shared<internal::SignalWaiter>(m_state->context, std::move(work))->arm();
+}
+
+internal::LoopState &Loop::state() noexcept
+{
+    return *m_state;
+}
+
+} // namespace oleanderwick::http
--- /dev/null
+++ b/src/oleanderwick/http/server.cpp
@@ -0,0 +1,373 @@
+#include "server.hpp"
+
+#include <optional>
+#include <set>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "internal/loop_state.hpp"
+
+namespace oleanderwick::http
+{
+
+namespace internal
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+class Session;
+
+/** @brief Listener and its open connections; everything on the loop's thread. */
+class ServerState : public std::enable_shared_from_this<ServerState>
+{
+public:
+    ServerState(asio::io_context &context, const ServerLimits &limits, Handler handler)
+        : m_context{context}, m_acceptor{context}, m_limits{limits}, m_handler{std::move(handler)}
+    {
+    }
+
+    [[nodiscard]] const ServerLimits &limits() const noexcept
+    {
+        return m_limits;
+    }
+
+    [[nodiscard]] bool draining() const noexcept
+    {
+        return m_draining;
+    }
+
+    [[nodiscard]] std::size_t busy() const;
+    [[nodiscard]] absl::StatusOr<std::uint16_t> listen(const Endpoint &endpoint);
+
+    void handle(Request request, Responder responder)
+    {
+        m_handler(std::move(request), std::move(responder));
+    }
+
+    void add(const std::shared_ptr<Session> &session)
+    {
+        m_sessions.insert(session);
+    }
+
+    void remove(const std::shared_ptr<Session> &session)
+    {
+        m_sessions.erase(session);
+    }
+
+    void drain()
+    {
+        m_draining = true;
+    }
+
+    void close();
+
+private:
+    void accept();
+
+    asio::io_context &m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    ServerLimits m_limits;
+    Handler m_handler;
+    bool m_draining{false};
+    std::set<std::shared_ptr<Session>> m_sessions;
+};
+
+/** @brief One connection: one request at a time. */
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(asio::ip::tcp::socket socket, std::shared_ptr<ServerState> server) : m_stream{std::move(socket)}, m_server{std::move(server)}
+    {
+        error_code ignored;
+        m_stream.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
+    }
+
+    [[nodiscard]] bool busy() const noexcept
+    {
+        return m_busy;
+    }
+
+    void start()
+    {
+        waitForRequest();
+    }
+
+    void end()
+    {
+        error_code ignored;
+        m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+        m_stream.close();
+        m_server->remove(shared_from_this());
+    }
+
+private:
+    using Parser = beast::http::request_parser<beast::http::string_body>;
+
+    void waitForRequest()
+    {
+        m_busy = false;
+        if (m_buffer.size() > 0) {
+            readHeader();
+            return;
+        }
+        m_stream.expires_after(m_server->limits().idleTimeout);
+        m_stream.async_read_some(m_buffer.prepare(firstReadBytes), [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+            if (error) {
+                self->end();
+                return;
+            }
+            self->m_buffer.commit(bytes);
+            self->readHeader();
+        });
+    }
+
+    void readHeader()
+    {
+        m_busy = true;
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits().maxHeaderBytes));
+        m_parser->body_limit(m_server->limits().maxBodyBytes);
+        m_stream.expires_after(m_server->limits().headerTimeout);
+        beast::http::async_read_header(m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
+            self->onHeader(error);
+        });
+    }
+
+    void onHeader(const error_code &error)
+    {
+        if (error) {
+            fail(error);
+            return;
+        }
+        if (beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue") && !m_parser->is_done()) {
+            sendContinue();
+            return;
+        }
+        readBody();
+    }
+
+    void sendContinue()
+    {
+        static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
+        asio::async_write(m_stream, asio::buffer(line), [self = shared_from_this()](const error_code &error, std::size_t) {
+            if (error) {
+                self->end();
+                return;
+            }
+            self->readBody();
+        });
+    }
+
+    void readBody()
+    {
+        if (m_parser->is_done()) {
+            onRequest();
+            return;
+        }
+        m_stream.expires_after(m_server->limits().bodyTimeout);
+        beast::http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
+            if (error) {
+                self->fail(error);
+                return;
+            }
+            self->onRequest();
+        });
+    }
+
+    void onRequest()
+    {
+        m_stream.expires_never();
+        beast::http::request<beast::http::string_body> message = m_parser->release();
+        m_keepAlive = message.keep_alive();
+        m_version = message.version();
+        m_head = message.method() == beast::http::verb::head;
+        Request request;
+        request.method = std::string{message.method_string()};
+        request.target = std::string{message.target()};
+        for (const auto &field : message) {
+            request.headers.push_back(Header{std::string{field.name_string()}, std::string{field.value()}});
+        }
+        request.body = std::move(message.body());
+        const std::weak_ptr<Session> weak = weak_from_this();
+        asio::any_io_executor executor = m_stream.get_executor();
+        m_server->handle(std::move(request), [weak, executor](Response response) {
+            asio::post(executor, [weak, answer = std::move(response)]() mutable {
+                if (const std::shared_ptr<Session> self = weak.lock()) {
+                    self->send(std::move(answer));
+                }
+            });
+        });
+    }
+
+    void send(Response response)
+    {
+        m_answer.emplace();
+        m_answer->version(m_version);
+        m_answer->result(static_cast<unsigned>(response.status));
+        for (const Header &header : response.headers) {
+            m_answer->insert(header.name, header.value);
+        }
+        const bool last = !m_keepAlive || m_server->draining();
+        m_answer->keep_alive(!last);
+        const bool bodyless = response.status == noContent || response.status == notModified;
+        if (m_head || bodyless) {
+            // The headers stand as they came: they may give the length of a body that HEAD does not send.
+            m_answer->body().clear();
+        } else {
+            m_answer->body() = std::move(response.body);
+            m_answer->prepare_payload();
+        }
+        m_serializer.emplace(*m_answer);
+        m_serializer->split(m_head);
+        m_stream.expires_after(m_server->limits().bodyTimeout);
+        beast::http::async_write(m_stream, *m_serializer, [self = shared_from_this(), last](const error_code &error, std::size_t) {
+            if (error || last) {
+                self->end();
+                return;
+            }
+            self->waitForRequest();
+        });
+    }
+
+    void fail(const error_code &error)
+    {
+        if (error == beast::http::error::end_of_stream || error == asio::error::eof || error == asio::error::connection_reset
+            || error == asio::error::operation_aborted) {
+            end();
+            return;
+        }
+        m_keepAlive = false;
+        m_head = false;
+        m_version = 11;
+        const int status = error == beast::http::error::body_limit ? 413
+            : error == beast::http::error::header_limit            ? 431
+            : error == beast::error::timeout                       ? 408
+                                                                   : 400;
+        if (error == beast::error::timeout) {
+            // The stream was closed by its timer; nothing can be sent any more.
+            end();
+            return;
+        }
+        send(Response{status,
+                      {{"Content-Type", "application/problem+json"}},
+                      absl::StrCat(R"({"status":)", status, R"(,"outcome":"not-run","reason":"bad_request","detail":")", error.message(), "\"}")});
+    }
+
+    static constexpr std::size_t firstReadBytes = 4096;
+    static constexpr int noContent = 204;
+    static constexpr int notModified = 304;
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<ServerState> m_server;
+    beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    std::optional<beast::http::response<beast::http::string_body>> m_answer;
+    std::optional<beast::http::response_serializer<beast::http::string_body>> m_serializer;
+    bool m_busy{false};
+    bool m_keepAlive{true};
+    bool m_head{false};
+    unsigned m_version{11};
+};
+
+std::size_t ServerState::busy() const
+{
+    std::size_t count = 0;
+    for (const std::shared_ptr<Session> &session : m_sessions) {
+        count += session->busy() ? 1 : 0;
+    }
+    return count;
+}
+
+absl::StatusOr<std::uint16_t> ServerState::listen(const Endpoint &endpoint)
+{
+    error_code error;
+    const asio::ip::address address = asio::ip::make_address(endpoint.host, error);
+    if (error) {
+        return absl::InvalidArgumentError(absl::StrCat(endpoint.host, ": ", error.message()));
+    }
+    const asio::ip::tcp::endpoint local{address, endpoint.port};
+    m_acceptor.open(local.protocol(), error);
+    if (!error) {
+        m_acceptor.set_option(asio::socket_base::reuse_address{true}, error);
+    }
+    if (!error) {
+        m_acceptor.bind(local, error);
+    }
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return absl::UnavailableError(absl::StrCat("cannot listen on ", endpoint.host, ":", endpoint.port, ": ", error.message()));
+    }
+    accept();
+    return m_acceptor.local_endpoint().port();
+}
+
+void ServerState::accept()
+{
+    m_acceptor.async_accept(m_context, [self = shared_from_this()](const error_code &error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error && self->m_sessions.size() < self->m_limits.maxConnections) {
+            const std::shared_ptr<Session> session = std::make_shared<Session>(std::move(socket), self);
+            self->add(session);
+            session->start();
+        }
+        self->accept();
+    });
+}
+
+void ServerState::close()
+{
+    m_draining = true;
+    error_code ignored;
+    m_acceptor.close(ignored);
+    const std::set<std::shared_ptr<Session>> sessions = m_sessions;
+    for (const std::shared_ptr<Session> &session : sessions) {
+        if (!session->busy()) {
+            session->end();
+        }
+    }
+}
+
+} // namespace internal
+
+Server::Server(Loop &loop, const ServerLimits &limits, Handler handler)
+    : m_state{std::make_shared<internal::ServerState>(loop.state().context, limits, std::move(handler))}
+{
+}
+
+Server::~Server() = default;
+
+std::size_t Server::busy() const
+{
+    return m_state->busy();
+}
+
+absl::StatusOr<std::uint16_t> Server::listen(const std::string &address)
+{
+    const absl::StatusOr<Endpoint> endpoint = parseEndpoint(address);
+    if (!endpoint.ok()) {
+        return endpoint.status();
+    }
+    return m_state->listen(*endpoint);
+}
+
+void Server::drain()
+{
+    m_state->drain();
+}
+
+void Server::close()
+{
+    m_state->close();
+}
+
+} // namespace oleanderwick::http
--- /dev/null
+++ b/src/oleanderwick/http/upstream_links.cpp
@@ -0,0 +1,300 @@
+#include "upstream_links.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "internal/loop_state.hpp"
+
+namespace oleanderwick::http
+{
+
+namespace internal
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+using routing::ExchangeEnd;
+
+constexpr core::Duration connectTimeout = std::chrono::seconds{1};
+constexpr core::Duration keepIdleFor = std::chrono::seconds{15};
+constexpr core::Duration freshFor = std::chrono::seconds{1};
+constexpr std::uint32_t maxAnswerHeaderBytes = 64U << 10U;
+constexpr int serviceUnavailable = 503;
+
+/** @brief Connection that waits for its next exchange. */
+struct IdleLink {
+    std::unique_ptr<beast::tcp_stream> stream;
+    core::TimePoint since;
+};
+
+void setKeepAlive(asio::ip::tcp::socket &socket)
+{
+    constexpr int userTimeoutMs = 10'000;
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    socket.set_option(asio::socket_base::keep_alive{true}, ignored);
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+}
+
+/** Tells whether a kept connection is still open and has nothing to say. */
+bool isQuiet(beast::tcp_stream &stream)
+{
+    char byte = 0;
+    const ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/** @brief Idle connections by address. */
+class LinksState : public std::enable_shared_from_this<LinksState>
+{
+public:
+    LinksState(asio::io_context &context, std::size_t maxPerUpstream) : m_context{context}, m_maxPerUpstream{maxPerUpstream}
+    {
+    }
+
+    [[nodiscard]] asio::io_context &context() noexcept
+    {
+        return m_context;
+    }
+
+    [[nodiscard]] std::unique_ptr<beast::tcp_stream> take(const std::string &address, bool fresh)
+    {
+        std::deque<IdleLink> &links = m_idle[address];
+        const core::TimePoint now = core::BootClock::now();
+        while (!links.empty() && now - links.front().since >= keepIdleFor) {
+            links.pop_front();
+        }
+        while (!links.empty()) {
+            if (fresh && now - links.back().since >= freshFor) {
+                return nullptr;
+            }
+            std::unique_ptr<beast::tcp_stream> stream = std::move(links.back().stream);
+            links.pop_back();
+            if (isQuiet(*stream)) {
+                return stream;
+            }
+        }
+        return nullptr;
+    }
+
+    void keep(const std::string &address, std::unique_ptr<beast::tcp_stream> stream)
+    {
+        std::deque<IdleLink> &links = m_idle[address];
+        links.push_back(IdleLink{std::move(stream), core::BootClock::now()});
+        if (links.size() > m_maxPerUpstream) {
+            links.pop_front();
+        }
+    }
+
+    /** Closes connections that were idle for too long, and forgets upstreams without any. */
+    void expire()
+    {
+        const core::TimePoint now = core::BootClock::now();
+        for (std::pair<const std::string, std::deque<IdleLink>> &entry : m_idle) {
+            std::deque<IdleLink> &links = entry.second;
+            while (!links.empty() && now - links.front().since >= keepIdleFor) {
+                links.pop_front();
+            }
+        }
+        std::erase_if(m_idle, [](const std::pair<const std::string, std::deque<IdleLink>> &entry) {
+            return entry.second.empty();
+        });
+    }
+
+private:
+    asio::io_context &m_context;
+    std::size_t m_maxPerUpstream;
+    std::map<std::string, std::deque<IdleLink>> m_idle;
+};
+
+/** @brief One exchange from connection to whole answer. */
+class Attempt : public std::enable_shared_from_this<Attempt>
+{
+public:
+    Attempt(std::shared_ptr<LinksState> links, Exchange exchange, UpstreamLinks::OnEnd onEnd)
+        : m_links{std::move(links)}
+        , m_exchange{std::move(exchange)}
+        , m_onEnd{std::move(onEnd)}
+        , m_deadline{std::chrono::steady_clock::now() + m_exchange.timeout}
+    {
+    }
+
+    void start()
+    {
+        m_stream = m_links->take(m_exchange.address, m_exchange.freshConnection);
+        if (m_stream != nullptr) {
+            send();
+            return;
+        }
+        connect();
+    }
+
+private:
+    using Message = beast::http::request<beast::http::string_body>;
+    using Parser = beast::http::response_parser<beast::http::string_body>;
+
+    void connect()
+    {
+        const absl::StatusOr<Endpoint> endpoint = parseEndpoint(m_exchange.address);
+        error_code error;
+        const asio::ip::address address = endpoint.ok() ? asio::ip::make_address(endpoint->host, error) : asio::ip::address{};
+        if (!endpoint.ok() || error) {
+            finish(ExchangeEnd::NotConnected);
+            return;
+        }
+        m_stream = std::make_unique<beast::tcp_stream>(m_links->context());
+        m_stream->expires_at(std::min(m_deadline, std::chrono::steady_clock::now() + std::chrono::steady_clock::duration{connectTimeout}));
+        m_stream->async_connect(asio::ip::tcp::endpoint{address, endpoint->port}, [self = shared_from_this()](const error_code &failed) {
+            if (failed) {
+                self->finish(ExchangeEnd::NotConnected);
+                return;
+            }
+            setKeepAlive(self->m_stream->socket());
+            self->send();
+        });
+    }
+
+    void send()
+    {
+        m_message.version(11);
+        m_message.method_string(m_exchange.request.method);
+        m_message.target(m_exchange.request.target);
+        for (const Header &header : m_exchange.request.headers) {
+            m_message.insert(header.name, header.value);
+        }
+        m_message.set(beast::http::field::host, m_exchange.address);
+        m_message.set(requestIdHeader, m_exchange.requestId);
+        m_message.body() = std::move(m_exchange.request.body);
+        m_message.prepare_payload();
+        m_stream->expires_at(m_deadline);
+        beast::http::async_write(*m_stream, m_message, [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+            if (!error) {
+                self->readHeader();
+                return;
+            }
+            self->finish(bytes == 0 ? ExchangeEnd::NothingSent : ExchangeEnd::PartSent);
+        });
+    }
+
+    void readHeader()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(maxAnswerHeaderBytes);
+        m_parser->body_limit(m_exchange.maxAnswerBytes);
+        if (m_message.method() == beast::http::verb::head) {
+            m_parser->skip(true);
+        }
+        beast::http::async_read_header(*m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
+            self->onHeader(error);
+        });
+    }
+
+    void onHeader(const error_code &error)
+    {
+        if (error) {
+            finish(endOf(error));
+            return;
+        }
+        if (m_parser->get().result_int() < 200) {
+            readHeader();
+            return;
+        }
+        if (!m_parser->is_done() && m_parser->need_eof()) {
+            // Ends with the connection: a truncated one cannot be told from a whole one.
+            finish(ExchangeEnd::PartAnswer);
+            return;
+        }
+        beast::http::async_read(*m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &failed, std::size_t) {
+            self->onAnswer(failed);
+        });
+    }
+
+    void onAnswer(const error_code &error)
+    {
+        if (error) {
+            finish(endOf(error));
+            return;
+        }
+        const beast::http::response<beast::http::string_body> &message = m_parser->get();
+        const auto echoed = message.find(requestIdHeader);
+        if (echoed != message.end() && echoed->value() != m_exchange.requestId) {
+            finish(ExchangeEnd::WrongAnswer);
+            return;
+        }
+        const bool refused = message.result_int() == serviceUnavailable && message[outcomeHeader] == "not-run";
+        if (message.keep_alive() && m_buffer.size() == 0) {
+            m_stream->expires_never();
+            m_links->keep(m_exchange.address, std::move(m_stream));
+        }
+        finish(refused ? ExchangeEnd::RefusedNotRun : ExchangeEnd::Whole);
+    }
+
+    [[nodiscard]] ExchangeEnd endOf(const error_code &error) const
+    {
+        if (error == beast::error::timeout) {
+            return ExchangeEnd::TimedOut;
+        }
+        if (error == beast::http::error::body_limit) {
+            return ExchangeEnd::TooLarge;
+        }
+        return m_parser->got_some() ? ExchangeEnd::PartAnswer : ExchangeEnd::NoAnswer;
+    }
+
+    void finish(ExchangeEnd end)
+    {
+        ExchangeResult result;
+        result.end = end;
+        if (end == ExchangeEnd::Whole) {
+            beast::http::response<beast::http::string_body> message = m_parser->release();
+            result.response.status = static_cast<int>(message.result_int());
+            result.leaving = message.find(leavingHeader) != message.end();
+            for (const auto &field : message) {
+                result.response.headers.push_back(Header{std::string{field.name_string()}, std::string{field.value()}});
+            }
+            result.response.body = std::move(message.body());
+            result.response.headOnly = m_message.method() == beast::http::verb::head;
+        }
+        m_stream.reset();
+        m_onEnd(std::move(result));
+    }
+
+    std::shared_ptr<LinksState> m_links;
+    Exchange m_exchange;
+    UpstreamLinks::OnEnd m_onEnd;
+    std::chrono::steady_clock::time_point m_deadline;
+    std::unique_ptr<beast::tcp_stream> m_stream;
+    Message m_message;
+    beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+};
+
+} // namespace internal
+
+UpstreamLinks::UpstreamLinks(Loop &loop, std::size_t maxPerUpstream) : m_state{std::make_shared<internal::LinksState>(loop.state().context, maxPerUpstream)}
+{
+    const std::weak_ptr<internal::LinksState> weak = m_state;
+    loop.every(std::chrono::seconds{1}, [weak] {
+        if (const std::shared_ptr<internal::LinksState> state = weak.lock()) {
+            state->expire();
+        }
+    });
+}
+
+UpstreamLinks::~UpstreamLinks() = default;
+
+void UpstreamLinks::start(Exchange exchange, OnEnd onEnd)
+{
+    std::make_shared<internal::Attempt>(m_state, std::move(exchange), std::move(onEnd))->start();
+}
+
+} // namespace oleanderwick::http
--- /dev/null
+++ b/src/oleanderwick/membership/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace oleanderwick::membership
+{
+
+struct Digest;
+class Roster;
+
+} // namespace oleanderwick::membership
--- /dev/null
+++ b/src/oleanderwick/membership/roster.cpp
@@ -0,0 +1,173 @@
+#include "roster.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace oleanderwick::membership
+{
+
+Roster::Roster(core::NodeId self, std::size_t fleetSize, Bounds bounds)
+    : m_self{std::move(self)}, m_fleetSize{std::max<std::size_t>(1, fleetSize)}, m_bounds{bounds}
+{
+}
+
+bool Roster::isAlive(const Peer &peer, core::TimePoint now) const
+{
+    return now - peer.heard < m_bounds.freshFor;
+}
+
+bool Roster::isMajority(std::size_t count) const noexcept
+{
+    return count * 2 > m_fleetSize;
+}
+
+core::TimePoint Roster::freshUntil() const
+{
+    const std::size_t needed = m_fleetSize / 2;
+    if (needed == 0) {
+        return core::TimePoint::max();
+    }
+    core::TimePoint proved = m_storeHeard.value_or(core::TimePoint{});
+    std::vector<core::TimePoint> proofs;
+    for (const std::pair<const core::NodeId, Peer> &peer : m_peers) {
+        proofs.push_back(peer.second.proved);
+    }
+    if (proofs.size() >= needed) {
+        const auto nth = proofs.begin() + static_cast<std::ptrdiff_t>(needed - 1);
+        std::nth_element(proofs.begin(), nth, proofs.end(), std::greater<>{});
+        proved = std::max(proved, *nth);
+    }
+    return proved + m_bounds.freshFor;
+}
+
+std::vector<core::NodeId> Roster::alive(core::TimePoint now) const
+{
+    std::vector<core::NodeId> nodes{m_self};
+    for (const std::pair<const core::NodeId, Peer> &peer : m_peers) {
+        if (isAlive(peer.second, now)) {
+            nodes.push_back(peer.first);
+        }
+    }
+    return nodes;
+}
+
+std::vector<dispatch::PoolUse> Roster::elsewhere(core::TimePoint now) const
+{
+    std::map<std::pair<core::PoolId, core::TeamId>, std::uint32_t> sums;
+    for (const std::pair<const core::NodeId, Peer> &peer : m_peers) {
+        if (!isAlive(peer.second, now)) {
+            continue;
+        }
+        for (const dispatch::PoolUse &use : peer.second.digest.uses) {
+            sums[{use.pool, use.team}] += use.running;
+        }
+    }
+    std::vector<dispatch::PoolUse> uses;
+    for (const auto &sum : sums) {
+        uses.push_back(dispatch::PoolUse{sum.first.first, sum.first.second, sum.second});
+    }
+    return uses;
+}
+
+std::set<core::NodeId> Roster::departed(core::TimePoint now) const
+{
+    std::set<core::NodeId> nodes;
+    if (!isMajority(alive(now).size())) {
+        return nodes;
+    }
+    for (const std::pair<const core::NodeId, core::TimePoint> &missing : m_missingSince) {
+        if (now - missing.second >= m_bounds.deadAfter + m_bounds.longestRequest) {
+            nodes.insert(missing.first);
+        }
+    }
+    return nodes;
+}
+
+config::Version Roster::largestVersion(core::TimePoint now) const
+{
+    config::Version largest = 0;
+    for (const std::pair<const core::NodeId, Peer> &peer : m_peers) {
+        if (isAlive(peer.second, now)) {
+            largest = std::max(largest, peer.second.digest.version);
+        }
+    }
+    return largest;
+}
+
+core::Duration Roster::storeAge(core::TimePoint now) const
+{
+    return now - m_storeHeard.value_or(core::TimePoint{});
+}
+
+bool Roster::hear(const Digest &digest, core::TimePoint now)
+{
+    if (digest.node == m_self) {
+        return false;
+    }
+    const auto [entry, added] = m_peers.try_emplace(digest.node);
+    Peer &peer = entry->second;
+    if (!added && digest.sequence <= peer.digest.sequence) {
+        return false;
+    }
+    peer.digest = digest;
+    peer.heard = now;
+    m_missingSince.erase(digest.node);
+    std::erase_if(m_peers, [this, now](const std::pair<const core::NodeId, Peer> &old) {
+        return now - old.second.heard > m_bounds.deadAfter + m_bounds.longestRequest;
+    });
+    return true;
+}
+
+void Roster::hearReply(const Digest &digest, core::TimePoint sentAt, core::TimePoint now)
+{
+    hear(digest, now);
+    const auto peer = m_peers.find(digest.node);
+    if (peer != m_peers.end()) {
+        peer->second.proved = std::max(peer->second.proved, sentAt);
+    }
+}
+
+void Roster::allowRequests(core::Duration longest) noexcept
+{
+    m_bounds.longestRequest = std::max(m_bounds.longestRequest, longest);
+}
+
+void Roster::hearStore(core::TimePoint sentAt)
+{
+    m_storeHeard = std::max(m_storeHeard.value_or(sentAt), sentAt);
+}
+
+bool Roster::heardByAnyone(const core::NodeId &node, core::TimePoint now) const
+{
+    if (node == m_self) {
+        return true;
+    }
+    for (const std::pair<const core::NodeId, Peer> &peer : m_peers) {
+        if (!isAlive(peer.second, now)) {
+            continue;
+        }
+        const std::vector<core::NodeId> &alive = peer.second.digest.alive;
+        if (peer.first == node || std::find(alive.begin(), alive.end(), node) != alive.end()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void Roster::observe(const std::set<core::NodeId> &nodes, const std::set<core::NodeId> &holders, core::TimePoint now)
+{
+    const bool majority = isMajority(alive(now).size());
+    std::erase_if(m_missingSince, [&](const std::pair<const core::NodeId, core::TimePoint> &missing) {
+        return !majority || nodes.contains(missing.first) || !holders.contains(missing.first) || heardByAnyone(missing.first, now);
+    });
+    if (!majority) {
+        return;
+    }
+    for (const core::NodeId &holder : holders) {
+        if (!nodes.contains(holder) && !heardByAnyone(holder, now)) {
+            m_missingSince.try_emplace(holder, now);
+        }
+    }
+}
+
+} // namespace oleanderwick::membership
--- /dev/null
+++ b/src/oleanderwick/node/caller_api.cpp
@@ -0,0 +1,187 @@
+#include "caller_api.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include "problem.hpp"
+
+namespace oleanderwick::node
+{
+
+namespace internal
+{
+
+constexpr std::string_view queuePrefix = "/q/";
+constexpr std::string_view bearerPrefix = "Bearer ";
+constexpr absl::string_view ownHeaderPrefix = "oleanderwick-";
+constexpr core::Duration fullRetryAfter = std::chrono::seconds{1};
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+/** @brief Parts of `/q/{queue}/{path}`. */
+struct QueueTarget {
+    std::string queue;
+    std::string path;
+};
+
+std::optional<QueueTarget> parseTarget(const std::string &target)
+{
+    if (!target.starts_with(queuePrefix)) {
+        return std::nullopt;
+    }
+    const std::size_t end = std::min(target.find_first_of("/?", queuePrefix.size()), target.size());
+    QueueTarget parts{target.substr(queuePrefix.size(), end - queuePrefix.size()), target.substr(end)};
+    if (parts.queue.empty()) {
+        return std::nullopt;
+    }
+    if (parts.path.empty() || parts.path.front() != '/') {
+        parts.path = absl::StrCat("/", parts.path);
+    }
+    return parts;
+}
+
+core::Duration parseTimeout(const http::Request &request)
+{
+    const std::string *text = http::findHeader(request.headers, "Oleanderwick-Timeout-Ms");
+    std::uint32_t value = 0;
+    if (text != nullptr) {
+        std::from_chars(text->data(), text->data() + text->size(), value);
+    }
+    return std::chrono::milliseconds{value};
+}
+
+bool hasValue(const http::Request &request, std::string_view name, std::string_view value)
+{
+    const std::string *found = http::findHeader(request.headers, name);
+    return found != nullptr && *found == value;
+}
+
+/** Removes what is meant for this node and not for the upstream. */
+void cleanHeaders(std::vector<http::Header> &headers)
+{
+    http::removeHopByHop(headers);
+    std::erase_if(headers, [](const http::Header &header) {
+        return absl::EqualsIgnoreCase(header.name, "authorization") || absl::StartsWithIgnoreCase(header.name, ownHeaderPrefix);
+    });
+}
+
+} // namespace internal
+
+CallerApi::CallerApi(core::NodeId node, http::UpstreamLinks &links, DecisionRing &decisions, std::size_t maxRequests, std::size_t maxAnswerBytes)
+    : m_node{std::move(node)}, m_links{links}, m_decisions{decisions}, m_maxRequests{maxRequests}, m_maxAnswerBytes{maxAnswerBytes}
+{
+}
+
+std::size_t CallerApi::size() const noexcept
+{
+    return m_held.size();
+}
+
+dispatch::Arrival CallerApi::makeArrival(const http::Request &request, const std::string &queue) const
+{
+    dispatch::Arrival arrival;
+    arrival.number = m_lastNumber;
+    arrival.queue = core::QueueId{queue};
+    const std::string *authorization = http::findHeader(request.headers, "Authorization");
+    if (authorization != nullptr && authorization->starts_with(internal::bearerPrefix)) {
+        arrival.key = config::parseKey(std::string_view{*authorization}.substr(internal::bearerPrefix.size()));
+    }
+    arrival.idempotent = routing::isIdempotent(request.method) || internal::hasValue(request, "Oleanderwick-Idempotent", "true");
+    arrival.urgent = internal::hasValue(request, "Oleanderwick-Priority", "urgent");
+    arrival.timeout = internal::parseTimeout(request);
+    return arrival;
+}
+
+void CallerApi::handle(http::Request request, http::Responder respond)
+{
+    std::optional<internal::QueueTarget> target = internal::parseTarget(request.target);
+    if (!target) {
+        respond(problem(core::Refusal{internal::statusNotFound, core::Outcome::NotRun, "no_such_path", core::Duration::zero()}));
+        return;
+    }
+    const core::Refusal full{internal::statusUnavailable, core::Outcome::NotRun, "node_full", internal::fullRetryAfter};
+    if (m_held.size() >= m_maxRequests) {
+        respond(problem(full));
+        return;
+    }
+    ++m_lastNumber;
+    const dispatch::Arrival arrival = makeArrival(request, target->queue);
+    if (!m_decisions.tryPush(arrival)) {
+        respond(problem(full));
+        return;
+    }
+    request.target = std::move(target->path);
+    internal::cleanHeaders(request.headers);
+    m_held.emplace(m_lastNumber, Held{std::move(request), std::move(respond), {}, absl::StrCat(m_node.text(), "-", m_lastNumber)});
+}
+
+void CallerApi::act(const dispatch::Actions &actions)
+{
+    for (const dispatch::Action &action : actions) {
+        std::visit(
+            [this](const auto &step) {
+                act(step);
+            },
+            action);
+    }
+}
+
+void CallerApi::act(const dispatch::StartAttempt &start)
+{
+    const auto held = m_held.find(start.number);
+    OLEANDERWICK_ASSERT(held != m_held.end(), "an attempt is made for a request that is held");
+    if (core::BootClock::now() >= start.validUntil) {
+        http::ExchangeResult result;
+        result.end = routing::ExchangeEnd::NothingSent;
+        ended(start.number, std::move(result));
+        return;
+    }
+    http::Exchange exchange;
+    exchange.address = start.address;
+    exchange.request = held->second.request;
+    exchange.request.headers.push_back(http::Header{"Oleanderwick-Timeout-Ms", std::to_string(core::milliseconds(start.remaining))});
+    exchange.requestId = held->second.id;
+    exchange.timeout = start.timeout;
+    exchange.freshConnection = start.freshConnection;
+    exchange.maxAnswerBytes = m_maxAnswerBytes;
+    const admission::RequestNumber number = start.number;
+    m_links.start(std::move(exchange), [this, number](http::ExchangeResult result) {
+        ended(number, std::move(result));
+    });
+}
+
+void CallerApi::ended(admission::RequestNumber number, http::ExchangeResult result)
+{
+    const auto held = m_held.find(number);
+    OLEANDERWICK_ASSERT(held != m_held.end(), "an attempt ends for a request that is held");
+    held->second.answer = std::move(result.response);
+    const bool pushed = m_decisions.tryPush(dispatch::AttemptEnd{number, result.end, result.leaving});
+    OLEANDERWICK_ASSERT(pushed, "the ring has room for one event of each request");
+}
+
+void CallerApi::act(const dispatch::Refuse &refuse)
+{
+    const auto held = m_held.find(refuse.number);
+    OLEANDERWICK_ASSERT(held != m_held.end(), "a refusal is for a request that is held");
+    http::Response response = problem(refuse.refusal);
+    response.headers.push_back(http::Header{http::requestIdHeader, held->second.id});
+    held->second.respond(std::move(response));
+    m_held.erase(held);
+}
+
+void CallerApi::act(const dispatch::Deliver &deliver)
+{
+    const auto held = m_held.find(deliver.number);
+    OLEANDERWICK_ASSERT(held != m_held.end(), "an answer is for a request that is held");
+    http::Response response = std::move(held->second.answer);
+    internal::cleanHeaders(response.headers);
+    response.headers.push_back(http::Header{http::requestIdHeader, held->second.id});
+    held->second.respond(std::move(response));
+    m_held.erase(held);
+}
+
+} // namespace oleanderwick::node
--- /dev/null
+++ b/src/oleanderwick/node/duties.cpp
@@ -0,0 +1,271 @@
+#include "duties.hpp"
+
+#include <chrono>
+#include <condition_variable>
+#include <type_traits>
+
+namespace oleanderwick::node
+{
+
+namespace internal
+{
+
+constexpr core::Duration heartbeatPeriod = std::chrono::seconds{1};
+constexpr core::Duration leaseSpan = std::chrono::seconds{5};
+constexpr core::Duration watchPause = std::chrono::milliseconds{500};
+constexpr core::Duration peerTimeout = std::chrono::seconds{1};
+
+/** Sleeps, but wakes at once when the thread is asked to stop. */
+void sleepUnlessStopped(const std::stop_token &stop, core::Duration span)
+{
+    std::mutex mutex;
+    std::condition_variable_any wake;
+    std::unique_lock<std::mutex> lock{mutex};
+    wake.wait_for(lock, stop, span, [] {
+        return false;
+    });
+}
+
+} // namespace internal
+
+StoreDuty::StoreDuty(std::unique_ptr<store::Store> store, StoreKeys keys, StoreRing &tasks, DecisionRing &decisions, ConfigKeeper &keeper)
+    : m_store{std::move(store)}, m_keys{std::move(keys)}, m_tasks{tasks}, m_decisions{decisions}, m_keeper{keeper}, m_thread{[this] {
+        run();
+    }}
+{
+}
+
+void StoreDuty::run()
+{
+    for (;;) {
+        const StoreTask task = m_tasks.pop();
+        if (std::holds_alternative<Quit>(task)) {
+            return;
+        }
+        if (const allotment::LedgerRead *read = std::get_if<allotment::LedgerRead>(&task)) {
+            handle(*read);
+        } else if (const allotment::LedgerWrite *write = std::get_if<allotment::LedgerWrite>(&task)) {
+            handle(*write);
+        } else if (const PatchTask *patch = std::get_if<PatchTask>(&task)) {
+            handle(*patch);
+        }
+    }
+}
+
+std::optional<allotment::StoredLedger> StoreDuty::decode(const std::optional<store::KeyValue> &found)
+{
+    if (!found) {
+        return allotment::StoredLedger{};
+    }
+    absl::StatusOr<allotment::Ledger> ledger = allotment::Ledger::fromText(found->value);
+    if (!ledger.ok()) {
+        return std::nullopt;
+    }
+    return allotment::StoredLedger{found->revision, *std::move(ledger)};
+}
+
+void StoreDuty::handle(const allotment::LedgerRead &read)
+{
+    const absl::StatusOr<std::optional<store::KeyValue>> found = m_store->read(m_keys.ledger(read.shard));
+    m_decisions.push(LedgerReadDone{read.shard, found.ok() ? decode(*found) : std::nullopt});
+}
+
+void StoreDuty::handle(const allotment::LedgerWrite &write)
+{
+    const absl::StatusOr<store::SwapResult> result = m_store->compareAndSwap(m_keys.ledger(write.shard), write.expectedRevision, write.value.toText(), 0);
+    if (!result.ok()) {
+        const bool notSent = result.status().code() == absl::StatusCode::kUnavailable;
+        m_decisions.push(LedgerWriteDone{write.shard, notSent ? allotment::WriteEnd::NotSent : allotment::WriteEnd::Unknown, std::nullopt});
+        return;
+    }
+    if (result->swapped) {
+        m_decisions.push(LedgerWriteDone{write.shard, allotment::WriteEnd::Written, allotment::StoredLedger{result->revision, write.value}});
+        return;
+    }
+    m_decisions.push(LedgerWriteDone{write.shard, allotment::WriteEnd::Conflict, decode(result->current)});
+}
+
+void StoreDuty::handle(const PatchTask &task)
+{
+    config::Record accepted;
+    PatchOutcome outcome = writePatch(*m_store, m_keys, task.patch, accepted);
+    if (outcome.kind == PatchOutcome::Kind::Accepted) {
+        m_keeper.offer(std::move(accepted));
+    }
+    task.done(std::move(outcome));
+}
+
+HeartbeatDuty::HeartbeatDuty(std::unique_ptr<store::Store> store, StoreKeys keys, core::NodeId self, DecisionRing &decisions, ConfigKeeper &keeper)
+    : m_store{std::move(store)}
+    , m_keys{std::move(keys)}
+    , m_self{std::move(self)}
+    , m_decisions{decisions}
+    , m_keeper{keeper}
+    , m_thread{[this](const std::stop_token &stop) {
+        run(stop);
+    }}
+{
+}
+
+void HeartbeatDuty::run(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        beat();
+        internal::sleepUnlessStopped(stop, internal::heartbeatPeriod);
+    }
+    if (m_lease != 0) {
+        // The lease lapses by itself if this call is lost.
+        (void)m_store->revokeLease(m_lease);
+    }
+}
+
+bool HeartbeatDuty::keepRegistered()
+{
+    if (m_lease != 0) {
+        const absl::Status kept = m_store->keepAlive(m_lease);
+        if (kept.ok()) {
+            return true;
+        }
+        if (kept.code() != absl::StatusCode::kNotFound) {
+            return false;
+        }
+        m_lease = 0;
+    }
+    const absl::StatusOr<store::LeaseId> lease = m_store->grantLease(internal::leaseSpan);
+    if (!lease.ok()) {
+        return false;
+    }
+    const std::string key = m_keys.nodes() + m_self.text();
+    const absl::StatusOr<std::optional<store::KeyValue>> before = m_store->read(key);
+    if (!before.ok()) {
+        return false;
+    }
+    const store::Revision revision = before->has_value() ? (*before)->revision : 0;
+    const absl::StatusOr<store::SwapResult> written = m_store->compareAndSwap(key, revision, m_self.text(), *lease);
+    if (!written.ok() || !written->swapped) {
+        return false;
+    }
+    m_lease = *lease;
+    return true;
+}
+
+bool HeartbeatDuty::readHead()
+{
+    const absl::StatusOr<store::Revision> revision = m_store->revision(m_keys.config());
+    if (!revision.ok()) {
+        return false;
+    }
+    if (*revision == m_headRevision) {
+        return true;
+    }
+    absl::StatusOr<StoredRecord> head = readConfig(*m_store, m_keys);
+    if (!head.ok()) {
+        return false;
+    }
+    m_headRevision = head->revision;
+    m_keeper.offer(std::move(head->record));
+    return true;
+}
+
+void HeartbeatDuty::beat()
+{
+    const core::TimePoint sentAt = core::BootClock::now();
+    const bool registered = keepRegistered();
+    if (!readHead() || !registered) {
+        return;
+    }
+    m_decisions.push(StoreHeard{sentAt});
+    const absl::StatusOr<std::vector<std::string>> keys = m_store->keys(m_keys.nodes());
+    if (!keys.ok()) {
+        return;
+    }
+    std::set<core::NodeId> nodes;
+    for (const std::string &key : *keys) {
+        nodes.emplace(key.substr(m_keys.nodes().size()));
+    }
+    m_decisions.push(NodesSeen{std::move(nodes)});
+}
+
+WatchDuty::WatchDuty(std::unique_ptr<store::Store> store, StoreKeys keys, ConfigKeeper &keeper)
+    : m_store{std::move(store)}, m_keys{std::move(keys)}, m_keeper{keeper}, m_thread{[this](const std::stop_token &stop) {
+        run(stop);
+    }}
+{
+}
+
+void WatchDuty::run(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        absl::StatusOr<StoredRecord> head = readConfig(*m_store, m_keys);
+        if (head.ok()) {
+            const store::Revision revision = head->revision;
+            m_keeper.offer(std::move(head->record));
+            const absl::Status ended = m_store->watch(m_keys.config(), revision, [this, &stop](const std::optional<store::KeyValue> &change) {
+                if (change) {
+                    absl::StatusOr<config::Record> record = config::recordFromText(change->value);
+                    if (record.ok()) {
+                        m_keeper.offer(*std::move(record));
+                    }
+                }
+                return !stop.stop_requested();
+            });
+            if (ended.ok()) {
+                continue;
+            }
+        }
+        internal::sleepUnlessStopped(stop, internal::watchPause);
+    }
+}
+
+PeerDuty::PeerDuty(http::Endpoint endpoint, const settings::Settings &settings, DigestSlot &own, DecisionRing &decisions, ConfigKeeper &keeper)
+    : m_link{std::move(endpoint), settings.clusterSecret, internal::peerTimeout}
+    , m_period{std::chrono::milliseconds{settings.digestMs}}
+    , m_own{own}
+    , m_decisions{decisions}
+    , m_keeper{keeper}
+    , m_thread{[this](const std::stop_token &stop) {
+        run(stop);
+    }}
+{
+}
+
+void PeerDuty::run(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        const core::TimePoint sentAt = core::BootClock::now();
+        absl::StatusOr<membership::Digest> digest = m_link.exchange(m_own.read());
+        if (digest.ok()) {
+            const bool larger = digest->version > m_keeper.current()->version();
+            m_decisions.push(PeerReplied{*std::move(digest), sentAt});
+            absl::StatusOr<config::Record> record = larger ? m_link.record() : absl::NotFoundError("not needed");
+            if (record.ok()) {
+                m_keeper.offer(*std::move(record));
+            }
+        }
+        internal::sleepUnlessStopped(stop, m_period);
+    }
+}
+
+TelemetryDuty::TelemetryDuty(TelemetryRing &items, telemetry::Metrics &metrics)
+    : m_items{items}, m_metrics{metrics}, m_thread{[this] {
+        run();
+    }}
+{
+}
+
+void TelemetryDuty::run()
+{
+    for (;;) {
+        const TelemetryItem item = m_items.pop();
+        if (std::holds_alternative<Quit>(item)) {
+            return;
+        }
+        if (const dispatch::Completion *completion = std::get_if<dispatch::Completion>(&item)) {
+            m_metrics.record(*completion);
+        } else if (const telemetry::Event *event = std::get_if<telemetry::Event>(&item)) {
+            telemetry::log(*event);
+        }
+    }
+}
+
+} // namespace oleanderwick::node
--- /dev/null
+++ b/src/oleanderwick/node/fwd.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace oleanderwick::node
+{
+
+class CallerApi;
+class ConfigKeeper;
+class DecisionDuty;
+class HeartbeatDuty;
+class Node;
+class OperatorApi;
+class PeerDuty;
+class StoreDuty;
+class TelemetryDuty;
+class WatchDuty;
+struct PatchTask;
+struct Status;
+
+} // namespace oleanderwick::node
--- /dev/null
+++ b/src/oleanderwick/node/node.cpp
@@ -0,0 +1,347 @@
+#include "node.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <random>
+#include <vector>
+
+#include <sodium.h>
+
+#include "../store/memory_store.hpp"
+#include "../store/platform_store.hpp"
+#include "caller_api.hpp"
+#include "decision_duty.hpp"
+#include "operator_api.hpp"
+
+namespace oleanderwick::node
+{
+
+namespace internal
+{
+
+constexpr core::Duration tickPeriod = std::chrono::milliseconds{10};
+constexpr core::Duration stopPoll = std::chrono::milliseconds{20};
+constexpr core::Duration storeTimeout = std::chrono::seconds{1};
+/** Time for giving back rights after the last request has ended; they are taken back by the others otherwise. */
+constexpr core::Duration leaveTimeout = std::chrono::seconds{3};
+constexpr std::size_t storeRingSize = 1024;
+constexpr std::size_t telemetryRingSize = 65'536;
+constexpr std::size_t controlEvents = 4096;
+constexpr std::size_t linksPerUpstream = 64;
+constexpr std::size_t incarnationDigits = 12;
+
+core::NodeId makeNodeId(const std::string &name)
+{
+    return core::NodeId{name + "." + config::makeSecret().substr(0, incarnationDigits)};
+}
+
+/** @brief Makes a connection to the store for each duty. */
+class StoreMaker
+{
+public:
+    explicit StoreMaker(const settings::StoreSettings &settings) : m_settings{settings}, m_memory{std::make_shared<store::MemoryStore>(m_clock)}
+    {
+    }
+
+    [[nodiscard]] std::unique_ptr<store::Store> make() const;
+
+private:
+    settings::StoreSettings m_settings;
+    core::SystemClock m_clock;
+    std::shared_ptr<store::MemoryStore> m_memory;
+};
+
+/** @brief Connection to a store that the duties share. */
+class SharedStore final : public store::Store
+{
+public:
+    explicit SharedStore(std::shared_ptr<store::Store> store) : m_store{std::move(store)}
+    {
+    }
+
+    absl::StatusOr<std::optional<store::KeyValue>> read(const std::string &key) override
+    {
+        return m_store->read(key);
+    }
+
+    absl::StatusOr<store::Revision> revision(const std::string &key) override
+    {
+        return m_store->revision(key);
+    }
+
+    absl::StatusOr<std::vector<std::string>> keys(const std::string &prefix) override
+    {
+        return m_store->keys(prefix);
+    }
+
+    absl::StatusOr<store::SwapResult> compareAndSwap(const std::string &key, store::Revision expected, const std::string &value, store::LeaseId lease) override
+    {
+        return m_store->compareAndSwap(key, expected, value, lease);
+    }
+
+    absl::StatusOr<store::LeaseId> grantLease(core::Duration span) override
+    {
+        return m_store->grantLease(span);
+    }
+
+    absl::Status keepAlive(store::LeaseId lease) override
+    {
+        return m_store->keepAlive(lease);
+    }
+
+    absl::Status revokeLease(store::LeaseId lease) override
+    {
+        return m_store->revokeLease(lease);
+    }
+
+    absl::Status watch(const std::string &key, store::Revision after, const OnChange &onChange) override
+    {
+        return m_store->watch(key, after, onChange);
+    }
+
+private:
+    std::shared_ptr<store::Store> m_store;
+};
+
+std::unique_ptr<store::Store> StoreMaker::make() const
+{
+    if (m_settings.kind == settings::StoreKind::Memory) {
+        return std::make_unique<SharedStore>(m_memory);
+    }
+    std::vector<http::Endpoint> endpoints;
+    for (const std::string &text : m_settings.endpoints) {
+        const absl::StatusOr<http::Endpoint> endpoint = http::parseEndpoint(text);
+        if (endpoint.ok()) {
+            endpoints.push_back(*endpoint);
+        }
+    }
+    return std::make_unique<store::PlatformStore>(std::move(endpoints), storeTimeout);
+}
+
+http::ServerLimits serverLimits(const settings::Settings &settings)
+{
+    http::ServerLimits limits;
+    limits.maxBodyBytes = settings.maxBodyBytes;
+    return limits;
+}
+
+std::size_t upstreamLinks(std::size_t fleetSize)
+{
+    return std::max<std::size_t>(1, linksPerUpstream / fleetSize);
+}
+
+} // namespace internal
+
+/** @brief Everything that a running node consists of, in the order of its making. */
+class Node::State
+{
+public:
+    explicit State(settings::Settings settings)
+        : m_settings{std::move(settings)}
+        , m_self{internal::makeNodeId(m_settings.node)}
+        , m_fleetSize{m_settings.peers.size() + 1}
+        , m_stores{m_settings.store}
+        , m_decisions{m_settings.maxRequests * 2 + internal::controlEvents}
+        , m_tasks{internal::storeRingSize}
+        , m_items{internal::telemetryRingSize}
+        , m_keeper{m_decisions}
+        , m_links{m_loop, internal::upstreamLinks(m_fleetSize)}
+        , m_callerApi{m_self, m_links, m_decisions, m_settings.maxRequests, m_settings.maxAnswerBytes}
+        , m_operatorApi{m_settings,
+                        m_keeper,
+                        m_digest,
+                        m_tasks,
+                        m_decisions,
+                        m_metrics,
+                        [this] {
+                            return ready();
+                        }}
+        , m_callers{m_loop,
+                    internal::serverLimits(m_settings),
+                    [this](http::Request request, http::Responder respond) {
+                        m_callerApi.handle(std::move(request), std::move(respond));
+                    }}
+        , m_control{m_loop, internal::serverLimits(m_settings), [this](const http::Request &request, const http::Responder &respond) {
+                        m_operatorApi.handle(request, respond);
+                    }}
+    {
+    }
+
+    [[nodiscard]] absl::Status run()
+    {
+        const absl::StatusOr<std::uint16_t> control = m_control.listen(m_settings.control);
+        if (!control.ok()) {
+            return control.status();
+        }
+        const absl::StatusOr<std::uint16_t> callers = m_callers.listen(m_settings.callers);
+        if (!callers.ok()) {
+            return callers.status();
+        }
+        startDuties();
+        log(telemetry::Event{"started"}.with("node", m_self.text()).with("callers", m_settings.callers).with("control", m_settings.control));
+        m_loop.every(internal::tickPeriod, [this] {
+            (void)m_decisions.tryPush(Tick{});
+        });
+        m_loop.onStopSignal([this] {
+            stop();
+        });
+        m_loop.run();
+        endDuties();
+        return absl::OkStatus();
+    }
+
+private:
+    enum class Phase : std::uint8_t {
+        Serving,
+        Draining, /**< Not ready, but still taking work until the balancer has noticed. */
+        Finishing, /**< No new connections; what is under way ends. */
+        Leaving, /**< Rights are given back. */
+        Ended,
+    };
+
+    void log(telemetry::Event event)
+    {
+        (void)m_items.tryPush(std::move(event));
+    }
+
+    [[nodiscard]] bool ready() const
+    {
+        return m_phase == Phase::Serving && m_keeper.current()->version() > 0;
+    }
+
+    void startDuties()
+    {
+        m_telemetry = std::make_unique<TelemetryDuty>(m_items, m_metrics);
+        DecisionPorts ports{m_decisions,
+                            m_tasks,
+                            m_items,
+                            m_digest,
+                            [this](dispatch::Actions actions) {
+                                m_loop.post([this, todo = std::move(actions)] {
+                                    m_callerApi.act(todo);
+                                });
+                            },
+                            [this] {
+                                m_loop.post([this] {
+                                    end("rights_returned");
+                                });
+                            }};
+        const StoreKeys keys{m_settings.store.prefix};
+        m_decision = std::make_unique<DecisionDuty>(m_self, m_settings.zone, m_fleetSize, std::random_device{}(), std::move(ports));
+        m_store = std::make_unique<StoreDuty>(m_stores.make(), keys, m_tasks, m_decisions, m_keeper);
+        m_heartbeat = std::make_unique<HeartbeatDuty>(m_stores.make(), keys, m_self, m_decisions, m_keeper);
+        m_watch = std::make_unique<WatchDuty>(m_stores.make(), keys, m_keeper);
+        for (const std::string &address : m_settings.peers) {
+            const absl::StatusOr<http::Endpoint> endpoint = http::parseEndpoint(address);
+            if (endpoint.ok()) {
+                m_peers.push_back(std::make_unique<PeerDuty>(*endpoint, m_settings, m_digest, m_decisions, m_keeper));
+            }
+        }
+    }
+
+    void endDuties()
+    {
+        m_peers.clear();
+        m_watch.reset();
+        m_heartbeat.reset();
+        m_tasks.push(Quit{});
+        m_store.reset();
+        m_decisions.push(Quit{});
+        m_decision.reset();
+        m_items.push(Quit{});
+        m_telemetry.reset();
+    }
+
+    void stop()
+    {
+        if (m_phase != Phase::Serving) {
+            return;
+        }
+        m_phase = Phase::Draining;
+        m_phaseStart = core::BootClock::now();
+        m_callers.drain();
+        log(telemetry::Event{"stopping"}.with("node", m_self.text()).with("requests", static_cast<std::int64_t>(m_callerApi.size())));
+        m_loop.every(internal::stopPoll, [this] {
+            advanceStop();
+        });
+    }
+
+    void enter(Phase phase)
+    {
+        m_phase = phase;
+        m_phaseStart = core::BootClock::now();
+    }
+
+    void advanceStop()
+    {
+        const core::Duration spent = core::BootClock::now() - m_phaseStart;
+        const core::Duration balancerDelay = std::chrono::milliseconds{m_settings.balancerDelayMs};
+        const core::Duration longest = std::chrono::milliseconds{config::maxQueueTimeoutMs};
+        if (m_phase == Phase::Draining && spent >= balancerDelay) {
+            enter(Phase::Finishing);
+        }
+        if (m_phase == Phase::Finishing) {
+            m_callers.close();
+            const bool done = m_callerApi.size() == 0 && m_callers.busy() == 0;
+            if (done || spent >= longest) {
+                enter(Phase::Leaving);
+                (void)m_decisions.tryPush(Leave{});
+            }
+        }
+        if (m_phase == Phase::Leaving && spent >= internal::leaveTimeout) {
+            end("rights_left_to_lapse");
+        }
+    }
+
+    void end(const char *how)
+    {
+        if (m_phase == Phase::Ended) {
+            return;
+        }
+        m_phase = Phase::Ended;
+        log(telemetry::Event{"stopped"}.with("node", m_self.text()).with("how", how));
+        m_control.close();
+        m_loop.stop();
+    }
+
+    settings::Settings m_settings;
+    core::NodeId m_self;
+    std::size_t m_fleetSize;
+    internal::StoreMaker m_stores;
+    DecisionRing m_decisions;
+    StoreRing m_tasks;
+    TelemetryRing m_items;
+    telemetry::Metrics m_metrics;
+    DigestSlot m_digest;
+    ConfigKeeper m_keeper;
+    http::Loop m_loop;
+    http::UpstreamLinks m_links;
+    CallerApi m_callerApi;
+    OperatorApi m_operatorApi;
+    http::Server m_callers;
+    http::Server m_control;
+    Phase m_phase{Phase::Serving};
+    core::TimePoint m_phaseStart;
+    std::unique_ptr<TelemetryDuty> m_telemetry;
+    std::unique_ptr<DecisionDuty> m_decision;
+    std::unique_ptr<StoreDuty> m_store;
+    std::unique_ptr<HeartbeatDuty> m_heartbeat;
+    std::unique_ptr<WatchDuty> m_watch;
+    std::vector<std::unique_ptr<PeerDuty>> m_peers;
+};
+
+Node::Node(settings::Settings settings)
+{
+    // The secrets' library has to be set up before any thread uses it.
+    OLEANDERWICK_ASSERT(sodium_init() >= 0, "libsodium starts");
+    m_state = std::make_unique<State>(std::move(settings));
+}
+
+Node::~Node() = default;
+
+absl::Status Node::run()
+{
+    return m_state->run();
+}
+
+} // namespace oleanderwick::node
--- /dev/null
+++ b/src/oleanderwick/node/operator_api.cpp
@@ -0,0 +1,282 @@
+#include "operator_api.hpp"
+
+#include <array>
+#include <charconv>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+#include "problem.hpp"
+
+namespace oleanderwick::node
+{
+
+namespace internal
+{
+
+constexpr std::string_view bearerPrefix = "Bearer ";
+constexpr int statusBadRequest = 400;
+constexpr int statusUnauthorized = 401;
+constexpr int statusForbidden = 403;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 412;
+constexpr int statusMediaType = 415;
+constexpr int statusInvalid = 422;
+constexpr int statusPreconditionRequired = 428;
+constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+constexpr std::size_t maxPatchId = 128;
+
+std::optional<config::Version> parseVersion(std::string_view text)
+{
+    config::Version version = 0;
+    const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (text.empty() || result.ec != std::errc{} || result.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return version;
+}
+
+/** Reads `"N"`, an entity tag. */
+std::optional<config::Version> parseTag(const std::string &tag)
+{
+    if (tag.size() < 3 || tag.front() != '"' || tag.back() != '"') {
+        return std::nullopt;
+    }
+    return parseVersion(std::string_view{tag}.substr(1, tag.size() - 2));
+}
+
+std::string makeTag(config::Version version)
+{
+    return absl::StrCat("\"", version, "\"");
+}
+
+std::optional<config::PatchFormat> parseFormat(const http::Request &request)
+{
+    const std::string *type = http::findHeader(request.headers, "Content-Type");
+    if (type != nullptr && absl::StartsWithIgnoreCase(*type, "application/json-patch+json")) {
+        return config::PatchFormat::JsonPatch;
+    }
+    if (type != nullptr && absl::StartsWithIgnoreCase(*type, "application/merge-patch+json")) {
+        return config::PatchFormat::MergePatch;
+    }
+    return std::nullopt;
+}
+
+http::Response patchAnswer(const PatchOutcome &outcome, const std::string &id)
+{
+    using Kind = PatchOutcome::Kind;
+    const std::string again = absl::StrCat("it may be in force; send it again with Oleanderwick-Patch-Id: ", id);
+    switch (outcome.kind) {
+    case Kind::Accepted: {
+        const nlohmann::json body = {{"version", outcome.version}, {"patchId", id}};
+        http::Response response = jsonAnswer(body.dump());
+        response.headers.push_back(http::Header{"ETag", makeTag(outcome.version)});
+        return response;
+    }
+    case Kind::Conflict: {
+        http::Response response = operatorProblem(statusConflict, "version_conflict", outcome.detail);
+        response.headers.push_back(http::Header{"ETag", makeTag(outcome.version)});
+        return response;
+    }
+    case Kind::Invalid:
+        return operatorProblem(statusInvalid, "invalid_patch", outcome.detail);
+    case Kind::NotApplied:
+        return operatorProblem(statusUnavailable, "store_unavailable", "not applied: " + outcome.detail);
+    case Kind::Unknown:
+        break;
+    }
+    return operatorProblem(statusTimeout, "outcome_unknown", again);
+}
+
+} // namespace internal
+
+OperatorApi::OperatorApi(const settings::Settings &settings,
+                         ConfigKeeper &keeper,
+                         DigestSlot &digest,
+                         StoreRing &tasks,
+                         DecisionRing &decisions,
+                         telemetry::Metrics &metrics,
+                         std::function<bool()> ready)
+    : m_settings{settings}
+    , m_keeper{keeper}
+    , m_digest{digest}
+    , m_tasks{tasks}
+    , m_decisions{decisions}
+    , m_metrics{metrics}
+    , m_ready{std::move(ready)}
+    , m_peers{*this}
+{
+}
+
+const OperatorApi::RouteEntry *OperatorApi::findRoute(const http::Request &request, const std::string &path)
+{
+    static constexpr std::array<RouteEntry, 8> routes{{
+        {"GET", "/v1/config", false, &OperatorApi::showConfig},
+        {"PATCH", "/v1/config", false, &OperatorApi::patchConfig},
+        {"GET", "/v1/config/history", false, &OperatorApi::showHistory},
+        {"GET", "/v1/status", false, &OperatorApi::showStatus},
+        {"GET", "/metrics", true, &OperatorApi::showMetrics},
+        {"GET", "/healthz", true, &OperatorApi::showHealth},
+        {"GET", "/readyz", true, &OperatorApi::showReady},
+        {"POST", peer::peerPath, true, &OperatorApi::servePeer},
+    }};
+    for (const RouteEntry &entry : routes) {
+        if (request.method == entry.method && path == entry.path) {
+            return &entry;
+        }
+    }
+    return nullptr;
+}
+
+std::string OperatorApi::operatorOf(const http::Request &request) const
+{
+    const std::string *authorization = http::findHeader(request.headers, "Authorization");
+    if (authorization == nullptr || !authorization->starts_with(internal::bearerPrefix)) {
+        return {};
+    }
+    const std::string_view secret = std::string_view{*authorization}.substr(internal::bearerPrefix.size());
+    std::string name;
+    for (const settings::Operator &person : m_settings.operators) {
+        if (config::matchesHash(secret, person.keyHash)) {
+            name = person.name;
+        }
+    }
+    return name;
+}
+
+bool OperatorApi::isPeer(const http::Request &request) const
+{
+    const std::string *secret = http::findHeader(request.headers, peer::secretHeader);
+    const std::string &own = m_settings.clusterSecret;
+    return secret != nullptr && !own.empty() && secret->size() == own.size() && sodium_memcmp(secret->data(), own.data(), own.size()) == 0;
+}
+
+void OperatorApi::handle(const http::Request &request, const http::Responder &respond)
+{
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    const RouteEntry *entry = findRoute(request, path);
+    if (entry == nullptr) {
+        respond(operatorProblem(internal::statusNotFound, "no_such_path", request.method + " " + path));
+        return;
+    }
+    const std::string author = operatorOf(request);
+    if (!entry->open && author.empty()) {
+        respond(operatorProblem(internal::statusUnauthorized, "operator_key_needed", "show an operator's key as Authorization: Bearer KEY"));
+        return;
+    }
+    (this->*entry->route)(request, respond, author);
+}
+
+void OperatorApi::showConfig(const http::Request &request, const http::Responder &respond, const std::string &)
+{
+    const config::SnapshotPtr current = m_keeper.current();
+    constexpr std::string_view versionQuery = "?version=";
+    const std::size_t query = request.target.find(versionQuery);
+    if (query != std::string::npos) {
+        const std::optional<config::Version> asked = internal::parseVersion(std::string_view{request.target}.substr(query + versionQuery.size()));
+        if (!asked || *asked != current->version()) {
+            respond(operatorProblem(internal::statusNotFound, "version_not_kept", absl::StrCat("the number in force is ", current->version())));
+            return;
+        }
+    }
+    const nlohmann::json body = {{"version", current->version()}, {"document", config::toJson(current->document())}};
+    http::Response response = jsonAnswer(body.dump());
+    response.headers.push_back(http::Header{"ETag", internal::makeTag(current->version())});
+    respond(std::move(response));
+}
+
+void OperatorApi::patchConfig(const http::Request &request, const http::Responder &respond, const std::string &author)
+{
+    const std::string *match = http::findHeader(request.headers, "If-Match");
+    const std::optional<config::Version> base = match == nullptr ? std::nullopt : internal::parseTag(*match);
+    if (!base) {
+        respond(operatorProblem(internal::statusPreconditionRequired, "if_match_needed", "If-Match has to give the number, as \"7\""));
+        return;
+    }
+    const std::optional<config::PatchFormat> format = internal::parseFormat(request);
+    if (!format) {
+        const char *detail = "Content-Type has to be application/json-patch+json or application/merge-patch+json";
+        respond(operatorProblem(internal::statusMediaType, "unknown_format", detail));
+        return;
+    }
+    const std::string *given = http::findHeader(request.headers, "Oleanderwick-Patch-Id");
+    if (given != nullptr && (given->empty() || given->size() > internal::maxPatchId)) {
+        respond(operatorProblem(internal::statusBadRequest, "bad_patch_id", "a patch id has 1 to 128 characters"));
+        return;
+    }
+    const std::string id = given == nullptr ? config::makeSecret() : *given;
+    PatchTask task{config::Patch{id, author, *base, *format, request.body}, [respond, id](const PatchOutcome &outcome) {
+                       respond(internal::patchAnswer(outcome, id));
+                   }};
+    if (!m_tasks.tryPush(std::move(task))) {
+        respond(operatorProblem(internal::statusUnavailable, "node_full", "not applied: too many patches wait"));
+    }
+}
+
+void OperatorApi::showHistory(const http::Request &, const http::Responder &respond, const std::string &)
+{
+    respond(jsonAnswer(config::historyToJson(m_keeper.current()->record()).dump()));
+}
+
+void OperatorApi::showStatus(const http::Request &, const http::Responder &respond, const std::string &)
+{
+    const membership::Digest digest = m_digest.read();
+    nlohmann::json alive = nlohmann::json::array();
+    for (const core::NodeId &node : digest.alive) {
+        alive.push_back(node.text());
+    }
+    nlohmann::json uses = nlohmann::json::array();
+    for (const dispatch::PoolUse &use : digest.uses) {
+        uses.push_back({{"pool", use.pool.text()}, {"team", use.team.text()}, {"running", use.running}});
+    }
+    const nlohmann::json body = {{"node", digest.node.text()},
+                                 {"zone", m_settings.zone},
+                                 {"ready", m_ready()},
+                                 {"version", m_keeper.current()->version()},
+                                 {"storeAgeMs", digest.storeAgeMs},
+                                 {"alive", std::move(alive)},
+                                 {"running", std::move(uses)}};
+    respond(jsonAnswer(body.dump()));
+}
+
+void OperatorApi::showMetrics(const http::Request &, const http::Responder &respond, const std::string &)
+{
+    m_metrics.set("config_version", static_cast<double>(m_keeper.current()->version()));
+    respond(http::Response{200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.toText()});
+}
+
+void OperatorApi::showHealth(const http::Request &, const http::Responder &respond, const std::string &)
+{
+    respond(http::Response{200, {{"Content-Type", "text/plain"}}, "ok\n"});
+}
+
+void OperatorApi::showReady(const http::Request &, const http::Responder &respond, const std::string &)
+{
+    const bool ready = m_ready();
+    respond(http::Response{ready ? 200 : internal::statusUnavailable, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n"});
+}
+
+void OperatorApi::servePeer(const http::Request &request, const http::Responder &respond, const std::string &)
+{
+    if (!isPeer(request)) {
+        respond(operatorProblem(internal::statusForbidden, "cluster_secret_needed", "only nodes of the fleet call this"));
+        return;
+    }
+    respond(jsonAnswer(m_peers.handle(request.body)));
+}
+
+membership::Digest OperatorApi::exchange(const membership::Digest &digest)
+{
+    (void)m_decisions.tryPush(PeerHeard{digest});
+    return m_digest.read();
+}
+
+std::string OperatorApi::record()
+{
+    return config::toText(m_keeper.current()->record());
+}
+
+} // namespace oleanderwick::node
--- /dev/null
+++ b/src/oleanderwick/node/operator_api.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "../http/http.hpp"
+#include "../peer/peer.hpp"
+#include "../settings/settings.hpp"
+#include "config_keeper.hpp"
+#include "duties.hpp"
+#include "messages.hpp"
+
+namespace oleanderwick::node
+{
+
+/** @brief Operators' and peers' side of a node. Everything on the loop's thread. */
+class OperatorApi final : public peer::Service
+{
+public:
+    /**
+     * @brief Starts to serve.
+     * @param settings Settings of the node.
+     * @param keeper Configuration in force.
+     * @param digest Digest of this node.
+     * @param tasks Ring of the store duty.
+     * @param decisions Ring of the decision duty.
+     * @param metrics Metrics to show.
+     * @param ready Tells whether the node can serve.
+     */
+    OperatorApi(const settings::Settings &settings,
+                ConfigKeeper &keeper,
+                DigestSlot &digest,
+                StoreRing &tasks,
+                DecisionRing &decisions,
+                telemetry::Metrics &metrics,
+                std::function<bool()> ready);
+
+    /**
+     * @brief Takes an operator's or a peer's request.
+     * @param request Whole request.
+     * @param respond Answers it.
+     */
+    void handle(const http::Request &request, const http::Responder &respond);
+
+    [[nodiscard]] membership::Digest exchange(const membership::Digest &digest) override;
+    [[nodiscard]] std::string record() override;
+
+private:
+    using Route = void (OperatorApi::*)(const http::Request &, const http::Responder &, const std::string &);
+    struct RouteEntry {
+        const char *method;
+        const char *path;
+        bool open; /**< Needs no operator's key. */
+        Route route;
+    };
+
+    [[nodiscard]] static const RouteEntry *findRoute(const http::Request &request, const std::string &path);
+    [[nodiscard]] std::string operatorOf(const http::Request &request) const;
+    [[nodiscard]] bool isPeer(const http::Request &request) const;
+
+    void showConfig(const http::Request &request, const http::Responder &respond, const std::string &author);
+    void patchConfig(const http::Request &request, const http::Responder &respond, const std::string &author);
+    void showHistory(const http::Request &request, const http::Responder &respond, const std::string &author);
+    void showStatus(const http::Request &request, const http::Responder &respond, const std::string &author);
+    void showMetrics(const http::Request &request, const http::Responder &respond, const std::string &author);
+    void showHealth(const http::Request &request, const http::Responder &respond, const std::string &author);
+    void showReady(const http::Request &request, const http::Responder &respond, const std::string &author);
+    void servePeer(const http::Request &request, const http::Responder &respond, const std::string &author);
+
+    const settings::Settings &m_settings;
+    ConfigKeeper &m_keeper;
+    DigestSlot &m_digest;
+    StoreRing &m_tasks;
+    DecisionRing &m_decisions;
+    telemetry::Metrics &m_metrics;
+    std::function<bool()> m_ready;
+    peer::Endpoint m_peers;
+};
+
+} // namespace oleanderwick::node
--- /dev/null
+++ b/src/oleanderwick/peer/codec.cpp
@@ -0,0 +1,104 @@
+#include "codec.hpp"
+
+#include <cmath>
+#include <limits>
+
+#include <nlohmann/json.hpp>
+
+namespace oleanderwick::peer
+{
+
+namespace internal
+{
+
+/** JSON has no infinity; a pressure without bound is written as this. */
+constexpr double unboundedPressure = 1e9;
+
+nlohmann::json toJson(const allotment::Want &want)
+{
+    const char *kind = want.group.kind == allotment::Group::Kind::Team ? "t" : "p";
+    const double pressure = std::isfinite(want.pressure) ? want.pressure : unboundedPressure;
+    return nlohmann::json::array({kind, want.group.name, want.hungry, want.idle, pressure});
+}
+
+allotment::Want wantFromJson(const nlohmann::json &json)
+{
+    allotment::Want want;
+    want.group.kind = json.at(0).get<std::string>() == "t" ? allotment::Group::Kind::Team : allotment::Group::Kind::Pool;
+    want.group.name = json.at(1).get<std::string>();
+    want.hungry = json.at(2).get<std::uint32_t>();
+    want.idle = json.at(3).get<std::uint32_t>();
+    const double pressure = json.at(4).get<double>();
+    want.pressure = pressure >= unboundedPressure ? std::numeric_limits<double>::infinity() : pressure;
+    return want;
+}
+
+dispatch::PoolUse useFromJson(const nlohmann::json &json)
+{
+    return dispatch::PoolUse{core::PoolId{json.at(0).get<std::string>()}, core::TeamId{json.at(1).get<std::string>()}, json.at(2).get<std::uint32_t>()};
+}
+
+membership::Digest digestFromJson(const nlohmann::json &json)
+{
+    membership::Digest digest;
+    digest.node = core::NodeId{json.at("node").get<std::string>()};
+    digest.sequence = json.at("seq").get<std::uint64_t>();
+    digest.version = json.at("version").get<config::Version>();
+    digest.leaving = json.at("leaving").get<bool>();
+    digest.storeAgeMs = json.at("storeAge").get<std::int64_t>();
+    for (const nlohmann::json &node : json.at("alive")) {
+        digest.alive.emplace_back(node.get<std::string>());
+    }
+    for (const nlohmann::json &use : json.at("uses")) {
+        digest.uses.push_back(useFromJson(use));
+    }
+    for (const nlohmann::json &want : json.at("wants")) {
+        digest.wants.push_back(wantFromJson(want));
+    }
+    digest.sequences = json.at("ledger").get<std::vector<std::uint64_t>>();
+    return digest;
+}
+
+} // namespace internal
+
+std::string toText(const membership::Digest &digest)
+{
+    nlohmann::json alive = nlohmann::json::array();
+    for (const core::NodeId &node : digest.alive) {
+        alive.push_back(node.text());
+    }
+    nlohmann::json uses = nlohmann::json::array();
+    for (const dispatch::PoolUse &use : digest.uses) {
+        uses.push_back(nlohmann::json::array({use.pool.text(), use.team.text(), use.running}));
+    }
+    nlohmann::json wants = nlohmann::json::array();
+    for (const allotment::Want &want : digest.wants) {
+        wants.push_back(internal::toJson(want));
+    }
+    const nlohmann::json json = {{"v", messageVersion},
+                                 {"node", digest.node.text()},
+                                 {"seq", digest.sequence},
+                                 {"version", digest.version},
+                                 {"leaving", digest.leaving},
+                                 {"storeAge", digest.storeAgeMs},
+                                 {"alive", std::move(alive)},
+                                 {"uses", std::move(uses)},
+                                 {"wants", std::move(wants)},
+                                 {"ledger", digest.sequences}};
+    return json.dump();
+}
+
+absl::StatusOr<membership::Digest> digestFromText(const std::string &text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    try {
+        if (json.at("v").get<int>() != messageVersion) {
+            return absl::InvalidArgumentError("another version of the messages");
+        }
+        return internal::digestFromJson(json);
+    } catch (const nlohmann::json::exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+} // namespace oleanderwick::peer
--- /dev/null
+++ b/src/oleanderwick/routing/verdict.cpp
@@ -0,0 +1,69 @@
+#include "verdict.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace oleanderwick::routing
+{
+
+namespace internal
+{
+
+struct Row {
+    std::string_view name;
+    bool mayHaveRun; /**< An upstream may have run the request. */
+    bool blamesUpstream;
+};
+
+/** Indexed by `ExchangeEnd`. */
+constexpr std::array<Row, exchangeEnds> rows{{
+    {"whole", true, false},
+    {"refused_not_run", false, false},
+    {"not_connected", false, true},
+    {"nothing_sent", false, false},
+    {"part_sent", true, true},
+    {"no_answer", true, true},
+    {"part_answer", true, true},
+    {"timed_out", true, true},
+    {"wrong_answer", true, true},
+    {"too_large", true, false},
+}};
+
+constexpr const Row &rowOf(ExchangeEnd end) noexcept
+{
+    return rows.at(static_cast<std::size_t>(end));
+}
+
+constexpr std::array<std::string_view, 6> idempotentMethods{"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"};
+
+} // namespace internal
+
+std::string_view toText(ExchangeEnd end) noexcept
+{
+    return internal::rowOf(end).name;
+}
+
+Verdict judge(const Attempt &attempt) noexcept
+{
+    const internal::Row &row = internal::rowOf(attempt.end);
+    if (attempt.end == ExchangeEnd::Whole) {
+        return Verdict{Verdict::Step::Deliver, core::Outcome::Failed, false, false};
+    }
+    if (attempt.end == ExchangeEnd::TooLarge) {
+        return Verdict{Verdict::Step::Refuse, core::Outcome::Failed, false, false};
+    }
+    if (!row.mayHaveRun) {
+        const bool costsBudget = attempt.end != ExchangeEnd::NothingSent;
+        return Verdict{Verdict::Step::Retry, core::Outcome::NotRun, costsBudget, row.blamesUpstream};
+    }
+    const Verdict::Step step = attempt.idempotent ? Verdict::Step::Retry : Verdict::Step::Refuse;
+    return Verdict{step, core::Outcome::Unknown, true, row.blamesUpstream};
+}
+
+bool isIdempotent(std::string_view method) noexcept
+{
+    const auto &methods = internal::idempotentMethods;
+    return std::find(methods.begin(), methods.end(), method) != methods.end();
+}
+
+} // namespace oleanderwick::routing
--- /dev/null
+++ b/src/oleanderwick/store/platform_store.cpp
@@ -0,0 +1,267 @@
+#include "platform_store.hpp"
+
+#include <charconv>
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include "base64.hpp"
+
+namespace oleanderwick::store
+{
+
+namespace internal
+{
+
+constexpr int statusOk = 200;
+constexpr int statusServerError = 500;
+/** Code of gRPC for a missing thing, as the gateway passes it on. */
+constexpr int codeNotFound = 5;
+
+/** The gateway writes 64-bit numbers as texts. */
+std::uint64_t number(const nlohmann::json &json, const char *field)
+{
+    const auto found = json.find(field);
+    if (found == json.end()) {
+        return 0;
+    }
+    if (found->is_number_unsigned()) {
+        return found->get<std::uint64_t>();
+    }
+    if (!found->is_string()) {
+        return 0;
+    }
+    const std::string &text = found->get_ref<const std::string &>();
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::optional<KeyValue> keyValue(const nlohmann::json &json)
+{
+    if (!json.is_object() || !json.contains("key") || !json["key"].is_string()) {
+        return std::nullopt;
+    }
+    const std::optional<std::string> key = fromBase64(json["key"].get<std::string>());
+    const auto text = json.find("value");
+    const std::optional<std::string> value = fromBase64(text != json.end() && text->is_string() ? text->get<std::string>() : std::string{});
+    const Revision revision = number(json, "mod_revision");
+    if (!key || !value || revision == 0) {
+        return std::nullopt;
+    }
+    return KeyValue{*key, *value, revision};
+}
+
+/** First entry of a range answer. */
+absl::StatusOr<std::optional<KeyValue>> firstOf(const nlohmann::json &answer)
+{
+    const auto entries = answer.find("kvs");
+    if (entries == answer.end() || !entries->is_array() || entries->empty()) {
+        return std::optional<KeyValue>{};
+    }
+    std::optional<KeyValue> entry = keyValue((*entries)[0]);
+    if (!entry) {
+        return absl::DataLossError("malformed entry in a store answer");
+    }
+    return entry;
+}
+
+absl::StatusOr<SwapResult> swapResult(const nlohmann::json &answer)
+{
+    SwapResult result;
+    const auto header = answer.find("header");
+    result.swapped = answer.value("succeeded", false);
+    if (result.swapped) {
+        result.revision = header == answer.end() || !header->is_object() ? 0 : number(*header, "revision");
+        if (result.revision == 0) {
+            return absl::DataLossError("a swap without a revision");
+        }
+        return result;
+    }
+    const auto responses = answer.find("responses");
+    const bool sound = responses != answer.end() && responses->is_array() && !responses->empty() && (*responses)[0].is_object();
+    if (!sound || !(*responses)[0].contains("response_range")) {
+        return absl::DataLossError("a refused swap without the current value");
+    }
+    absl::StatusOr<std::optional<KeyValue>> current = firstOf((*responses)[0]["response_range"]);
+    if (!current.ok()) {
+        return current.status();
+    }
+    result.current = *std::move(current);
+    return result;
+}
+
+/** Takes one line of a watch; false ends it. */
+bool onWatchLine(const std::string &line, const Store::OnChange &onChange)
+{
+    const nlohmann::json json = nlohmann::json::parse(line, nullptr, false);
+    if (!json.is_object() || !json.contains("result") || !json["result"].is_object()) {
+        return false;
+    }
+    const nlohmann::json &result = json["result"];
+    if (result.value("canceled", false)) {
+        return false;
+    }
+    const auto events = result.find("events");
+    if (events == result.end() || !events->is_array()) {
+        return onChange(std::nullopt);
+    }
+    for (const nlohmann::json &event : *events) {
+        if (!event.is_object() || !event.contains("kv") || event.value("type", "PUT") != "PUT") {
+            continue;
+        }
+        if (!onChange(keyValue(event["kv"]))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace internal
+
+PlatformStore::PlatformStore(std::vector<http::Endpoint> endpoints, core::Duration timeout) : m_endpoints{std::move(endpoints)}, m_timeout{timeout}
+{
+    OLEANDERWICK_ASSERT(!m_endpoints.empty(), "the store has an endpoint");
+}
+
+http::Client &PlatformStore::client()
+{
+    if (m_client.empty()) {
+        m_client.emplace_back(m_endpoints[m_current]);
+    }
+    return m_client.front();
+}
+
+void PlatformStore::useNext()
+{
+    m_client.clear();
+    m_current = (m_current + 1) % m_endpoints.size();
+}
+
+absl::StatusOr<nlohmann::json> PlatformStore::call(const std::string &path, const nlohmann::json &body)
+{
+    http::Request request{"POST", path, {{"Content-Type", "application/json"}}, body.dump()};
+    const absl::StatusOr<http::Response> response = client().exchange(request, m_timeout);
+    if (!response.ok()) {
+        useNext();
+        return response.status();
+    }
+    nlohmann::json json = nlohmann::json::parse(response->body, nullptr, false);
+    if (response->status == internal::statusOk && json.is_object()) {
+        return json;
+    }
+    if (json.is_object() && json.value("code", 0) == internal::codeNotFound) {
+        return absl::NotFoundError(json.value("message", "not found"));
+    }
+    if (response->status >= internal::statusServerError) {
+        // The service may have done it before it failed.
+        return absl::DeadlineExceededError(absl::StrCat("the store answered ", response->status));
+    }
+    return absl::InvalidArgumentError(absl::StrCat("the store answered ", response->status));
+}
+
+absl::StatusOr<std::optional<KeyValue>> PlatformStore::read(const std::string &key)
+{
+    const absl::StatusOr<nlohmann::json> answer = call("/v3/kv/range", {{"key", toBase64(key)}});
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    return internal::firstOf(*answer);
+}
+
+absl::StatusOr<Revision> PlatformStore::revision(const std::string &key)
+{
+    const absl::StatusOr<nlohmann::json> answer = call("/v3/kv/range", {{"key", toBase64(key)}, {"keys_only", true}});
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    const absl::StatusOr<std::optional<KeyValue>> found = internal::firstOf(*answer);
+    if (!found.ok()) {
+        return found.status();
+    }
+    return found->has_value() ? (*found)->revision : 0;
+}
+
+absl::StatusOr<std::vector<std::string>> PlatformStore::keys(const std::string &prefix)
+{
+    const nlohmann::json body = {{"key", toBase64(prefix)}, {"range_end", toBase64(prefixEnd(prefix))}, {"keys_only", true}};
+    const absl::StatusOr<nlohmann::json> answer = call("/v3/kv/range", body);
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    std::vector<std::string> keys;
+    const auto entries = answer->find("kvs");
+    if (entries == answer->end() || !entries->is_array()) {
+        return keys;
+    }
+    for (const nlohmann::json &entry : *entries) {
+        const std::optional<KeyValue> found = internal::keyValue(entry);
+        if (!found) {
+            return absl::DataLossError("malformed entry in a store answer");
+        }
+        keys.push_back(found->key);
+    }
+    return keys;
+}
+
+absl::StatusOr<SwapResult> PlatformStore::compareAndSwap(const std::string &key, Revision expected, const std::string &value, LeaseId lease)
+{
+    const std::string name = toBase64(key);
+    nlohmann::json put = {{"key", name}, {"value", toBase64(value)}};
+    if (lease != 0) {
+        put["lease"] = std::to_string(lease);
+    }
+    const nlohmann::json compare = {{"key", name}, {"target", "MOD"}, {"result", "EQUAL"}, {"mod_revision", std::to_string(expected)}};
+    const nlohmann::json body = {{"compare", {compare}}, {"success", {{{"request_put", std::move(put)}}}}, {"failure", {{{"request_range", {{"key", name}}}}}}};
+    const absl::StatusOr<nlohmann::json> answer = call("/v3/kv/txn", body);
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    return internal::swapResult(*answer);
+}
+
+absl::StatusOr<LeaseId> PlatformStore::grantLease(core::Duration span)
+{
+    const std::int64_t seconds = std::chrono::duration_cast<std::chrono::seconds>(span).count();
+    const absl::StatusOr<nlohmann::json> answer = call("/v3/lease/grant", {{"TTL", std::to_string(seconds)}});
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    const LeaseId lease = internal::number(*answer, "ID");
+    if (lease == 0) {
+        return absl::DataLossError("a lease without a number");
+    }
+    return lease;
+}
+
+absl::Status PlatformStore::keepAlive(LeaseId lease)
+{
+    const absl::StatusOr<nlohmann::json> answer = call("/v3/lease/keepalive", {{"ID", std::to_string(lease)}});
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    const auto result = answer->find("result");
+    const bool lives = result != answer->end() && result->is_object() && internal::number(*result, "TTL") > 0;
+    return lives ? absl::OkStatus() : absl::NotFoundError("the lease has lapsed");
+}
+
+absl::Status PlatformStore::revokeLease(LeaseId lease)
+{
+    return call("/v3/lease/revoke", {{"ID", std::to_string(lease)}}).status();
+}
+
+absl::Status PlatformStore::watch(const std::string &key, Revision after, const OnChange &onChange)
+{
+    const nlohmann::json create = {{"key", toBase64(key)}, {"start_revision", std::to_string(after + 1)}};
+    const nlohmann::json body = {{"create_request", create}};
+    const http::Request request{"POST", "/v3/watch", {{"Content-Type", "application/json"}}, body.dump()};
+    absl::Status ended = client().stream(request, m_timeout, [&onChange](const std::optional<std::string> &line) {
+        return line ? internal::onWatchLine(*line, onChange) : onChange(std::nullopt);
+    });
+    if (!ended.ok()) {
+        useNext();
+    }
+    return ended;
+}
+
+} // namespace oleanderwick::store
--- /dev/null
+++ b/src/oleanderwick/telemetry/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace oleanderwick::telemetry
+{
+
+class Event;
+class Metrics;
+
+} // namespace oleanderwick::telemetry
--- /dev/null
+++ b/src/oleanderwick/telemetry/metrics.cpp
@@ -0,0 +1,119 @@
+#include "metrics.hpp"
+
+#include <array>
+#include <cmath>
+#include <map>
+#include <mutex>
+
+#include <absl/strings/str_cat.h>
+#include <boost/histogram.hpp>
+
+namespace oleanderwick::telemetry
+{
+
+namespace internal
+{
+
+namespace histogram = boost::histogram;
+
+using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
+using Times = decltype(histogram::make_histogram(Axis{}));
+
+constexpr unsigned bins = 28;
+constexpr double shortest = 0.0005;
+constexpr double longest = 131.072;
+
+Times makeTimes()
+{
+    return histogram::make_histogram(Axis{bins, shortest, longest, "seconds"});
+}
+
+double seconds(core::Duration span)
+{
+    return std::chrono::duration<double>{span}.count();
+}
+
+/** @brief Times of one team on one queue. */
+struct Series {
+    Times wait{makeTimes()};
+    Times run{makeTimes()};
+    Times total{makeTimes()};
+    std::array<double, 3> sums{};
+};
+
+void write(std::string &text, const std::string &name, const std::string &labels, const Times &times, double sum)
+{
+    double count = times.at(-1);
+    for (const auto &bin : histogram::indexed(times)) {
+        count += *bin;
+        absl::StrAppend(&text, name, "_bucket{", labels, ",le=\"", bin.bin().upper(), "\"} ", count, "\n");
+    }
+    count += times.at(static_cast<int>(bins));
+    absl::StrAppend(&text, name, "_bucket{", labels, ",le=\"+Inf\"} ", count, "\n");
+    absl::StrAppend(&text, name, "_sum{", labels, "} ", sum, "\n", name, "_count{", labels, "} ", count, "\n");
+}
+
+} // namespace internal
+
+struct Metrics::State {
+    using Key = std::pair<core::TeamId, core::QueueId>;
+
+    mutable std::mutex mutex;
+    std::map<Key, internal::Series> series;
+    std::map<std::string, std::uint64_t> reasons;
+    std::map<std::string, double> values;
+    std::uint64_t retries{0};
+};
+
+Metrics::Metrics() : m_state{std::make_unique<State>()}
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::record(const dispatch::Completion &completion)
+{
+    const std::lock_guard<std::mutex> lock{m_state->mutex};
+    ++m_state->reasons[completion.reason];
+    m_state->retries += completion.attempts > 1 ? completion.attempts - 1 : 0;
+    if (completion.team.empty()) {
+        return;
+    }
+    internal::Series &series = m_state->series[State::Key{completion.team, completion.queue}];
+    const double wait = internal::seconds(completion.wait);
+    const double run = internal::seconds(completion.run);
+    series.wait(wait);
+    series.run(run);
+    series.total(wait + run);
+    series.sums[0] += wait;
+    series.sums[1] += run;
+    series.sums[2] += wait + run;
+}
+
+void Metrics::set(const std::string &name, double value)
+{
+    const std::lock_guard<std::mutex> lock{m_state->mutex};
+    m_state->values[name] = value;
+}
+
+std::string Metrics::toText() const
+{
+    const std::lock_guard<std::mutex> lock{m_state->mutex};
+    std::string text;
+    for (const std::pair<const std::string, double> &value : m_state->values) {
+        absl::StrAppend(&text, "oleanderwick_", value.first, " ", value.second, "\n");
+    }
+    absl::StrAppend(&text, "oleanderwick_retries_total ", m_state->retries, "\n");
+    for (const std::pair<const std::string, std::uint64_t> &reason : m_state->reasons) {
+        absl::StrAppend(&text, "oleanderwick_requests_total{reason=\"", reason.first, "\"} ", reason.second, "\n");
+    }
+    for (const std::pair<const State::Key, internal::Series> &entry : m_state->series) {
+        const std::string labels = absl::StrCat("team=\"", entry.first.first.text(), "\",queue=\"", entry.first.second.text(), "\"");
+        internal::write(text, "oleanderwick_wait_seconds", labels, entry.second.wait, entry.second.sums[0]);
+        internal::write(text, "oleanderwick_run_seconds", labels, entry.second.run, entry.second.sums[1]);
+        internal::write(text, "oleanderwick_total_seconds", labels, entry.second.total, entry.second.sums[2]);
+    }
+    return text;
+}
+
+} // namespace oleanderwick::telemetry
