--- a/src/oleanderwick/http/client.cpp
+++ b/src/oleanderwick/http/client.cpp
@@ -49,7 +49,7 @@
     [[nodiscard]] absl::StatusOr<Response> exchange(const Request &request, core::Duration timeout)
     {
         m_stream.expires_after(timeout);
-        const absl::Status connected = connect();
+        absl::Status connected = connect();
         if (!connected.ok()) {
             return connected;
         }
@@ -82,7 +82,7 @@
     {
         drop();
         m_stream.expires_after(timeout);
-        const absl::Status connected = connect();
+        absl::Status connected = connect();
         if (!connected.ok()) {
             return connected;
         }
@@ -105,7 +105,7 @@
             return absl::UnavailableError(error ? error.message() : "the stream was refused");
         }
         m_stream.expires_never();
-        const absl::Status ended = readLines(parser, onLine);
+        absl::Status ended = readLines(parser, onLine);
         drop();
         return ended;
     }
--- a/src/oleanderwick/membership/roster.cpp
+++ b/src/oleanderwick/membership/roster.cpp
@@ -29,6 +29,7 @@
     }
     core::TimePoint proved = m_storeHeard.value_or(core::TimePoint{});
     std::vector<core::TimePoint> proofs;
+    proofs.reserve(m_peers.size());
     for (const std::pair<const core::NodeId, Peer> &peer : m_peers) {
         proofs.push_back(peer.second.proved);
     }
--- a/src/oleanderwick/node/fwd.hpp
+++ b/src/oleanderwick/node/fwd.hpp
@@ -14,6 +14,5 @@
 class TelemetryDuty;
 class WatchDuty;
 struct PatchTask;
-struct Status;
 
 } // namespace oleanderwick::node
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -141,7 +141,7 @@
         , m_self{internal::makeNodeId(m_settings.node)}
         , m_fleetSize{m_settings.peers.size() + 1}
         , m_stores{m_settings.store}
-        , m_decisions{m_settings.maxRequests * 2 + internal::controlEvents}
+        , m_decisions{std::size_t{m_settings.maxRequests} * 2 + internal::controlEvents}
         , m_tasks{internal::storeRingSize}
         , m_items{internal::telemetryRingSize}
         , m_keeper{m_decisions}
--- a/src/oleanderwick/peer/rpc_binding.hpp
+++ b/src/oleanderwick/peer/rpc_binding.hpp
@@ -41,7 +41,7 @@
      * @param message JSON-RPC text.
      * @return JSON-RPC text of the answer.
      */
-    std::string handle(const std::string &message) const;
+    [[nodiscard]] std::string handle(const std::string &message) const;
 
 private:
     class Binding;
--- a/src/oleanderwick/store/platform_store.cpp
+++ b/src/oleanderwick/store/platform_store.cpp
@@ -212,7 +212,11 @@
         put["lease"] = std::to_string(lease);
     }
     const nlohmann::json compare = {{"key", name}, {"target", "MOD"}, {"result", "EQUAL"}, {"mod_revision", std::to_string(expected)}};
-    const nlohmann::json body = {{"compare", {compare}}, {"success", {{{"request_put", std::move(put)}}}}, {"failure", {{{"request_range", {{"key", name}}}}}}};
+    const nlohmann::json write = {{"request_put", std::move(put)}};
+    const nlohmann::json look = {{"request_range", {{"key", name}}}};
+    // Spelled out: a list in braces with one element would be that element.
+    const nlohmann::json body = {
+        {"compare", nlohmann::json::array({compare})}, {"success", nlohmann::json::array({write})}, {"failure", nlohmann::json::array({look})}};
     const absl::StatusOr<nlohmann::json> answer = call("/v3/kv/txn", body);
     if (!answer.ok()) {
         return answer.status();
--- a/src/stub/store_stub.cpp
+++ b/src/stub/store_stub.cpp
@@ -26,7 +26,7 @@
 
 std::uint64_t numberOf(const nlohmann::json &json, const char *field)
 {
-    const nlohmann::json value = json.value(field, nlohmann::json{0U});
+    const nlohmann::json value = json.value(field, nlohmann::json(0U));
     if (value.is_string()) {
         return std::stoull(value.get<std::string>());
     }
@@ -106,8 +106,8 @@
     const auto found = m_entries.find(key);
     const std::uint64_t revision = found == m_entries.end() ? 0 : found->second.revision;
     if (revision != internal::numberOf(compare, "mod_revision")) {
-        const nlohmann::json current = range(body.at("failure").at(0).at("request_range"));
-        return nlohmann::json{{"header", header()}, {"responses", {{{"response_range", current}}}}};
+        const nlohmann::json look = {{"response_range", range(body.at("failure").at(0).at("request_range"))}};
+        return nlohmann::json{{"header", header()}, {"responses", nlohmann::json::array({look})}};
     }
     const nlohmann::json &put = body.at("success").at(0).at("request_put");
     const std::uint64_t lease = internal::numberOf(put, "lease");
@@ -118,7 +118,7 @@
     entry = Entry{internal::bytesOf(put, "value"), ++m_revision, entry.version + 1, lease};
     m_changed.notify_all();
     const nlohmann::json done = {{"response_put", {{"header", header()}}}};
-    return nlohmann::json{{"header", header()}, {"succeeded", true}, {"responses", {done}}};
+    return nlohmann::json{{"header", header()}, {"succeeded", true}, {"responses", nlohmann::json::array({done})}};
 }
 
 void StoreStub::removeLease(std::uint64_t id)
@@ -201,7 +201,7 @@
     const auto entry = m_entries.find(name);
     after = entry->second.revision;
     const nlohmann::json event = {{"kv", entryJson(name, entry->second, false)}};
-    return nlohmann::json{{"result", {{"header", header()}, {"events", {event}}}}};
+    return nlohmann::json{{"result", {{"header", header()}, {"events", nlohmann::json::array({event})}}}};
 }
 
 /** @brief Listener and connections of a server. */
