Prove the division of bounds under lost, late and refused swaps

Cause: the upper limit over the fleet rests on the holder alone. Change: property over random traces of 7 nodes (lost answers, swaps that land later, outages, crashes, wants told late), the lowered bound, and focused tests of claiming, giving, surrender and the fence after a lost answer.

--- /dev/null
+++ b/test/oleanderwick/allotment/fleet_model.hpp
@@ -0,0 +1,241 @@
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "oleanderwick/allotment/allotment.hpp"
+
+namespace oleanderwick::test
+{
+
+/** @brief Store of ledger shards with the faults of the platform's: lost answers, calls that take effect late, outages. */
+class FaultyShards
+{
+public:
+    /** @brief Swap that was sent and may still take effect. */
+    struct Late {
+        allotment::LedgerWrite write;
+    };
+
+    [[nodiscard]] allotment::StoredLedger read(std::size_t shard) const
+    {
+        const auto found = m_shards.find(shard);
+        return found == m_shards.end() ? allotment::StoredLedger{} : found->second;
+    }
+
+    bool apply(const allotment::LedgerWrite &write)
+    {
+        if (read(write.shard).revision != write.expectedRevision) {
+            return false;
+        }
+        m_shards[write.shard] = allotment::StoredLedger{++m_revision, write.value};
+        return true;
+    }
+
+private:
+    std::uint64_t m_revision{0};
+    std::map<std::size_t, allotment::StoredLedger> m_shards;
+};
+
+/** @brief Nodes with their holders, work that starts and ends, and one faulty store; everything in steps. */
+class FleetModel
+{
+public:
+    struct Node {
+        core::NodeId id;
+        std::unique_ptr<allotment::Holder> holder;
+        std::map<allotment::Unit, std::uint32_t> running;
+        bool stopped{false};
+    };
+
+    FleetModel(std::size_t nodes, std::uint32_t limit, std::uint64_t seed)
+        : m_random{seed}
+        , m_limit{limit}
+    {
+        for (std::size_t index = 0; index < nodes; ++index) {
+            addNode();
+        }
+        setLimit(limit);
+    }
+
+    [[nodiscard]] static allotment::Unit unit()
+    {
+        return allotment::Unit{allotment::Unit::Kind::Team, "t"};
+    }
+
+    [[nodiscard]] static allotment::Group group()
+    {
+        return allotment::Group{allotment::Group::Kind::Team, "t"};
+    }
+
+    [[nodiscard]] std::uint32_t chance(std::uint32_t bound)
+    {
+        return static_cast<std::uint32_t>(m_random() % bound);
+    }
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_nodes.size();
+    }
+
+    [[nodiscard]] Node &node(std::size_t index)
+    {
+        return m_nodes[index];
+    }
+
+    [[nodiscard]] std::uint32_t totalRunning() const
+    {
+        std::uint32_t sum = 0;
+        for (const Node &entry : m_nodes) {
+            const auto found = entry.running.find(unit());
+            sum += found == entry.running.end() ? 0 : found->second;
+        }
+        return sum;
+    }
+
+    [[nodiscard]] std::uint32_t totalHeld() const
+    {
+        return m_store.read(allotment::Holder::shardOf(unit())).ledger.total(unit());
+    }
+
+    void addNode()
+    {
+        Node entry;
+        entry.id = core::NodeId{"n" + std::to_string(m_nodes.size())};
+        entry.holder = std::make_unique<allotment::Holder>(entry.id, fleetSize);
+        if (m_snapshot != nullptr) {
+            entry.holder->configure(*m_snapshot);
+        }
+        m_nodes.push_back(std::move(entry));
+    }
+
+    void setLimit(std::uint32_t limit)
+    {
+        m_limit = limit;
+        config::Record record;
+        record.version = ++m_version;
+        config::Team team;
+        team.upperLimit = limit;
+        record.document.teams.emplace(core::TeamId{"t"}, team);
+        m_snapshot = std::make_shared<const config::Snapshot>(record);
+        for (Node &entry : m_nodes) {
+            entry.holder->configure(*m_snapshot);
+        }
+    }
+
+    /** Has a node vanish now and then. Its work goes on for a while; only after that are its rights given up for good. */
+    void crash(std::size_t index)
+    {
+        Node &entry = m_nodes[index];
+        if (!entry.stopped) {
+            const bool enoughLeft = std::count_if(m_nodes.begin(), m_nodes.end(), [](const Node &other) {
+                                        return !other.stopped;
+                                    }) > 3;
+            entry.stopped = enoughLeft && chance(20) == 0;
+            return;
+        }
+        if (entry.running[unit()] == 0) {
+            for (Node &other : m_nodes) {
+                other.holder->setDeparted({entry.id});
+            }
+        }
+    }
+
+    /** Starts up to `count` uses on a node; returns those that could start. */
+    std::uint32_t start(std::size_t index, std::uint32_t count)
+    {
+        Node &entry = m_nodes[index];
+        std::uint32_t started = 0;
+        while (!entry.stopped && started < count && entry.running[unit()] < entry.holder->usable(unit())) {
+            ++entry.running[unit()];
+            ++started;
+        }
+        return started;
+    }
+
+    void finish(std::size_t index, std::uint32_t count)
+    {
+        std::uint32_t &running = m_nodes[index].running[unit()];
+        running -= std::min(count, running);
+    }
+
+    void demand(std::size_t index, std::uint32_t waiting)
+    {
+        Node &entry = m_nodes[index];
+        const std::uint32_t running = entry.running[unit()];
+        entry.holder->setRunning(unit(), running);
+        entry.holder->setDemand(group(), allotment::Demand{running, waiting, 0.0});
+    }
+
+    /** Tells one node's wants to another. */
+    void tell(std::size_t from, std::size_t to)
+    {
+        if (from != to && !m_nodes[to].stopped) {
+            m_nodes[to].holder->setPeer(m_nodes[from].id, m_nodes[from].holder->wants(), m_nodes[from].holder->sequences());
+        }
+    }
+
+    /** Lets a node ask the store; `faulty` calls may be lost before or after they take effect, or take effect later. */
+    void step(std::size_t index, bool away, bool faulty)
+    {
+        Node &entry = m_nodes[index];
+        if (entry.stopped) {
+            return;
+        }
+        const allotment::HolderStep calls = entry.holder->step();
+        for (const allotment::LedgerRead &read : calls.reads) {
+            const bool failed = away || (faulty && chance(4) == 0);
+            entry.holder->onRead(read.shard, failed ? std::nullopt : std::optional{m_store.read(read.shard)});
+        }
+        for (const allotment::LedgerWrite &write : calls.writes) {
+            write_(entry, write, away, faulty);
+        }
+    }
+
+    /** Lets swaps that were sent and not answered take effect now, or never. */
+    void settleLate()
+    {
+        for (const FaultyShards::Late &late : m_late) {
+            if (chance(2) == 0) {
+                m_store.apply(late.write);
+            }
+        }
+        m_late.clear();
+    }
+
+private:
+    void write_(Node &entry, const allotment::LedgerWrite &write, bool away, bool faulty)
+    {
+        using allotment::WriteEnd;
+        const std::uint32_t fault = faulty ? chance(6) : 5;
+        if (away || fault == 0) {
+            entry.holder->onWritten(write.shard, WriteEnd::NotSent, std::nullopt);
+        } else if (fault == 1) {
+            m_store.apply(write);
+            entry.holder->onWritten(write.shard, WriteEnd::Unknown, std::nullopt);
+        } else if (fault == 2) {
+            m_late.push_back(FaultyShards::Late{write});
+            entry.holder->onWritten(write.shard, WriteEnd::Unknown, std::nullopt);
+        } else {
+            const bool done = m_store.apply(write);
+            entry.holder->onWritten(write.shard, done ? WriteEnd::Written : WriteEnd::Conflict, m_store.read(write.shard));
+        }
+    }
+
+    static constexpr std::size_t fleetSize = 7;
+
+    std::mt19937_64 m_random;
+    std::uint32_t m_limit;
+    config::Version m_version{0};
+    config::SnapshotPtr m_snapshot;
+    FaultyShards m_store;
+    std::deque<FaultyShards::Late> m_late;
+    std::vector<Node> m_nodes;
+};
+
+} // namespace oleanderwick::test
--- /dev/null
+++ b/test/oleanderwick/allotment/holder.cpp
@@ -0,0 +1,207 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "fleet_model.hpp"
+
+namespace allotment = oleanderwick::allotment;
+namespace core = oleanderwick::core;
+using oleanderwick::test::FleetModel;
+
+namespace
+{
+
+constexpr std::size_t fleetSize = 7;
+
+/** One round without faults: everybody learns everybody's wants and asks the store. */
+void calmRound(FleetModel &fleet)
+{
+    for (std::size_t from = 0; from < fleet.size(); ++from) {
+        for (std::size_t to = 0; to < fleet.size(); ++to) {
+            fleet.tell(from, to);
+        }
+    }
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        fleet.step(index, false, false);
+    }
+}
+
+void randomRound(FleetModel &fleet, bool away)
+{
+    const std::size_t index = fleet.chance(static_cast<std::uint32_t>(fleet.size()));
+    fleet.demand(index, fleet.chance(12));
+    switch (fleet.chance(7)) {
+    case 4:
+        fleet.crash(index);
+        break;
+    case 0:
+        fleet.start(index, fleet.chance(12));
+        break;
+    case 1:
+        fleet.finish(index, fleet.chance(12));
+        break;
+    case 2:
+        fleet.tell(fleet.chance(static_cast<std::uint32_t>(fleet.size())), index);
+        break;
+    case 3:
+        fleet.settleLate();
+        break;
+    default:
+        fleet.demand(index, fleet.chance(12));
+        fleet.step(index, away, true);
+        break;
+    }
+}
+
+void ask(FleetModel &fleet, std::size_t index, std::uint32_t waiting)
+{
+    const std::uint32_t started = fleet.start(index, waiting);
+    fleet.demand(index, waiting - started);
+}
+
+} // namespace
+
+TEST_CASE("Holder never uses more than the bound over the fleet", "[allotment]")
+{
+    const bool sound = rc::check("running stays within the bound whatever is lost, late or away", [] {
+        const std::uint32_t limit = *rc::gen::inRange<std::uint32_t>(0, 20);
+        FleetModel fleet{fleetSize, limit, *rc::gen::arbitrary<std::uint64_t>()};
+        for (int round = 0; round < 600; ++round) {
+            randomRound(fleet, round % 200 > 150);
+            RC_ASSERT(fleet.totalHeld() <= limit);
+            RC_ASSERT(fleet.totalRunning() <= limit);
+        }
+    });
+    CHECK(sound);
+}
+
+TEST_CASE("Holder starts nothing above a lowered bound", "[allotment]")
+{
+    const bool sound = rc::check("nothing starts while the work under way fills the lowered bound", [] {
+        const std::uint32_t before = *rc::gen::inRange<std::uint32_t>(8, 30);
+        const std::uint32_t after = *rc::gen::inRange<std::uint32_t>(0, 8);
+        FleetModel fleet{fleetSize, before, *rc::gen::arbitrary<std::uint64_t>()};
+        for (int round = 0; round < 10; ++round) {
+            for (std::size_t index = 0; index < fleetSize; ++index) {
+                ask(fleet, index, before);
+            }
+            calmRound(fleet);
+        }
+        fleet.setLimit(after);
+        calmRound(fleet);
+        calmRound(fleet);
+        for (int round = 0; round < 100; ++round) {
+            const std::size_t index = fleet.chance(fleetSize);
+            const std::uint32_t running = fleet.totalRunning();
+            const std::uint32_t started = fleet.start(index, 3);
+            RC_ASSERT(started == 0 || running + started <= after);
+            fleet.finish(fleet.chance(fleetSize), 1);
+            fleet.demand(index, 3);
+            fleet.step(index, false, true);
+        }
+    });
+    CHECK(sound);
+}
+
+TEST_CASE("Holder makes the whole bound usable to one node within 8 exchanges", "[allotment]")
+{
+    // Eight exchanges of 250 ms are the 2 s of the target.
+    constexpr std::uint32_t limit = 100;
+    FleetModel fleet{fleetSize, limit, 1};
+    for (int round = 0; round < 10; ++round) {
+        calmRound(fleet);
+    }
+    for (int round = 0; round < 8; ++round) {
+        ask(fleet, 0, limit);
+        calmRound(fleet);
+    }
+    ask(fleet, 0, limit);
+    CHECK(fleet.node(0).running[FleetModel::unit()] >= 97);
+}
+
+TEST_CASE("Holder spreads an idle bound evenly", "[allotment]")
+{
+    FleetModel fleet{fleetSize, 70, 1};
+    for (int round = 0; round < 12; ++round) {
+        calmRound(fleet);
+    }
+    for (std::size_t index = 0; index < fleetSize; ++index) {
+        CHECK(fleet.node(index).holder->usable(FleetModel::unit()) == 10);
+    }
+}
+
+TEST_CASE("Holder keeps its rights while the store is away", "[allotment]")
+{
+    FleetModel fleet{fleetSize, 70, 1};
+    for (int round = 0; round < 12; ++round) {
+        calmRound(fleet);
+    }
+    for (int round = 0; round < 50; ++round) {
+        fleet.step(3, true, false);
+    }
+    CHECK(fleet.node(3).holder->usable(FleetModel::unit()) == 10);
+}
+
+TEST_CASE("Holder gets the rights of a departed node back", "[allotment]")
+{
+    FleetModel fleet{fleetSize, 70, 1};
+    for (int round = 0; round < 12; ++round) {
+        calmRound(fleet);
+    }
+    fleet.node(6).stopped = true;
+    for (std::size_t index = 0; index < 6; ++index) {
+        fleet.node(index).holder->forgetPeer(fleet.node(6).id);
+        fleet.node(index).holder->setDeparted({fleet.node(6).id});
+    }
+    for (int round = 0; round < 8; ++round) {
+        ask(fleet, 0, 70);
+        calmRound(fleet);
+    }
+    ask(fleet, 0, 70);
+    CHECK(fleet.node(0).running[FleetModel::unit()] >= 68);
+}
+
+TEST_CASE("Holder that surrenders keeps nothing", "[allotment]")
+{
+    FleetModel fleet{fleetSize, 70, 1};
+    for (int round = 0; round < 12; ++round) {
+        calmRound(fleet);
+    }
+    fleet.node(2).holder->surrender();
+    calmRound(fleet);
+    calmRound(fleet);
+    CHECK_FALSE(fleet.node(2).holder->holders().contains(fleet.node(2).id));
+}
+
+TEST_CASE("Holder settles a write whose answer was lost before it uses the rights again", "[allotment]")
+{
+    allotment::Holder holder{core::NodeId{"n0"}, 2};
+    oleanderwick::config::Record record;
+    record.version = 1;
+    oleanderwick::config::Team team;
+    team.upperLimit = 4;
+    record.document.teams.emplace(core::TeamId{"t"}, team);
+    holder.configure(oleanderwick::config::Snapshot{record});
+    const allotment::Unit unit = FleetModel::unit();
+    const std::size_t shard = allotment::Holder::shardOf(unit);
+    allotment::Ledger ledger;
+    ledger.claim(core::NodeId{"n0"}, unit, 4, 4);
+    const allotment::StoredLedger stored{5, ledger};
+    for (const allotment::LedgerRead &read : holder.step().reads) {
+        holder.onRead(read.shard, read.shard == shard ? stored : allotment::StoredLedger{});
+    }
+    REQUIRE(holder.usable(unit) == 4);
+    holder.setPeer(core::NodeId{"n1"}, {allotment::Want{FleetModel::group(), 2, 0, 0.0}}, {});
+    REQUIRE(holder.step().writes.size() == 1);
+    CHECK(holder.usable(unit) == 2);
+    holder.onWritten(shard, allotment::WriteEnd::Unknown, std::nullopt);
+    CHECK(holder.usable(unit) == 2);
+    for (const allotment::LedgerRead &read : holder.step().reads) {
+        holder.onRead(read.shard, stored);
+    }
+    // Unchanged in the store, but the lost write may still land: not usable until another write has been done.
+    CHECK(holder.usable(unit) == 2);
+    const allotment::HolderStep next = holder.step();
+    REQUIRE(next.writes.size() == 1);
+    holder.onWritten(shard, allotment::WriteEnd::Written, allotment::StoredLedger{6, next.writes.front().value});
+    CHECK(holder.usable(unit) == next.writes.front().value.held(core::NodeId{"n0"}, unit));
+}
--- /dev/null
+++ b/test/oleanderwick/allotment/ledger.cpp
@@ -0,0 +1,52 @@
+#include <catch2/catch.hpp>
+
+#include "oleanderwick/allotment/allotment.hpp"
+
+namespace allotment = oleanderwick::allotment;
+namespace core = oleanderwick::core;
+
+namespace
+{
+
+const core::NodeId one{"one"};
+const core::NodeId two{"two"};
+const allotment::Unit team{allotment::Unit::Kind::Team, "t"};
+
+} // namespace
+
+TEST_CASE("Ledger hands out what is free and no more", "[allotment]")
+{
+    allotment::Ledger ledger;
+    CHECK(ledger.claim(one, team, 3, 5) == 3);
+    CHECK(ledger.claim(two, team, 3, 5) == 2);
+    CHECK(ledger.claim(two, team, 3, 5) == 0);
+    CHECK(ledger.total(team) == 5);
+}
+
+TEST_CASE("Ledger keeps the sum when rights move", "[allotment]")
+{
+    allotment::Ledger ledger;
+    ledger.claim(one, team, 5, 5);
+    ledger.move(one, two, team, 2);
+    CHECK(ledger.held(one, team) == 3);
+    CHECK(ledger.held(two, team) == 2);
+    ledger.drop(two);
+    CHECK(ledger.total(team) == 3);
+}
+
+TEST_CASE("Ledger reads what it wrote", "[allotment]")
+{
+    allotment::Ledger ledger;
+    ledger.claim(one, team, 5, 5);
+    ledger.claim(two, allotment::Unit{allotment::Unit::Kind::Instance, "i-1"}, 2, 8);
+    ledger.stamp(7);
+    const absl::StatusOr<allotment::Ledger> read = allotment::Ledger::fromText(ledger.toText());
+    REQUIRE(read.ok());
+    CHECK(*read == ledger);
+}
+
+TEST_CASE("Ledger refuses malformed text", "[allotment]")
+{
+    const std::string text = GENERATE(std::string{}, std::string{"{}"}, std::string{R"({"s":1,"v":1,"a":[]x})"}, std::string{R"({"s":"x"})"});
+    CHECK_FALSE(allotment::Ledger::fromText(text).ok());
+}
