--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -41,7 +41,9 @@
 class Operator
 {
 public:
-    Operator(http::Endpoint endpoint, std::string key) : m_client{std::move(endpoint)}, m_key{std::move(key)}
+    Operator(http::Endpoint endpoint, std::string key)
+        : m_client{std::move(endpoint)}
+        , m_key{std::move(key)}
     {
     }
 
--- a/src/oleanderwick/admission/fair_queue.cpp
+++ b/src/oleanderwick/admission/fair_queue.cpp
@@ -1,6 +1,7 @@
 #include "fair_queue.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -34,51 +35,38 @@
     return found == m_teams.end() ? 0 : found->second.running;
 }
 
-std::map<core::TeamId, std::uint32_t> FairQueue::running() const
+std::vector<TeamLoad> FairQueue::loads() const
 {
-    std::map<core::TeamId, std::uint32_t> counts;
+    std::vector<TeamLoad> loads;
     for (const std::pair<const core::TeamId, TeamState> &team : m_teams) {
-        if (team.second.running > 0) {
-            counts.emplace(team.first, team.second.running);
+        const TeamState &state = team.second;
+        const std::uint32_t recent = static_cast<std::uint32_t>(std::lround(state.recent));
+        if (state.running > 0 || state.waiting > 0 || recent > 0) {
+            loads.push_back(TeamLoad{team.first, state.running, static_cast<std::uint32_t>(state.waiting), recent});
         }
     }
-    return counts;
+    return loads;
 }
 
-std::vector<core::TeamId> FairQueue::waitingTeams() const
+double FairQueue::weight(const TeamState &state)
 {
-    std::vector<core::TeamId> teams;
-    for (const std::pair<const core::TeamId, TeamState> &team : m_teams) {
-        if (team.second.waiting > 0) {
-            teams.push_back(team.first);
-        }
-    }
-    return teams;
+    const double here = static_cast<double>(state.running) + static_cast<double>(state.waiting);
+    return state.share * here / std::max(1.0, here + state.elsewhere);
 }
 
 double FairQueue::pressure(const TeamState &state)
 {
-    const double total = static_cast<double>(state.running) + state.elsewhere;
-    return state.share == 0 ? std::numeric_limits<double>::infinity() : total / state.share;
-}
-
-double FairQueue::pressure(const core::TeamId &team) const
-{
-    const auto found = m_teams.find(team);
-    return found == m_teams.end() ? std::numeric_limits<double>::infinity() : pressure(found->second);
+    // The half makes the filling of slots one by one favour neither small nor large shares.
+    constexpr double rounding = 0.5;
+    const double own = weight(state);
+    return own > 0.0 ? (state.running + rounding - state.credit) / own : std::numeric_limits<double>::infinity();
 }
 
-std::optional<double> FairQueue::leastPressure(const Eligible &eligible) const
+bool FairQueue::anyWaiting(const Eligible &eligible) const
 {
-    std::optional<double> least;
-    for (const std::pair<const core::TeamId, TeamState> &team : m_teams) {
-        if (team.second.waiting == 0 || !eligible(team.first)) {
-            continue;
-        }
-        const double own = pressure(team.second);
-        least = least ? std::min(*least, own) : own;
-    }
-    return least;
+    return std::any_of(m_teams.begin(), m_teams.end(), [&eligible](const std::pair<const core::TeamId, TeamState> &team) {
+        return team.second.waiting > 0 && eligible(team.first);
+    });
 }
 
 void FairQueue::setShare(const core::TeamId &team, std::uint32_t share)
@@ -98,6 +86,40 @@
     }
 }
 
+void FairQueue::age()
+{
+    constexpr double part = 0.01;
+    for (std::pair<const core::TeamId, TeamState> &team : m_teams) {
+        TeamState &state = team.second;
+        const double present = state.running;
+        state.recent = std::max(present, state.recent + (present - state.recent) * part);
+    }
+    updateCredits();
+}
+
+void FairQueue::updateCredits()
+{
+    constexpr double part = 0.05;
+    constexpr double most = 2.0;
+    double weights = 0.0;
+    double slots = 0.0;
+    for (const std::pair<const core::TeamId, TeamState> &team : m_teams) {
+        if (team.second.waiting > 0) {
+            weights += weight(team.second);
+            slots += team.second.running;
+        }
+    }
+    for (std::pair<const core::TeamId, TeamState> &team : m_teams) {
+        TeamState &state = team.second;
+        if (state.waiting == 0 || weights <= 0.0) {
+            state.credit = 0.0;
+            continue;
+        }
+        const double entitled = slots * weight(state) / weights;
+        state.credit = std::clamp(state.credit + (entitled - state.running) * part, -most, most);
+    }
+}
+
 void FairQueue::push(Waiting request)
 {
     TeamState &state = m_teams[request.team];
@@ -131,6 +153,31 @@
     return *best;
 }
 
+std::optional<Waiting> FairQueue::evict(const core::QueueId &queue, const core::TeamId &team)
+{
+    TeamState *longest = nullptr;
+    const auto lengthOf = [&queue](const TeamState &state) {
+        const auto lane = state.lanes.find(queue);
+        return lane == state.lanes.end() ? 0 : lane->second.requests.size();
+    };
+    for (std::pair<const core::TeamId, TeamState> &entry : m_teams) {
+        if (longest == nullptr || lengthOf(entry.second) > lengthOf(*longest)) {
+            longest = &entry.second;
+        }
+    }
+    const auto own = m_teams.find(team);
+    const size_type ownLength = own == m_teams.end() ? 0 : lengthOf(own->second);
+    if (longest == nullptr || lengthOf(*longest) <= ownLength + 1) {
+        return std::nullopt;
+    }
+    std::deque<Waiting> &requests = longest->lanes.at(queue).requests;
+    Waiting evicted = std::move(requests.back());
+    requests.pop_back();
+    --longest->waiting;
+    --m_size;
+    return evicted;
+}
+
 std::optional<Waiting> FairQueue::pop(const Eligible &eligible)
 {
     TeamState *best = nullptr;
--- a/src/oleanderwick/admission/fair_queue.hpp
+++ b/src/oleanderwick/admission/fair_queue.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -27,11 +28,22 @@
     [[nodiscard]] bool operator==(const Waiting &) const = default;
 };
 
+/** @brief Requests of one team. */
+struct TeamLoad {
+    core::TeamId team;
+    std::uint32_t running{};
+    std::uint32_t waiting{};
+    std::uint32_t recent{}; /**< Running and waiting at its height, forgotten within a second or so. */
+
+    [[nodiscard]] bool operator==(const TeamLoad &) const = default;
+};
+
 /**
  * @brief Requests that wait for one pool, ordered for weighted max-min shares of its running work.
  *
- * The team with the least running work for its share goes first; within a team the queue with the least running work.
- * A team without a share goes when no other team can. All operations are at most linear in teams and queues that wait.
+ * A team's share counts on each node in proportion to the team's demand there. The team with the least running work for
+ * it goes first, rounded so that each gets its share in the mean; within a team the queue with the least running work. A team without a share goes when no
+ * other team can. All operations are at most linear in teams and queues that wait.
  */
 class FairQueue
 {
@@ -64,25 +76,15 @@
      */
     [[nodiscard]] std::uint32_t running(const core::TeamId &team) const;
 
-    /** @return Running requests of each team on this node; teams without any are left out. */
-    [[nodiscard]] std::map<core::TeamId, std::uint32_t> running() const;
-
-    /** @return Teams that wait. */
-    [[nodiscard]] std::vector<core::TeamId> waitingTeams() const;
-
-    /**
-     * @brief Tells how much a team has for its share; the least goes first.
-     * @param team Team asked for.
-     * @return Running work over the share; infinite for a team without one.
-     */
-    [[nodiscard]] double pressure(const core::TeamId &team) const;
+    /** @return What each team has running and waiting on this node; teams with neither are left out. */
+    [[nodiscard]] std::vector<TeamLoad> loads() const;
 
     /**
-     * @brief Tells the least pressure of all teams that wait.
+     * @brief Tells whether any team waits that may start a request.
      * @param eligible Teams that count.
-     * @return The least pressure, or nothing if no eligible team waits.
+     * @return True if one does.
      */
-    [[nodiscard]] std::optional<double> leastPressure(const Eligible &eligible) const;
+    [[nodiscard]] bool anyWaiting(const Eligible &eligible) const;
 
     /**
      * @brief Sets the weight of a team.
@@ -92,21 +94,35 @@
     void setShare(const core::TeamId &team, std::uint32_t share);
 
     /**
-     * @brief Sets what a team has running in this pool on other nodes.
+     * @brief Sets what a team asks of this pool on other nodes.
      * @param team Team to set.
-     * @param count Running requests elsewhere.
+     * @param count Running and waiting requests elsewhere.
      */
     void setElsewhere(const core::TeamId &team, std::uint32_t count);
 
-    /** @brief Forgets what is running on other nodes. */
+    /** @brief Forgets what is asked on other nodes. */
     void clearElsewhere();
 
+    /** @brief Forgets a part of what each team asked of late, and makes up for rounding; called every `agePeriod`. */
+    void age();
+
+    /** @brief Time between two calls of `age`. */
+    static constexpr core::Duration agePeriod = std::chrono::milliseconds{10};
+
     /**
      * @brief Adds a request.
      * @param request Request that waits.
      */
     void push(Waiting request);
 
+    /**
+     * @brief Makes room for a team on a full queue, at the cost of the team with the most requests there.
+     * @param queue Full queue.
+     * @param team Team that needs room.
+     * @return The newest request of that team, removed; nothing if no team has more there than the one in need.
+     */
+    [[nodiscard]] std::optional<Waiting> evict(const core::QueueId &queue, const core::TeamId &team);
+
     /**
      * @brief Takes the request that goes next and counts it as running.
      * @param eligible Teams that may start one.
@@ -146,9 +162,13 @@
         std::uint32_t running{0};
         std::uint32_t elsewhere{0};
         size_type waiting{0};
+        double recent{0.0};
+        double credit{0.0}; /**< Running work owed, since shares of few slots are no whole numbers. */
     };
 
+    [[nodiscard]] static double weight(const TeamState &state);
     [[nodiscard]] static double pressure(const TeamState &state);
+    void updateCredits();
     [[nodiscard]] Lane &nextLane(TeamState &state);
 
     std::map<core::TeamId, TeamState> m_teams;
--- a/src/oleanderwick/allotment/allotment.hpp
+++ b/src/oleanderwick/allotment/allotment.hpp
@@ -7,3 +7,4 @@
 #include "fwd.hpp"
 #include "holder.hpp"
 #include "ledger.hpp"
+#include "plan.hpp"
--- a/src/oleanderwick/allotment/fwd.hpp
+++ b/src/oleanderwick/allotment/fwd.hpp
@@ -9,7 +9,10 @@
 struct Unit;
 struct Group;
 struct Want;
-struct Demand;
+struct TeamDemand;
+struct Claimant;
+struct PlanInput;
+class Plan;
 struct LedgerRead;
 struct LedgerWrite;
 class Ledger;
--- a/src/oleanderwick/allotment/holder.cpp
+++ b/src/oleanderwick/allotment/holder.cpp
@@ -11,17 +11,19 @@
 namespace internal
 {
 
-/** Rights kept back for a first request: one part in this many of the bound. */
-constexpr std::uint32_t floorPart = 256;
-/** A peer counts as needier when its pressure is below this part of one's own. */
-constexpr double yieldMargin = 0.9;
-/** At most one right in this many is kept back at once for a needier peer. */
-constexpr std::uint32_t yieldPart = 8;
+/** A node asks for its part of the plan when it uses more than this part of what it has, */
+constexpr double headroom = 0.75;
+/** or when it has less than this part of the plan. Between the two it leaves the division alone. */
+constexpr double idleTolerance = 0.75;
 
 } // namespace internal
 
-Holder::Holder(core::NodeId self, std::size_t fleetSize) : m_self{std::move(self)}, m_fleetSize{std::max<std::size_t>(1, fleetSize)}, m_shards(shards)
+Holder::Holder(core::NodeId self, std::size_t fleetSize)
+    : m_self{std::move(self)}
+    , m_shards(shards)
 {
+    m_input.fleetSize = std::max<std::size_t>(1, fleetSize);
+    m_demands[m_self];
 }
 
 std::size_t Holder::shardOf(const Unit &unit)
@@ -43,8 +45,9 @@
     if (total <= bound) {
         return own;
     }
-    // After the bound was lowered each node keeps within its part of it at once, before any right is given back.
-    return static_cast<std::uint32_t>(std::uint64_t{own} * bound / total);
+    // After the bound was lowered the others may still use all that they hold.
+    const std::uint32_t others = total - std::min(own, total);
+    return bound > others ? bound - others : 0;
 }
 
 std::uint32_t Holder::usable(const Unit &unit) const
@@ -83,11 +86,6 @@
     return sum;
 }
 
-std::uint32_t Holder::evenPart(const GroupState &group) const
-{
-    return group.capacity / static_cast<std::uint32_t>(m_fleetSize);
-}
-
 std::uint32_t Holder::running(const Unit &unit) const
 {
     const auto found = m_running.find(unit);
@@ -100,30 +98,78 @@
     return found == m_capacity.end() ? 0 : found->second;
 }
 
-std::uint32_t Holder::need(const GroupState &group) const
+std::uint32_t Holder::available(const GroupState &group) const
 {
-    const std::uint32_t asked = group.demand.running + group.demand.waiting;
-    return std::min(asked, group.capacity);
+    std::uint32_t sum = 0;
+    for (const Unit &unit : group.units) {
+        std::uint32_t stuck = 0;
+        for (const std::pair<const core::NodeId, Account> &account : m_shards[shardOf(unit)].stored.ledger.accounts()) {
+            const auto entry = account.second.find(unit);
+            stuck += m_demands.contains(account.first) || entry == account.second.end() ? 0 : entry->second;
+        }
+        const std::uint32_t bound = capacity(unit);
+        sum += bound > stuck ? bound - stuck : 0;
+    }
+    return sum;
 }
 
-double Holder::pressure(const Group &group, const GroupState &state) const
+std::uint32_t Holder::asked(const Group &group) const
 {
-    if (group.kind == Group::Kind::Pool) {
-        return state.demand.pressure;
+    std::uint32_t sum = 0;
+    for (const TeamDemand &demand : m_demands.at(m_self)) {
+        const std::string &name = group.kind == Group::Kind::Team ? demand.team.text() : demand.pool.text();
+        sum += name == group.name ? demand.asked() : 0;
     }
-    const double asked = state.demand.running + state.demand.waiting;
-    return asked > 0.0 ? heldOf(state) / asked : 1.0;
+    return sum;
 }
 
-Want Holder::wantOf(const Group &group, const GroupState &state) const
+std::uint32_t Holder::missing(const Group &group, const GroupState &state) const
 {
     const std::uint32_t own = heldOf(state);
-    const std::uint32_t asked = need(state);
-    const std::uint32_t even = std::max(evenPart(state), std::min<std::uint32_t>(1, state.capacity));
-    Want want{group, 0, 0, pressure(group, state)};
-    want.hungry = asked > own ? asked - own : 0;
-    want.idle = even > own + want.hungry ? even - own - want.hungry : 0;
-    return want;
+    const std::uint32_t target = m_plan.target(group, m_self);
+    const bool hungry = asked(group) > own * internal::headroom;
+    if (target <= own || (!hungry && own >= target * internal::idleTolerance)) {
+        return 0;
+    }
+    return target - own;
+}
+
+std::uint32_t Holder::surplus(const Group &group, const GroupState &state) const
+{
+    const std::uint32_t own = heldOf(state);
+    const std::uint32_t target = m_plan.target(group, m_self);
+    return own > target ? own - target : 0;
+}
+
+std::uint32_t Holder::lacking(const core::NodeId &peer, const Want &want) const
+{
+    const auto group = m_groups.find(want.group);
+    if (group == m_groups.end()) {
+        return 0;
+    }
+    // What the ledger shows it has got since it told its want counts against it.
+    std::uint32_t theirs = 0;
+    for (const Unit &unit : group->second.units) {
+        theirs += m_shards[shardOf(unit)].stored.ledger.held(peer, unit);
+    }
+    const std::uint32_t target = m_plan.target(want.group, peer);
+    return theirs >= target ? 0 : std::min(want.missing, target - theirs);
+}
+
+std::uint32_t Holder::wantedByPeers(const Group &group) const
+{
+    std::uint32_t sum = 0;
+    for (const std::pair<const core::NodeId, std::vector<Want>> &peer : m_wants) {
+        for (const Want &want : peer.second) {
+            sum += want.group == group ? lacking(peer.first, want) : 0;
+        }
+    }
+    return sum;
+}
+
+std::uint32_t Holder::target(const Group &group) const
+{
+    return m_plan.target(group, m_self);
 }
 
 std::vector<Want> Holder::wants() const
@@ -133,9 +179,9 @@
         return wants;
     }
     for (const std::pair<const Group, GroupState> &group : m_groups) {
-        Want want = wantOf(group.first, group.second);
-        if (want.hungry > 0 || want.idle > 0) {
-            wants.push_back(std::move(want));
+        const std::uint32_t count = missing(group.first, group.second);
+        if (count > 0) {
+            wants.push_back(Want{group.first, count});
         }
     }
     return wants;
@@ -165,27 +211,23 @@
 {
     m_version = snapshot.version();
     m_capacity.clear();
+    m_input.shares.clear();
+    m_input.limits.clear();
     std::map<Group, GroupState> groups;
     for (const std::pair<const core::TeamId, config::Team> &team : snapshot.document().teams) {
-        GroupState &group = groups[Group{Group::Kind::Team, team.first.text()}];
-        group.capacity = team.second.upperLimit;
-        group.units.push_back(Unit{Unit::Kind::Team, team.first.text()});
-        m_capacity[group.units.back()] = team.second.upperLimit;
+        const Unit unit{Unit::Kind::Team, team.first.text()};
+        groups[Group{Group::Kind::Team, team.first.text()}].units.push_back(unit);
+        m_capacity[unit] = team.second.upperLimit;
+        m_input.shares[team.first] = team.second.share;
+        m_input.limits[team.first] = team.second.upperLimit;
     }
     for (const std::pair<const core::InstanceId, config::Instance> &instance : snapshot.document().instances) {
         if (instance.second.leaving) {
             continue;
         }
-        GroupState &group = groups[Group{Group::Kind::Pool, instance.second.pool.text()}];
-        group.capacity += instance.second.slots;
-        group.units.push_back(Unit{Unit::Kind::Instance, instance.first.text()});
-        m_capacity[group.units.back()] = instance.second.slots;
-    }
-    for (std::pair<const Group, GroupState> &group : groups) {
-        const auto before = m_groups.find(group.first);
-        if (before != m_groups.end()) {
-            group.second.demand = before->second.demand;
-        }
+        const Unit unit{Unit::Kind::Instance, instance.first.text()};
+        groups[Group{Group::Kind::Pool, instance.second.pool.text()}].units.push_back(unit);
+        m_capacity[unit] = instance.second.slots;
     }
     m_groups = std::move(groups);
     for (Shard &shard : m_shards) {
@@ -193,12 +235,9 @@
     }
 }
 
-void Holder::setDemand(const Group &group, const Demand &demand)
+void Holder::setDemands(std::vector<TeamDemand> demands)
 {
-    const auto found = m_groups.find(group);
-    if (found != m_groups.end()) {
-        found->second.demand = demand;
-    }
+    m_demands[m_self] = std::move(demands);
 }
 
 void Holder::setRunning(const Unit &unit, std::uint32_t count)
@@ -210,9 +249,10 @@
     }
 }
 
-void Holder::setPeer(const core::NodeId &peer, std::vector<Want> wants, const std::vector<std::uint64_t> &sequences)
+void Holder::setPeer(const core::NodeId &peer, std::vector<TeamDemand> demands, std::vector<Want> wants, const std::vector<std::uint64_t> &sequences)
 {
-    m_peers[peer].wants = std::move(wants);
+    m_demands[peer] = std::move(demands);
+    m_wants[peer] = std::move(wants);
     for (std::size_t index = 0; index < std::min(sequences.size(), m_shards.size()); ++index) {
         m_shards[index].heard = std::max(m_shards[index].heard, sequences[index]);
     }
@@ -220,7 +260,8 @@
 
 void Holder::forgetPeer(const core::NodeId &peer)
 {
-    m_peers.erase(peer);
+    m_demands.erase(peer);
+    m_wants.erase(peer);
 }
 
 void Holder::setDeparted(std::set<core::NodeId> nodes)
@@ -236,9 +277,7 @@
 HolderStep Holder::step()
 {
     HolderStep step;
-    for (std::pair<const Group, GroupState> &group : m_groups) {
-        updateYield(group.first, group.second);
-    }
+    updatePlan();
     for (std::size_t index = 0; index < m_shards.size(); ++index) {
         if (!m_shards[index].busy) {
             planShard(index, step);
@@ -247,23 +286,16 @@
     return step;
 }
 
-void Holder::updateYield(const Group &group, GroupState &state)
+void Holder::updatePlan()
 {
-    state.yielding = 0;
-    const std::uint32_t own = heldOf(state);
-    const double ownPressure = pressure(group, state);
-    if (own == 0 || state.demand.waiting == 0) {
-        return;
+    m_input.available.clear();
+    for (const std::pair<const Group, GroupState> &group : m_groups) {
+        m_input.available[group.first] = available(group.second);
     }
-    std::uint32_t asked = 0;
-    for (const std::pair<const core::NodeId, Peer> &peer : m_peers) {
-        for (const Want &want : peer.second.wants) {
-            if (want.group == group && want.pressure < ownPressure * internal::yieldMargin) {
-                asked += want.hungry;
-            }
-        }
+    m_plan = Plan{m_input, m_demands};
+    for (std::pair<const Group, GroupState> &group : m_groups) {
+        group.second.yielding = std::min(surplus(group.first, group.second), wantedByPeers(group.first));
     }
-    state.yielding = std::min(asked, std::max<std::uint32_t>(1, own / internal::yieldPart));
 }
 
 void Holder::planShard(std::size_t index, HolderStep &step)
@@ -341,8 +373,7 @@
         return;
     }
     for (const std::pair<const Group, GroupState> &group : m_groups) {
-        const Want want = wantOf(group.first, group.second);
-        std::uint32_t left = shardPart(group.second, index, want.hungry + want.idle);
+        std::uint32_t left = shardPart(group.second, index, missing(group.first, group.second));
         const std::uint32_t even = shardUnits(group.second, index) == 0 ? 0 : left / shardUnits(group.second, index) + 1;
         // The first round spreads over the units, the second takes what is still free.
         for (const std::uint32_t part : {even, left}) {
@@ -368,43 +399,26 @@
     return units == 0 ? 0 : static_cast<std::uint32_t>((std::uint64_t{count} * shardUnits(group, index) + units - 1) / units);
 }
 
-void Holder::give(Ledger &ledger, std::size_t index)
+void Holder::give(Ledger &ledger, std::size_t index) const
 {
-    for (const std::pair<const core::NodeId, Peer> &peer : m_peers) {
-        for (const Want &want : peer.second.wants) {
+    for (const std::pair<const core::NodeId, std::vector<Want>> &peer : m_wants) {
+        for (const Want &want : peer.second) {
             giveTo(ledger, index, peer.first, want);
         }
     }
 }
 
-std::uint32_t Holder::fairPart(const GroupState &group, const core::NodeId &peer, std::uint32_t count) const
-{
-    std::uint64_t others = 0;
-    std::uint64_t own = 0;
-    for (const Unit &unit : group.units) {
-        const Ledger &known = m_shards[shardOf(unit)].stored.ledger;
-        own += held(unit);
-        const std::uint32_t total = known.total(unit);
-        const std::uint32_t theirs = known.held(peer, unit);
-        others += total > theirs ? total - theirs : 0;
-    }
-    others = std::max(others, own);
-    return others == 0 ? 0 : static_cast<std::uint32_t>((count * own + others - 1) / others);
-}
-
-void Holder::giveTo(Ledger &ledger, std::size_t index, const core::NodeId &peer, const Want &want)
+void Holder::giveTo(Ledger &ledger, std::size_t index, const core::NodeId &peer, const Want &want) const
 {
     const auto found = m_groups.find(want.group);
-    if (found == m_groups.end()) {
+    const std::uint32_t wanted = wantedByPeers(want.group);
+    if (found == m_groups.end() || wanted == 0) {
         return;
     }
     const GroupState &group = found->second;
-    const std::uint32_t own = heldOf(group);
-    const std::uint32_t floor = std::max(need(group), group.capacity / internal::floorPart);
-    const std::uint32_t unused = own > floor ? own - floor : 0;
-    const std::uint32_t aboveEven = own > std::max(floor, evenPart(group)) ? own - std::max(floor, evenPart(group)) : 0;
-    std::uint32_t budget = std::min(fairPart(group, peer, want.hungry), std::max(unused, group.yielding));
-    budget = shardPart(group, index, std::max(budget, std::min(want.idle + want.hungry, aboveEven)));
+    // Peers that lack something get it in proportion to what each lacks.
+    const std::uint64_t part = (std::uint64_t{group.yielding} * lacking(peer, want) + wanted - 1) / wanted;
+    std::uint32_t budget = shardPart(group, index, static_cast<std::uint32_t>(part));
     for (const Unit &unit : group.units) {
         if (budget == 0) {
             return;
--- a/src/oleanderwick/allotment/holder.hpp
+++ b/src/oleanderwick/allotment/holder.hpp
@@ -9,40 +9,15 @@
 #include <vector>
 
 #include "ledger.hpp"
+#include "plan.hpp"
 
 namespace oleanderwick::allotment
 {
 
-/** @brief Units that serve the same need: a team's limit alone, or all instances of a pool. */
-struct Group {
-    /** @brief Kind of need. */
-    enum class Kind : std::uint8_t {
-        Team,
-        Pool,
-    };
-
-    Kind kind{Kind::Team};
-    std::string name;
-
-    [[nodiscard]] auto operator<=>(const Group &) const = default;
-    [[nodiscard]] bool operator==(const Group &) const = default;
-};
-
-/** @brief What a node needs of a group. */
-struct Demand {
-    std::uint32_t running{0}; /**< Rights in use. */
-    std::uint32_t waiting{0}; /**< Requests that wait for a right. */
-    double pressure{0.0}; /**< How much the neediest one that waits has already; the least goes first. */
-
-    [[nodiscard]] bool operator==(const Demand &) const = default;
-};
-
 /** @brief What a node tells its peers that it lacks. */
 struct Want {
     Group group;
-    std::uint32_t hungry{0}; /**< Rights for requests that wait. */
-    std::uint32_t idle{0}; /**< Rights up to the even part, for requests to come. */
-    double pressure{0.0};
+    std::uint32_t missing{0}; /**< Rights up to its part of the plan. */
 
     [[nodiscard]] bool operator==(const Want &) const = default;
 };
@@ -126,6 +101,13 @@
      */
     [[nodiscard]] std::uint32_t usable(const Group &group) const;
 
+    /**
+     * @brief Tells what this node should have of a group.
+     * @param group Group asked for.
+     * @return Its part of the latest plan.
+     */
+    [[nodiscard]] std::uint32_t target(const Group &group) const;
+
     /** @return What peers should know that this node lacks. */
     [[nodiscard]] std::vector<Want> wants() const;
 
@@ -142,11 +124,10 @@
     void configure(const config::Snapshot &snapshot);
 
     /**
-     * @brief Sets what this node needs of a group.
-     * @param group Group needed.
-     * @param demand Its need.
+     * @brief Sets what runs and waits on this node.
+     * @param demands Its demands; replaces those before.
      */
-    void setDemand(const Group &group, const Demand &demand);
+    void setDemands(std::vector<TeamDemand> demands);
 
     /**
      * @brief Sets how many use a unit on this node.
@@ -156,15 +137,16 @@
     void setRunning(const Unit &unit, std::uint32_t count);
 
     /**
-     * @brief Sets what a peer lacks.
+     * @brief Sets what a peer has and lacks.
      * @param peer Peer that told it.
+     * @param demands Its demands; replaces those before.
      * @param wants Its wants; replaces those before.
      * @param sequences Sequence of each shard as the peer knows it.
      */
-    void setPeer(const core::NodeId &peer, std::vector<Want> wants, const std::vector<std::uint64_t> &sequences);
+    void setPeer(const core::NodeId &peer, std::vector<TeamDemand> demands, std::vector<Want> wants, const std::vector<std::uint64_t> &sequences);
 
     /**
-     * @brief Forgets the wants of a peer.
+     * @brief Forgets the demands and wants of a peer.
      * @param peer Peer that no longer answers.
      */
     void forgetPeer(const core::NodeId &peer);
@@ -201,10 +183,8 @@
 
 private:
     struct GroupState {
-        std::uint32_t capacity{0};
         std::vector<Unit> units;
-        Demand demand;
-        std::uint32_t yielding{0};
+        std::uint32_t yielding{0}; /**< Rights kept back for peers. */
     };
     struct Shard {
         bool known{false};
@@ -217,41 +197,40 @@
         Account giving;
         Account fencedGiving;
     };
-    struct Peer {
-        std::vector<Want> wants;
-    };
-
     [[nodiscard]] static std::uint32_t shardUnits(const GroupState &group, std::size_t index);
     [[nodiscard]] static std::uint32_t shardPart(const GroupState &group, std::size_t index, std::uint32_t count);
     [[nodiscard]] std::uint32_t held(const Unit &unit) const;
     [[nodiscard]] std::uint32_t bounded(const Unit &unit) const;
     [[nodiscard]] std::uint32_t heldOf(const GroupState &group) const;
-    [[nodiscard]] std::uint32_t evenPart(const GroupState &group) const;
     [[nodiscard]] std::uint32_t running(const Unit &unit) const;
-    [[nodiscard]] std::uint32_t need(const GroupState &group) const;
-    [[nodiscard]] double pressure(const Group &group, const GroupState &state) const;
     [[nodiscard]] std::uint32_t capacity(const Unit &unit) const;
-    [[nodiscard]] Want wantOf(const Group &group, const GroupState &state) const;
-
+    [[nodiscard]] std::uint32_t available(const GroupState &group) const;
+    [[nodiscard]] std::uint32_t missing(const Group &group, const GroupState &state) const;
+    [[nodiscard]] std::uint32_t surplus(const Group &group, const GroupState &state) const;
+    [[nodiscard]] std::uint32_t lacking(const core::NodeId &peer, const Want &want) const;
+    [[nodiscard]] std::uint32_t wantedByPeers(const Group &group) const;
+    [[nodiscard]] std::uint32_t asked(const Group &group) const;
+
+    void updatePlan();
     void planShard(std::size_t index, HolderStep &step);
     void dropDeparted(Ledger &ledger) const;
     void trim(Ledger &ledger, std::size_t index) const;
     void claim(Ledger &ledger, std::size_t index) const;
-    void give(Ledger &ledger, std::size_t index);
-    void giveTo(Ledger &ledger, std::size_t index, const core::NodeId &peer, const Want &want);
-    [[nodiscard]] std::uint32_t fairPart(const GroupState &group, const core::NodeId &peer, std::uint32_t count) const;
+    void give(Ledger &ledger, std::size_t index) const;
+    void giveTo(Ledger &ledger, std::size_t index, const core::NodeId &peer, const Want &want) const;
     [[nodiscard]] std::uint32_t spare(const Ledger &ledger, const Unit &unit) const;
     void adopt(Shard &shard, const StoredLedger &stored);
-    void updateYield(const Group &group, GroupState &state);
 
     core::NodeId m_self;
-    std::size_t m_fleetSize;
     config::Version m_version{0};
     bool m_surrendering{false};
     std::map<Group, GroupState> m_groups;
     std::map<Unit, std::uint32_t> m_capacity;
     std::map<Unit, std::uint32_t> m_running;
-    std::map<core::NodeId, Peer> m_peers;
+    PlanInput m_input;
+    NodeDemands m_demands;
+    std::map<core::NodeId, std::vector<Want>> m_wants;
+    Plan m_plan;
     std::set<core::NodeId> m_departed;
     std::vector<Shard> m_shards;
 };
--- /dev/null
+++ b/src/oleanderwick/allotment/plan.cpp
@@ -0,0 +1,189 @@
+#include "plan.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace oleanderwick::allotment
+{
+
+namespace internal
+{
+
+/** Sums of parts may miss a whole number by this. */
+constexpr double roundingError = 1e-6;
+
+/** Fills claimants of a positive weight, or all alike; returns what is left. */
+double fill(const std::vector<Claimant> &claimants, bool weighted, double capacity, std::vector<double> &parts)
+{
+    const auto weightOf = [weighted](const Claimant &claimant) {
+        return weighted ? claimant.weight : (claimant.weight > 0.0 ? 0.0 : 1.0);
+    };
+    std::vector<std::size_t> order(claimants.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::erase_if(order, [&](std::size_t index) {
+        return weightOf(claimants[index]) <= 0.0;
+    });
+    std::sort(order.begin(), order.end(), [&](std::size_t one, std::size_t two) {
+        return claimants[one].demand * weightOf(claimants[two]) < claimants[two].demand * weightOf(claimants[one]);
+    });
+    double weights = 0.0;
+    for (const std::size_t index : order) {
+        weights += weightOf(claimants[index]);
+    }
+    for (const std::size_t index : order) {
+        const double weight = weightOf(claimants[index]);
+        parts[index] = std::min(claimants[index].demand, capacity * weight / weights);
+        capacity -= parts[index];
+        weights -= weight;
+    }
+    return capacity;
+}
+
+/** @brief Demand for one pool: of each team, on each node. */
+struct PoolDemand {
+    std::map<core::TeamId, double> teams;
+    std::map<core::NodeId, std::map<core::TeamId, double>> nodes;
+};
+
+} // namespace internal
+
+std::uint32_t TeamDemand::asked() const noexcept
+{
+    // At most doubled at each exchange between nodes: rights that chase a backlog would slosh from node to node.
+    constexpr std::uint32_t firstStep = 4;
+    return std::max(recent, running + std::min(waiting, std::max(running, firstStep)));
+}
+
+std::vector<double> fairShares(const std::vector<Claimant> &claimants, double capacity)
+{
+    std::vector<double> parts(claimants.size(), 0.0);
+    const double left = internal::fill(claimants, true, capacity, parts);
+    internal::fill(claimants, false, left, parts);
+    return parts;
+}
+
+Plan::Plan(const PlanInput &input, const NodeDemands &demands)
+{
+    divideTeams(input, demands);
+    dividePools(input, demands);
+    for (const std::pair<const Group, std::uint32_t> &group : input.available) {
+        spreadRest(input, group.first, demands);
+    }
+    roundAll();
+}
+
+void Plan::roundAll()
+{
+    // Largest remainders, in the order of names among equals, so that nodes with the same view agree on whole rights.
+    for (const std::pair<const Group, Targets> &group : m_targets) {
+        double sum = 0.0;
+        std::uint32_t given = 0;
+        std::vector<std::pair<double, core::NodeId>> remainders;
+        std::map<core::NodeId, std::uint32_t> &rounded = m_rounded[group.first];
+        for (const std::pair<const core::NodeId, double> &node : group.second) {
+            const double whole = std::floor(node.second);
+            sum += node.second;
+            given += static_cast<std::uint32_t>(whole);
+            rounded[node.first] = static_cast<std::uint32_t>(whole);
+            remainders.emplace_back(whole - node.second, node.first);
+        }
+        std::sort(remainders.begin(), remainders.end());
+        const std::uint32_t total = static_cast<std::uint32_t>(std::floor(sum + internal::roundingError));
+        for (std::size_t index = 0; index < remainders.size() && given < total; ++index) {
+            ++rounded[remainders[index].second];
+            ++given;
+        }
+    }
+}
+
+void Plan::divideTeams(const PlanInput &input, const NodeDemands &demands)
+{
+    std::map<core::TeamId, double> totals;
+    std::map<core::TeamId, Targets> byNode;
+    for (const std::pair<const core::NodeId, std::vector<TeamDemand>> &node : demands) {
+        for (const TeamDemand &demand : node.second) {
+            const double asked = demand.asked();
+            totals[demand.team] += asked;
+            byNode[demand.team][node.first] += asked;
+        }
+    }
+    for (std::pair<const core::TeamId, Targets> &team : byNode) {
+        const Group group{Group::Kind::Team, team.first.text()};
+        const auto available = input.available.find(group);
+        if (available == input.available.end()) {
+            continue;
+        }
+        const double total = totals[team.first];
+        const double part = total > available->second ? available->second / total : 1.0;
+        for (std::pair<const core::NodeId, double> &node : team.second) {
+            node.second *= part;
+        }
+        m_targets.emplace(group, std::move(team.second));
+    }
+}
+
+void Plan::dividePools(const PlanInput &input, const NodeDemands &demands)
+{
+    std::map<core::PoolId, internal::PoolDemand> pools;
+    for (const std::pair<const core::NodeId, std::vector<TeamDemand>> &node : demands) {
+        for (const TeamDemand &demand : node.second) {
+            const double asked = demand.asked();
+            pools[demand.pool].teams[demand.team] += asked;
+            pools[demand.pool].nodes[node.first][demand.team] += asked;
+        }
+    }
+    for (const std::pair<const core::PoolId, internal::PoolDemand> &pool : pools) {
+        const Group group{Group::Kind::Pool, pool.first.text()};
+        const auto available = input.available.find(group);
+        if (available == input.available.end()) {
+            continue;
+        }
+        std::vector<Claimant> claimants;
+        for (const std::pair<const core::TeamId, double> &team : pool.second.teams) {
+            const auto share = input.shares.find(team.first);
+            const auto limit = input.limits.find(team.first);
+            const double most = limit == input.limits.end() ? team.second : std::min<double>(team.second, limit->second);
+            claimants.push_back(Claimant{share == input.shares.end() ? 1.0 : share->second, most});
+        }
+        const std::vector<double> parts = fairShares(claimants, available->second);
+        std::map<core::TeamId, double> perAsked;
+        std::size_t index = 0;
+        for (const std::pair<const core::TeamId, double> &team : pool.second.teams) {
+            perAsked[team.first] = team.second > 0.0 ? parts[index] / team.second : 0.0;
+            ++index;
+        }
+        Targets &targets = m_targets[group];
+        for (const std::pair<const core::NodeId, std::map<core::TeamId, double>> &node : pool.second.nodes) {
+            for (const std::pair<const core::TeamId, double> &team : node.second) {
+                targets[node.first] += team.second * perAsked[team.first];
+            }
+        }
+    }
+}
+
+void Plan::spreadRest(const PlanInput &input, const Group &group, const NodeDemands &demands)
+{
+    Targets &targets = m_targets[group];
+    double used = 0.0;
+    for (const std::pair<const core::NodeId, double> &node : targets) {
+        used += node.second;
+    }
+    const double rest = std::max(0.0, input.available.at(group) - used);
+    const double part = rest / static_cast<double>(std::max(input.fleetSize, demands.size()));
+    for (const std::pair<const core::NodeId, std::vector<TeamDemand>> &node : demands) {
+        targets[node.first] += part;
+    }
+}
+
+std::uint32_t Plan::target(const Group &group, const core::NodeId &node) const
+{
+    const auto targets = m_rounded.find(group);
+    if (targets == m_rounded.end()) {
+        return 0;
+    }
+    const auto found = targets->second.find(node);
+    return found == targets->second.end() ? 0 : found->second;
+}
+
+} // namespace oleanderwick::allotment
--- a/src/oleanderwick/config/internal/fields.cpp
+++ b/src/oleanderwick/config/internal/fields.cpp
@@ -6,7 +6,9 @@
 {
 
 FieldReader::FieldReader(const nlohmann::json &object, std::string path, std::vector<std::string> &errors)
-    : m_object{object}, m_path{std::move(path)}, m_errors{errors}
+    : m_object{object}
+    , m_path{std::move(path)}
+    , m_errors{errors}
 {
     if (!m_object.is_object()) {
         m_errors.push_back((m_path.empty() ? "/" : m_path) + ": has to be an object");
--- a/src/oleanderwick/config/query/snapshot.cpp
+++ b/src/oleanderwick/config/query/snapshot.cpp
@@ -5,7 +5,8 @@
 namespace oleanderwick::config
 {
 
-Snapshot::Snapshot(Record record) : m_record{std::move(record)}
+Snapshot::Snapshot(Record record)
+    : m_record{std::move(record)}
 {
     for (const std::pair<const core::TeamId, Team> &team : m_record.document.teams) {
         for (const std::pair<const core::KeyId, TeamKey> &key : team.second.keys) {
--- a/src/oleanderwick/core/id.hpp
+++ b/src/oleanderwick/core/id.hpp
@@ -28,7 +28,8 @@
      * @brief Wraps a name.
      * @param name Text of the name.
      */
-    explicit Id(value_type name) noexcept : m_name{std::move(name)}
+    explicit Id(value_type name) noexcept
+        : m_name{std::move(name)}
     {
     }
 
--- a/src/oleanderwick/dispatch/dispatcher.cpp
+++ b/src/oleanderwick/dispatch/dispatcher.cpp
@@ -46,7 +46,10 @@
 
 } // namespace internal
 
-Dispatcher::Dispatcher(std::string zone, std::uint64_t seed, allotment::Holder &holder) : m_zone{std::move(zone)}, m_random{seed}, m_holder{holder}
+Dispatcher::Dispatcher(std::string zone, std::uint64_t seed, allotment::Holder &holder)
+    : m_zone{std::move(zone)}
+    , m_random{seed}
+    , m_holder{holder}
 {
 }
 
@@ -62,15 +65,15 @@
     });
 }
 
-std::vector<PoolUse> Dispatcher::uses() const
+std::vector<allotment::TeamDemand> Dispatcher::demands() const
 {
-    std::vector<PoolUse> uses;
+    std::vector<allotment::TeamDemand> demands;
     for (const std::pair<const core::PoolId, PoolState> &pool : m_pools) {
-        for (const std::pair<const core::TeamId, std::uint32_t> &team : pool.second.queue.running()) {
-            uses.push_back(PoolUse{pool.first, team.first, team.second});
+        for (const admission::TeamLoad &load : pool.second.queue.loads()) {
+            demands.push_back(allotment::TeamDemand{pool.first, load.team, load.running, load.waiting, load.recent});
         }
     }
-    return uses;
+    return demands;
 }
 
 std::vector<Completion> Dispatcher::takeCompletions()
@@ -111,11 +114,13 @@
     }
     for (std::pair<const core::PoolId, PoolState> &pool : m_pools) {
         pool.second.upstreams.assign(upstreams[pool.first], now);
-        for (const std::pair<const core::TeamId, config::Team> &team : m_snapshot->document().teams) {
-            pool.second.queue.setShare(team.first, team.second.share);
-        }
         pool.second.queue.setShare(config::openTeam(), 1);
     }
+    for (const std::pair<const core::QueueId, config::Queue> &queue : m_snapshot->document().queues) {
+        for (const core::TeamId &team : queue.second.teams) {
+            poolOf(queue.second.pool).queue.setShare(team, m_snapshot->document().teams.at(team).share);
+        }
+    }
     refuseDisallowed(now, actions);
     pumpAll(now, actions);
     return actions;
@@ -150,15 +155,15 @@
     }
 }
 
-void Dispatcher::setElsewhere(const std::vector<PoolUse> &uses)
+void Dispatcher::setElsewhere(const std::vector<allotment::TeamDemand> &demands)
 {
     for (std::pair<const core::PoolId, PoolState> &pool : m_pools) {
         pool.second.queue.clearElsewhere();
     }
-    for (const PoolUse &use : uses) {
-        const auto pool = m_pools.find(use.pool);
+    for (const allotment::TeamDemand &demand : demands) {
+        const auto pool = m_pools.find(demand.pool);
         if (pool != m_pools.end()) {
-            pool->second.queue.setElsewhere(use.team, use.running);
+            pool->second.queue.setElsewhere(demand.team, demand.running + demand.waiting);
         }
     }
 }
@@ -195,13 +200,9 @@
 
 std::optional<core::Refusal> Dispatcher::checkRoom(const PoolState &pool, const Request &request, core::TimePoint now) const
 {
-    const config::Queue &queue = *m_snapshot->queue(request.queue);
     if (pool.upstreams.size() == 0) {
         return internal::notRun(internal::statusUnavailable, "pool_empty", internal::refusalRetryAfter);
     }
-    if (pool.queue.waiting(request.queue) >= queue.maxLength) {
-        return internal::notRun(internal::statusTooMany, "queue_full", retryAfter(request, pool));
-    }
     const core::Duration expected = m_runTimes.expectedWait(request.queue, pool.queue.waiting(request.team), pool.queue.running(request.team));
     if (now + expected + m_runTimes.mean(request.queue) > request.deadline) {
         return internal::notRun(internal::statusTooMany, "cannot_start_in_time", retryAfter(request, pool));
@@ -249,11 +250,31 @@
         refuse(entry, *std::move(refusal), now, actions);
         return actions;
     }
+    if (!makeRoom(pool, entry->second, now, actions)) {
+        refuse(entry, internal::notRun(internal::statusTooMany, "queue_full", retryAfter(entry->second, pool)), now, actions);
+        return actions;
+    }
     enqueue(arrival.number, entry->second, arrival.urgent);
     pump(pool, now, actions);
     return actions;
 }
 
+bool Dispatcher::makeRoom(PoolState &pool, const Request &request, core::TimePoint now, Actions &actions)
+{
+    if (pool.queue.waiting(request.queue) < m_snapshot->queue(request.queue)->maxLength) {
+        return true;
+    }
+    // A team with a long backlog must not keep the others out of a queue that they share.
+    const std::optional<admission::Waiting> evicted = pool.queue.evict(request.queue, request.team);
+    if (!evicted) {
+        return false;
+    }
+    const auto entry = m_requests.find(evicted->number);
+    const core::Refusal refusal{internal::statusTooMany, entry->second.outcome, "queue_full", retryAfter(entry->second, pool)};
+    refuse(entry, refusal, now, actions);
+    return true;
+}
+
 void Dispatcher::enqueue(admission::RequestNumber number, const Request &request, bool urgent)
 {
     const core::TimePoint latestStart = request.deadline - std::min(m_runTimes.mean(request.queue), (request.deadline - request.arrival) / 2);
@@ -277,7 +298,7 @@
     const admission::FairQueue::Eligible mayStart = [this](const core::TeamId &team) {
         return eligible(team);
     };
-    while (pool.queue.leastPressure(mayStart) && pool.running < m_holder.usable(internal::poolGroup(pool.id))) {
+    while (pool.queue.anyWaiting(mayStart) && pool.running < m_holder.usable(internal::poolGroup(pool.id))) {
         const std::optional<core::InstanceId> upstream = choose(pool, core::InstanceId{}, now);
         if (!upstream) {
             return;
@@ -431,7 +452,12 @@
 {
     Actions actions;
     releaseLingering(now);
+    const bool age = now - m_lastAge >= admission::FairQueue::agePeriod;
+    m_lastAge = age ? now : m_lastAge;
     for (std::pair<const core::PoolId, PoolState> &pool : m_pools) {
+        if (age) {
+            pool.second.queue.age();
+        }
         refuseExpired(pool.second, now, actions);
     }
     pumpAll(now, actions);
@@ -457,30 +483,12 @@
 
 void Dispatcher::updateDemand()
 {
-    std::map<core::TeamId, std::uint32_t> waiting;
-    for (const std::pair<const core::PoolId, PoolState> &pool : m_pools) {
-        const std::uint32_t size = static_cast<std::uint32_t>(pool.second.queue.size());
-        const double pressure = pool.second.queue
-                                    .leastPressure([](const core::TeamId &) {
-                                        return true;
-                                    })
-                                    .value_or(0.0);
-        m_holder.setDemand(internal::poolGroup(pool.first), allotment::Demand{pool.second.running, size, pressure});
-        for (const core::TeamId &team : pool.second.queue.waitingTeams()) {
-            waiting[team] += static_cast<std::uint32_t>(pool.second.queue.waiting(team));
-        }
-    }
-    if (m_snapshot == nullptr) {
-        return;
-    }
+    m_holder.setDemands(demands());
     for (const std::pair<const core::InstanceId, std::uint32_t> &instance : m_instanceRunning) {
         m_holder.setRunning(internal::instanceUnit(instance.first), instance.second);
     }
-    for (const std::pair<const core::TeamId, config::Team> &team : m_snapshot->document().teams) {
-        const std::uint32_t running = m_teamRunning[team.first];
-        m_holder.setRunning(internal::teamUnit(team.first), running);
-        const allotment::Group group{allotment::Group::Kind::Team, team.first.text()};
-        m_holder.setDemand(group, allotment::Demand{running, waiting[team.first], 0.0});
+    for (const std::pair<const core::TeamId, std::uint32_t> &team : m_teamRunning) {
+        m_holder.setRunning(internal::teamUnit(team.first), team.second);
     }
 }
 
--- a/src/oleanderwick/dispatch/dispatcher.hpp
+++ b/src/oleanderwick/dispatch/dispatcher.hpp
@@ -13,15 +13,6 @@
 namespace oleanderwick::dispatch
 {
 
-/** @brief Running requests of one team in one pool. */
-struct PoolUse {
-    core::PoolId pool;
-    core::TeamId team;
-    std::uint32_t running{};
-
-    [[nodiscard]] bool operator==(const PoolUse &) const = default;
-};
-
 /**
  * @brief Life of every request on one node: admission, turn, upstream, retries, outcome.
  *
@@ -46,8 +37,8 @@
     /** @return True if a request waits for a right that the node lacks. */
     [[nodiscard]] bool starved() const noexcept;
 
-    /** @return What runs on this node, for the peers. */
-    [[nodiscard]] std::vector<PoolUse> uses() const;
+    /** @return What runs and waits on this node. */
+    [[nodiscard]] std::vector<allotment::TeamDemand> demands() const;
 
     /** @return Ended requests since the last call. */
     [[nodiscard]] std::vector<Completion> takeCompletions();
@@ -70,10 +61,10 @@
     void stop() noexcept;
 
     /**
-     * @brief Sets what runs on all other nodes together.
-     * @param uses Running requests by pool and team.
+     * @brief Sets what is asked on all other nodes together.
+     * @param demands Running and waiting requests by pool and team.
      */
-    void setElsewhere(const std::vector<PoolUse> &uses);
+    void setElsewhere(const std::vector<allotment::TeamDemand> &demands);
 
     /**
      * @brief Takes a request.
@@ -119,7 +110,9 @@
         core::Outcome outcome{core::Outcome::NotRun};
     };
     struct PoolState {
-        PoolState(core::PoolId pool, std::string zone) : id{std::move(pool)}, upstreams{std::move(zone)}
+        PoolState(core::PoolId pool, std::string zone)
+            : id{std::move(pool)}
+            , upstreams{std::move(zone)}
         {
         }
         core::PoolId id;
@@ -150,6 +143,7 @@
     [[nodiscard]] bool stillAllowed(const Request &request) const;
     [[nodiscard]] PoolState &poolOf(const core::PoolId &id);
 
+    [[nodiscard]] bool makeRoom(PoolState &pool, const Request &request, core::TimePoint now, Actions &actions);
     void enqueue(admission::RequestNumber number, const Request &request, bool urgent);
     void pump(PoolState &pool, core::TimePoint now, Actions &actions);
     void pumpAll(core::TimePoint now, Actions &actions);
@@ -168,6 +162,7 @@
     config::SnapshotPtr m_snapshot;
     core::TimePoint m_freshUntil{core::TimePoint::max()};
     bool m_stopping{false};
+    core::TimePoint m_lastAge;
     Requests m_requests;
     std::map<core::PoolId, PoolState> m_pools;
     std::map<core::TeamId, std::uint32_t> m_teamRunning;
--- a/src/oleanderwick/http/client.cpp
+++ b/src/oleanderwick/http/client.cpp
@@ -42,7 +42,9 @@
 class ClientState
 {
 public:
-    explicit ClientState(Endpoint endpoint) : m_endpoint{std::move(endpoint)}, m_stream{m_context}
+    explicit ClientState(Endpoint endpoint)
+        : m_endpoint{std::move(endpoint)}
+        , m_stream{m_context}
     {
     }
 
@@ -224,7 +226,8 @@
 
 } // namespace internal
 
-Client::Client(Endpoint endpoint) : m_state{std::make_unique<internal::ClientState>(std::move(endpoint))}
+Client::Client(Endpoint endpoint)
+    : m_state{std::make_unique<internal::ClientState>(std::move(endpoint))}
 {
 }
 
--- a/src/oleanderwick/http/loop.cpp
+++ b/src/oleanderwick/http/loop.cpp
@@ -17,7 +17,10 @@
 namespace asio = boost::asio;
 
 struct Repeater : std::enable_shared_from_this<Repeater> {
-    Repeater(asio::io_context &context, core::Duration span, std::function<void()> job) : timer{context}, period{span}, work{std::move(job)}
+    Repeater(asio::io_context &context, core::Duration span, std::function<void()> job)
+        : timer{context}
+        , period{span}
+        , work{std::move(job)}
     {
     }
 
@@ -38,7 +41,9 @@
 };
 
 struct SignalWaiter : std::enable_shared_from_this<SignalWaiter> {
-    SignalWaiter(asio::io_context &context, std::function<void()> job) : signals{context, SIGTERM, SIGINT}, work{std::move(job)}
+    SignalWaiter(asio::io_context &context, std::function<void()> job)
+        : signals{context, SIGTERM, SIGINT}
+        , work{std::move(job)}
     {
     }
 
@@ -58,7 +63,8 @@
 
 } // namespace internal
 
-Loop::Loop() : m_state{std::make_unique<internal::LoopState>()}
+Loop::Loop()
+    : m_state{std::make_unique<internal::LoopState>()}
 {
 }
 
--- a/src/oleanderwick/http/server.cpp
+++ b/src/oleanderwick/http/server.cpp
@@ -28,7 +28,10 @@
 {
 public:
     ServerState(asio::io_context &context, const ServerLimits &limits, Handler handler)
-        : m_context{context}, m_acceptor{context}, m_limits{limits}, m_handler{std::move(handler)}
+        : m_context{context}
+        , m_acceptor{context}
+        , m_limits{limits}
+        , m_handler{std::move(handler)}
     {
     }
 
@@ -82,7 +85,9 @@
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-    Session(asio::ip::tcp::socket socket, std::shared_ptr<ServerState> server) : m_stream{std::move(socket)}, m_server{std::move(server)}
+    Session(asio::ip::tcp::socket socket, std::shared_ptr<ServerState> server)
+        : m_stream{std::move(socket)}
+        , m_server{std::move(server)}
     {
         error_code ignored;
         m_stream.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
--- a/src/oleanderwick/http/upstream_links.cpp
+++ b/src/oleanderwick/http/upstream_links.cpp
@@ -58,7 +58,9 @@
 class LinksState : public std::enable_shared_from_this<LinksState>
 {
 public:
-    LinksState(asio::io_context &context, std::size_t maxPerUpstream) : m_context{context}, m_maxPerUpstream{maxPerUpstream}
+    LinksState(asio::io_context &context, std::size_t maxPerUpstream)
+        : m_context{context}
+        , m_maxPerUpstream{maxPerUpstream}
     {
     }
 
@@ -280,7 +282,8 @@
 
 } // namespace internal
 
-UpstreamLinks::UpstreamLinks(Loop &loop, std::size_t maxPerUpstream) : m_state{std::make_shared<internal::LinksState>(loop.state().context, maxPerUpstream)}
+UpstreamLinks::UpstreamLinks(Loop &loop, std::size_t maxPerUpstream)
+    : m_state{std::make_shared<internal::LinksState>(loop.state().context, maxPerUpstream)}
 {
     const std::weak_ptr<internal::LinksState> weak = m_state;
     loop.every(std::chrono::seconds{1}, [weak] {
--- a/src/oleanderwick/membership/digest.hpp
+++ b/src/oleanderwick/membership/digest.hpp
@@ -7,7 +7,6 @@
 #include "../allotment/allotment.hpp"
 #include "../config/config.hpp"
 #include "../core/core.hpp"
-#include "../dispatch/dispatch.hpp"
 #include "fwd.hpp"
 
 namespace oleanderwick::membership
@@ -21,7 +20,7 @@
     bool leaving{false}; /**< The sender is stopping. */
     std::int64_t storeAgeMs{}; /**< Time since the sender last heard from the store, in milliseconds. */
     std::vector<core::NodeId> alive; /**< Nodes that the sender counts as alive. */
-    std::vector<dispatch::PoolUse> uses; /**< What runs on the sender. */
+    std::vector<allotment::TeamDemand> demands; /**< What runs and waits on the sender. */
     std::vector<allotment::Want> wants; /**< Rights that the sender lacks. */
     std::vector<std::uint64_t> sequences; /**< Sequence of each shard of the ledger as the sender knows it. */
 
--- a/src/oleanderwick/membership/roster.cpp
+++ b/src/oleanderwick/membership/roster.cpp
@@ -7,7 +7,9 @@
 {
 
 Roster::Roster(core::NodeId self, std::size_t fleetSize, Bounds bounds)
-    : m_self{std::move(self)}, m_fleetSize{std::max<std::size_t>(1, fleetSize)}, m_bounds{bounds}
+    : m_self{std::move(self)}
+    , m_fleetSize{std::max<std::size_t>(1, fleetSize)}
+    , m_bounds{bounds}
 {
 }
 
@@ -52,22 +54,27 @@
     return nodes;
 }
 
-std::vector<dispatch::PoolUse> Roster::elsewhere(core::TimePoint now) const
+std::vector<allotment::TeamDemand> Roster::elsewhere(core::TimePoint now) const
 {
-    std::map<std::pair<core::PoolId, core::TeamId>, std::uint32_t> sums;
+    std::map<std::pair<core::PoolId, core::TeamId>, allotment::TeamDemand> sums;
     for (const std::pair<const core::NodeId, Peer> &peer : m_peers) {
         if (!isAlive(peer.second, now)) {
             continue;
         }
-        for (const dispatch::PoolUse &use : peer.second.digest.uses) {
-            sums[{use.pool, use.team}] += use.running;
+        for (const allotment::TeamDemand &demand : peer.second.digest.demands) {
+            allotment::TeamDemand &sum = sums[{demand.pool, demand.team}];
+            sum.pool = demand.pool;
+            sum.team = demand.team;
+            sum.running += demand.running;
+            sum.waiting += demand.waiting;
         }
     }
-    std::vector<dispatch::PoolUse> uses;
-    for (const auto &sum : sums) {
-        uses.push_back(dispatch::PoolUse{sum.first.first, sum.first.second, sum.second});
+    std::vector<allotment::TeamDemand> demands;
+    demands.reserve(sums.size());
+    for (auto sum = sums.begin(); sum != sums.end(); ++sum) {
+        demands.push_back(std::move(sum->second));
     }
-    return uses;
+    return demands;
 }
 
 std::set<core::NodeId> Roster::departed(core::TimePoint now) const
--- a/src/oleanderwick/membership/roster.hpp
+++ b/src/oleanderwick/membership/roster.hpp
@@ -56,7 +56,7 @@
      * @param now Present time.
      * @return Running requests by pool and team.
      */
-    [[nodiscard]] std::vector<dispatch::PoolUse> elsewhere(core::TimePoint now) const;
+    [[nodiscard]] std::vector<allotment::TeamDemand> elsewhere(core::TimePoint now) const;
 
     /**
      * @brief Lists nodes whose rights may be taken back.
--- a/src/oleanderwick/node/caller_api.cpp
+++ b/src/oleanderwick/node/caller_api.cpp
@@ -72,7 +72,11 @@
 } // namespace internal
 
 CallerApi::CallerApi(core::NodeId node, http::UpstreamLinks &links, DecisionRing &decisions, std::size_t maxRequests, std::size_t maxAnswerBytes)
-    : m_node{std::move(node)}, m_links{links}, m_decisions{decisions}, m_maxRequests{maxRequests}, m_maxAnswerBytes{maxAnswerBytes}
+    : m_node{std::move(node)}
+    , m_links{links}
+    , m_decisions{decisions}
+    , m_maxRequests{maxRequests}
+    , m_maxAnswerBytes{maxAnswerBytes}
 {
 }
 
--- a/src/oleanderwick/node/config_keeper.cpp
+++ b/src/oleanderwick/node/config_keeper.cpp
@@ -3,7 +3,9 @@
 namespace oleanderwick::node
 {
 
-ConfigKeeper::ConfigKeeper(DecisionRing &decisions) : m_decisions{decisions}, m_current{std::make_shared<const config::Snapshot>(config::Record{})}
+ConfigKeeper::ConfigKeeper(DecisionRing &decisions)
+    : m_decisions{decisions}
+    , m_current{std::make_shared<const config::Snapshot>(config::Record{})}
 {
 }
 
--- a/src/oleanderwick/node/decision_duty.cpp
+++ b/src/oleanderwick/node/decision_duty.cpp
@@ -98,7 +98,7 @@
 
 void DecisionDuty::tellHolder(const membership::Digest &digest)
 {
-    m_holder.setPeer(digest.node, digest.wants, digest.sequences);
+    m_holder.setPeer(digest.node, digest.demands, digest.wants, digest.sequences);
 }
 
 void DecisionDuty::handle(const PeerHeard &heard)
@@ -220,7 +220,7 @@
     digest.leaving = m_leaving;
     digest.storeAgeMs = core::milliseconds(m_roster.storeAge(m_now));
     digest.alive = m_roster.alive(m_now);
-    digest.uses = m_dispatcher.uses();
+    digest.demands = m_dispatcher.demands();
     digest.wants = m_holder.wants();
     digest.sequences = m_holder.sequences();
     m_ports.digest.write(std::move(digest));
--- a/src/oleanderwick/node/duties.cpp
+++ b/src/oleanderwick/node/duties.cpp
@@ -29,7 +29,12 @@
 } // namespace internal
 
 StoreDuty::StoreDuty(std::unique_ptr<store::Store> store, StoreKeys keys, StoreRing &tasks, DecisionRing &decisions, ConfigKeeper &keeper)
-    : m_store{std::move(store)}, m_keys{std::move(keys)}, m_tasks{tasks}, m_decisions{decisions}, m_keeper{keeper}, m_thread{[this] {
+    : m_store{std::move(store)}
+    , m_keys{std::move(keys)}
+    , m_tasks{tasks}
+    , m_decisions{decisions}
+    , m_keeper{keeper}
+    , m_thread{[this] {
         run();
     }}
 {
@@ -187,7 +192,10 @@
 }
 
 WatchDuty::WatchDuty(std::unique_ptr<store::Store> store, StoreKeys keys, ConfigKeeper &keeper)
-    : m_store{std::move(store)}, m_keys{std::move(keys)}, m_keeper{keeper}, m_thread{[this](const std::stop_token &stop) {
+    : m_store{std::move(store)}
+    , m_keys{std::move(keys)}
+    , m_keeper{keeper}
+    , m_thread{[this](const std::stop_token &stop) {
         run(stop);
     }}
 {
@@ -247,7 +255,9 @@
 }
 
 TelemetryDuty::TelemetryDuty(TelemetryRing &items, telemetry::Metrics &metrics)
-    : m_items{items}, m_metrics{metrics}, m_thread{[this] {
+    : m_items{items}
+    , m_metrics{metrics}
+    , m_thread{[this] {
         run();
     }}
 {
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -39,7 +39,9 @@
 class StoreMaker
 {
 public:
-    explicit StoreMaker(const settings::StoreSettings &settings) : m_settings{settings}, m_memory{std::make_shared<store::MemoryStore>(m_clock)}
+    explicit StoreMaker(const settings::StoreSettings &settings)
+        : m_settings{settings}
+        , m_memory{std::make_shared<store::MemoryStore>(m_clock)}
     {
     }
 
@@ -55,7 +57,8 @@
 class SharedStore final : public store::Store
 {
 public:
-    explicit SharedStore(std::shared_ptr<store::Store> store) : m_store{std::move(store)}
+    explicit SharedStore(std::shared_ptr<store::Store> store)
+        : m_store{std::move(store)}
     {
     }
 
--- a/src/oleanderwick/node/operator_api.cpp
+++ b/src/oleanderwick/node/operator_api.cpp
@@ -228,9 +228,9 @@
     for (const core::NodeId &node : digest.alive) {
         alive.push_back(node.text());
     }
-    nlohmann::json uses = nlohmann::json::array();
-    for (const dispatch::PoolUse &use : digest.uses) {
-        uses.push_back({{"pool", use.pool.text()}, {"team", use.team.text()}, {"running", use.running}});
+    nlohmann::json demands = nlohmann::json::array();
+    for (const allotment::TeamDemand &demand : digest.demands) {
+        demands.push_back({{"pool", demand.pool.text()}, {"team", demand.team.text()}, {"running", demand.running}, {"waiting", demand.waiting}});
     }
     const nlohmann::json body = {{"node", digest.node.text()},
                                  {"zone", m_settings.zone},
@@ -238,7 +238,7 @@
                                  {"version", m_keeper.current()->version()},
                                  {"storeAgeMs", digest.storeAgeMs},
                                  {"alive", std::move(alive)},
-                                 {"running", std::move(uses)}};
+                                 {"demands", std::move(demands)}};
     respond(jsonAnswer(body.dump()));
 }
 
--- a/src/oleanderwick/node/store_keys.hpp
+++ b/src/oleanderwick/node/store_keys.hpp
@@ -14,7 +14,8 @@
      * @brief Sets the start of all keys.
      * @param prefix Start, without a slash at its end.
      */
-    explicit StoreKeys(std::string prefix) : m_prefix{std::move(prefix)}
+    explicit StoreKeys(std::string prefix)
+        : m_prefix{std::move(prefix)}
     {
     }
 
--- a/src/oleanderwick/peer/codec.cpp
+++ b/src/oleanderwick/peer/codec.cpp
@@ -1,8 +1,5 @@
 #include "codec.hpp"
 
-#include <cmath>
-#include <limits>
-
 #include <nlohmann/json.hpp>
 
 namespace oleanderwick::peer
@@ -11,14 +8,10 @@
 namespace internal
 {
 
-/** JSON has no infinity; a pressure without bound is written as this. */
-constexpr double unboundedPressure = 1e9;
-
 nlohmann::json toJson(const allotment::Want &want)
 {
     const char *kind = want.group.kind == allotment::Group::Kind::Team ? "t" : "p";
-    const double pressure = std::isfinite(want.pressure) ? want.pressure : unboundedPressure;
-    return nlohmann::json::array({kind, want.group.name, want.hungry, want.idle, pressure});
+    return nlohmann::json::array({kind, want.group.name, want.missing});
 }
 
 allotment::Want wantFromJson(const nlohmann::json &json)
@@ -26,16 +19,24 @@
     allotment::Want want;
     want.group.kind = json.at(0).get<std::string>() == "t" ? allotment::Group::Kind::Team : allotment::Group::Kind::Pool;
     want.group.name = json.at(1).get<std::string>();
-    want.hungry = json.at(2).get<std::uint32_t>();
-    want.idle = json.at(3).get<std::uint32_t>();
-    const double pressure = json.at(4).get<double>();
-    want.pressure = pressure >= unboundedPressure ? std::numeric_limits<double>::infinity() : pressure;
+    want.missing = json.at(2).get<std::uint32_t>();
     return want;
 }
 
-dispatch::PoolUse useFromJson(const nlohmann::json &json)
+nlohmann::json toJson(const allotment::TeamDemand &demand)
+{
+    return nlohmann::json::array({demand.pool.text(), demand.team.text(), demand.running, demand.waiting, demand.recent});
+}
+
+allotment::TeamDemand demandFromJson(const nlohmann::json &json)
 {
-    return dispatch::PoolUse{core::PoolId{json.at(0).get<std::string>()}, core::TeamId{json.at(1).get<std::string>()}, json.at(2).get<std::uint32_t>()};
+    allotment::TeamDemand demand;
+    demand.pool = core::PoolId{json.at(0).get<std::string>()};
+    demand.team = core::TeamId{json.at(1).get<std::string>()};
+    demand.running = json.at(2).get<std::uint32_t>();
+    demand.waiting = json.at(3).get<std::uint32_t>();
+    demand.recent = json.at(4).get<std::uint32_t>();
+    return demand;
 }
 
 membership::Digest digestFromJson(const nlohmann::json &json)
@@ -49,8 +50,8 @@
     for (const nlohmann::json &node : json.at("alive")) {
         digest.alive.emplace_back(node.get<std::string>());
     }
-    for (const nlohmann::json &use : json.at("uses")) {
-        digest.uses.push_back(useFromJson(use));
+    for (const nlohmann::json &demand : json.at("demands")) {
+        digest.demands.push_back(demandFromJson(demand));
     }
     for (const nlohmann::json &want : json.at("wants")) {
         digest.wants.push_back(wantFromJson(want));
@@ -67,9 +68,9 @@
     for (const core::NodeId &node : digest.alive) {
         alive.push_back(node.text());
     }
-    nlohmann::json uses = nlohmann::json::array();
-    for (const dispatch::PoolUse &use : digest.uses) {
-        uses.push_back(nlohmann::json::array({use.pool.text(), use.team.text(), use.running}));
+    nlohmann::json demands = nlohmann::json::array();
+    for (const allotment::TeamDemand &demand : digest.demands) {
+        demands.push_back(internal::toJson(demand));
     }
     nlohmann::json wants = nlohmann::json::array();
     for (const allotment::Want &want : digest.wants) {
@@ -82,7 +83,7 @@
                                  {"leaving", digest.leaving},
                                  {"storeAge", digest.storeAgeMs},
                                  {"alive", std::move(alive)},
-                                 {"uses", std::move(uses)},
+                                 {"demands", std::move(demands)},
                                  {"wants", std::move(wants)},
                                  {"ledger", digest.sequences}};
     return json.dump();
--- a/src/oleanderwick/peer/peer.cpp
+++ b/src/oleanderwick/peer/peer.cpp
@@ -32,7 +32,10 @@
     return m_server.handle(message);
 }
 
-Link::Link(http::Endpoint endpoint, std::string secret, core::Duration timeout) : m_client{std::move(endpoint)}, m_secret{std::move(secret)}, m_timeout{timeout}
+Link::Link(http::Endpoint endpoint, std::string secret, core::Duration timeout)
+    : m_client{std::move(endpoint)}
+    , m_secret{std::move(secret)}
+    , m_timeout{timeout}
 {
 }
 
--- a/src/oleanderwick/peer/rpc_binding.cpp
+++ b/src/oleanderwick/peer/rpc_binding.cpp
@@ -74,7 +74,8 @@
 class FunctionConnector : public jsonrpc::IClientConnector
 {
 public:
-    explicit FunctionConnector(const RpcTransport &transport) : m_transport(transport)
+    explicit FunctionConnector(const RpcTransport &transport)
+        : m_transport(transport)
     {
     }
 
@@ -95,7 +96,8 @@
 class RpcServer::Binding : public NoListener, public jsonrpc::AbstractServer<RpcServer::Binding>
 {
 public:
-    Binding() : jsonrpc::AbstractServer<Binding>(static_cast<NoListener &>(*this))
+    Binding()
+        : jsonrpc::AbstractServer<Binding>(static_cast<NoListener &>(*this))
     {
     }
 
@@ -122,7 +124,8 @@
     std::map<std::string, RpcMethod> m_methods;
 };
 
-RpcServer::RpcServer() : m_binding(new Binding)
+RpcServer::RpcServer()
+    : m_binding(new Binding)
 {
 }
 
--- a/src/oleanderwick/routing/upstream_table.cpp
+++ b/src/oleanderwick/routing/upstream_table.cpp
@@ -21,7 +21,8 @@
 
 } // namespace internal
 
-UpstreamTable::UpstreamTable(std::string zone) : m_zone{std::move(zone)}
+UpstreamTable::UpstreamTable(std::string zone)
+    : m_zone{std::move(zone)}
 {
 }
 
--- a/src/oleanderwick/settings/settings.cpp
+++ b/src/oleanderwick/settings/settings.cpp
@@ -18,7 +18,10 @@
 class MapReader
 {
 public:
-    MapReader(const YAML::Node &map, std::string name, std::vector<std::string> &errors) : m_map{map}, m_name{std::move(name)}, m_errors{errors}
+    MapReader(const YAML::Node &map, std::string name, std::vector<std::string> &errors)
+        : m_map{map}
+        , m_name{std::move(name)}
+        , m_errors{errors}
     {
         if (!m_map.IsMap()) {
             fail(m_map, absl::StrCat(m_name, " has to be a map"));
--- a/src/oleanderwick/store/memory_store.cpp
+++ b/src/oleanderwick/store/memory_store.cpp
@@ -12,7 +12,8 @@
 
 } // namespace internal
 
-MemoryStore::MemoryStore(const core::Clock &clock) : m_clock{clock}
+MemoryStore::MemoryStore(const core::Clock &clock)
+    : m_clock{clock}
 {
 }
 
--- a/src/oleanderwick/store/platform_store.cpp
+++ b/src/oleanderwick/store/platform_store.cpp
@@ -119,7 +119,9 @@
 
 } // namespace internal
 
-PlatformStore::PlatformStore(std::vector<http::Endpoint> endpoints, core::Duration timeout) : m_endpoints{std::move(endpoints)}, m_timeout{timeout}
+PlatformStore::PlatformStore(std::vector<http::Endpoint> endpoints, core::Duration timeout)
+    : m_endpoints{std::move(endpoints)}
+    , m_timeout{timeout}
 {
     OLEANDERWICK_ASSERT(!m_endpoints.empty(), "the store has an endpoint");
 }
--- a/src/oleanderwick/telemetry/event_log.cpp
+++ b/src/oleanderwick/telemetry/event_log.cpp
@@ -9,7 +9,8 @@
 namespace oleanderwick::telemetry
 {
 
-Event::Event(std::string_view name) : m_line{"event="}
+Event::Event(std::string_view name)
+    : m_line{"event="}
 {
     m_line += name;
 }
--- a/src/oleanderwick/telemetry/metrics.cpp
+++ b/src/oleanderwick/telemetry/metrics.cpp
@@ -65,7 +65,8 @@
     std::uint64_t retries{0};
 };
 
-Metrics::Metrics() : m_state{std::make_unique<State>()}
+Metrics::Metrics()
+    : m_state{std::make_unique<State>()}
 {
 }
 
--- a/src/stub/store_stub.cpp
+++ b/src/stub/store_stub.cpp
@@ -40,7 +40,8 @@
 
 } // namespace internal
 
-StoreStub::StoreStub(const core::Clock &clock) : m_clock{clock}
+StoreStub::StoreStub(const core::Clock &clock)
+    : m_clock{clock}
 {
 }
 
@@ -209,7 +210,8 @@
 {
 public:
     State(StoreStub &stub, std::uint16_t port)
-        : m_stub{stub}, m_acceptor{m_context, internal::asio::ip::tcp::endpoint{internal::asio::ip::address_v4::loopback(), port}}
+        : m_stub{stub}
+        , m_acceptor{m_context, internal::asio::ip::tcp::endpoint{internal::asio::ip::address_v4::loopback(), port}}
     {
     }
 
@@ -387,7 +389,8 @@
     std::thread m_listener;
 };
 
-StoreServer::StoreServer(StoreStub &stub, std::uint16_t port) : m_state{std::make_shared<State>(stub, port)}
+StoreServer::StoreServer(StoreStub &stub, std::uint16_t port)
+    : m_state{std::make_shared<State>(stub, port)}
 {
     m_state->start();
 }
--- a/src/stub/upstream_main.cpp
+++ b/src/stub/upstream_main.cpp
@@ -19,7 +19,10 @@
 class Upstream
 {
 public:
-    Upstream(http::Loop &loop, std::string name, core::Duration delay) : m_loop{loop}, m_name{std::move(name)}, m_delay{delay}
+    Upstream(http::Loop &loop, std::string name, core::Duration delay)
+        : m_loop{loop}
+        , m_name{std::move(name)}
+        , m_delay{delay}
     {
     }
 
--- a/test/oleanderwick/allotment/holder.cpp
+++ b/test/oleanderwick/allotment/holder.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
-#include "fleet_model.hpp"
+#include "support/fleet_model.hpp"
 
 namespace allotment = oleanderwick::allotment;
 namespace core = oleanderwick::core;
@@ -20,8 +20,11 @@
             fleet.tell(from, to);
         }
     }
-    for (std::size_t index = 0; index < fleet.size(); ++index) {
-        fleet.step(index, false, false);
+    // A node asks the store every 50 ms, and a peer every 250 ms.
+    for (int step = 0; step < 5; ++step) {
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            fleet.step(index, false, false);
+        }
     }
 }
 
@@ -190,7 +193,8 @@
         holder.onRead(read.shard, read.shard == shard ? stored : allotment::StoredLedger{});
     }
     REQUIRE(holder.usable(unit) == 4);
-    holder.setPeer(core::NodeId{"n1"}, {allotment::Want{FleetModel::group(), 2, 0, 0.0}}, {});
+    holder.setPeer(
+        core::NodeId{"n1"}, {allotment::TeamDemand{oleanderwick::core::PoolId{"p"}, core::TeamId{"t"}, 0, 2}}, {allotment::Want{FleetModel::group(), 2}}, {});
     REQUIRE(holder.step().writes.size() == 1);
     CHECK(holder.usable(unit) == 2);
     holder.onWritten(shard, allotment::WriteEnd::Unknown, std::nullopt);
--- /dev/null
+++ b/test/oleanderwick/dispatch/dispatcher.cpp
@@ -0,0 +1,257 @@
+#include <catch2/catch.hpp>
+
+#include "support/virtual_fleet.hpp"
+
+namespace allotment = oleanderwick::allotment;
+namespace config = oleanderwick::config;
+namespace core = oleanderwick::core;
+namespace dispatch = oleanderwick::dispatch;
+namespace routing = oleanderwick::routing;
+using oleanderwick::test::DocumentBuilder;
+using oleanderwick::test::FaultyShards;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+/** One dispatcher whose holder has claimed all rights. */
+class One
+{
+public:
+    explicit One(const config::Document &document)
+    {
+        configure(document);
+        for (int round = 0; round < 8; ++round) {
+            askStore();
+        }
+    }
+
+    dispatch::Actions configure(const config::Document &document)
+    {
+        config::Record record;
+        record.version = ++version;
+        record.document = document;
+        return dispatcher.configure(std::make_shared<const config::Snapshot>(record), now);
+    }
+
+    void askStore()
+    {
+        dispatcher.updateDemand();
+        const allotment::HolderStep calls = holder.step();
+        for (const allotment::LedgerRead &read : calls.reads) {
+            holder.onRead(read.shard, store.read(read.shard));
+        }
+        for (const allotment::LedgerWrite &write : calls.writes) {
+            store.apply(write);
+            holder.onWritten(write.shard, allotment::WriteEnd::Written, store.read(write.shard));
+        }
+    }
+
+    dispatch::Actions arrive(const std::string &queue, const std::string &key, bool idempotent = false, core::Duration timeout = {})
+    {
+        dispatch::Arrival arrival;
+        arrival.number = ++number;
+        arrival.queue = core::QueueId{queue};
+        arrival.idempotent = idempotent;
+        arrival.timeout = timeout;
+        if (!key.empty()) {
+            arrival.key = config::PresentedKey{core::KeyId{key}, key};
+        }
+        return dispatcher.arrive(arrival, now);
+    }
+
+    dispatch::Actions end(std::uint64_t request, routing::ExchangeEnd how)
+    {
+        return dispatcher.attemptEnded(dispatch::AttemptEnd{request, how, false}, now);
+    }
+
+    allotment::Holder holder{core::NodeId{"n0"}, 1};
+    dispatch::Dispatcher dispatcher{"a", 1, holder};
+    FaultyShards store;
+    core::TimePoint now{std::chrono::hours{1}};
+    config::Version version{0};
+    std::uint64_t number{0};
+};
+
+config::Document small()
+{
+    return DocumentBuilder{}.pool("p", 2, 1).team("t", 1, 2).team("other", 1, 0).queue("q", "p", {"t", "other"}, 1000).build();
+}
+
+const dispatch::StartAttempt *startOf(const dispatch::Actions &actions)
+{
+    REQUIRE(actions.size() == 1);
+    return std::get_if<dispatch::StartAttempt>(&actions.front());
+}
+
+core::Refusal refusalOf(const dispatch::Actions &actions)
+{
+    REQUIRE(actions.size() == 1);
+    const dispatch::Refuse *refuse = std::get_if<dispatch::Refuse>(&actions.front());
+    REQUIRE(refuse != nullptr);
+    return refuse->refusal;
+}
+
+} // namespace
+
+TEST_CASE("Dispatcher starts a request at once when there is room", "[dispatch]")
+{
+    One one{small()};
+    CHECK(startOf(one.arrive("q", "t")) != nullptr);
+}
+
+TEST_CASE("Dispatcher refuses what may not come in", "[dispatch]")
+{
+    One one{small()};
+    CHECK(refusalOf(one.arrive("q", "")).status == 401);
+    CHECK(refusalOf(one.arrive("q", "nobody")).status == 401);
+    CHECK(refusalOf(one.arrive("nowhere", "t")).status == 404);
+    CHECK(refusalOf(one.arrive("q", "other")).reason == "upper_limit_zero");
+}
+
+TEST_CASE("Dispatcher refuses the team of another queue", "[dispatch]")
+{
+    One one{DocumentBuilder{}.pool("p", 1, 1).team("t", 1, 2).team("u", 1, 2).queue("q", "p", {"t"}).build()};
+    CHECK(refusalOf(one.arrive("q", "u")).status == 403);
+}
+
+TEST_CASE("Dispatcher refuses a queue whose pool is empty", "[dispatch]")
+{
+    One one{DocumentBuilder{}.pool("p", 0, 1).team("t", 1, 2).queue("q", "p", {"t"}).build()};
+    CHECK(refusalOf(one.arrive("q", "t")).reason == "pool_empty");
+}
+
+TEST_CASE("Dispatcher refuses a waiting request at its latest start, as not run", "[dispatch]")
+{
+    One one{small()};
+    (void)one.arrive("q", "t");
+    (void)one.arrive("q", "t");
+    CHECK(one.arrive("q", "t").empty());
+    one.now += milliseconds{1001};
+    const core::Refusal refusal = refusalOf(one.dispatcher.tick(one.now));
+    CHECK(refusal.outcome == core::Outcome::NotRun);
+    CHECK(refusal.retryAfter > core::Duration::zero());
+}
+
+TEST_CASE("Dispatcher refuses at once what cannot start in time", "[dispatch]")
+{
+    One one{small()};
+    (void)one.arrive("q", "t");
+    one.now += milliseconds{900};
+    (void)one.end(1, routing::ExchangeEnd::Whole);
+    (void)one.arrive("q", "t");
+    (void)one.arrive("q", "t");
+    CHECK(refusalOf(one.arrive("q", "t", false, milliseconds{500})).reason == "cannot_start_in_time");
+}
+
+TEST_CASE("Dispatcher takes nothing when its configuration is not fresh", "[dispatch]")
+{
+    One one{small()};
+    one.dispatcher.setFreshUntil(one.now);
+    const core::Refusal refusal = refusalOf(one.arrive("q", "t"));
+    CHECK(refusal.reason == "configuration_not_fresh");
+    CHECK(refusal.outcome == core::Outcome::NotRun);
+}
+
+TEST_CASE("Dispatcher refuses waiting requests of a withdrawn key", "[dispatch]")
+{
+    One one{small()};
+    (void)one.arrive("q", "t");
+    (void)one.arrive("q", "t");
+    (void)one.arrive("q", "t");
+    config::Document without = small();
+    without.teams[core::TeamId{"t"}].keys.clear();
+    const core::Refusal refusal = refusalOf(one.configure(without));
+    CHECK(refusal.status == 401);
+    CHECK(refusal.outcome == core::Outcome::NotRun);
+}
+
+TEST_CASE("Dispatcher never goes back to a smaller number", "[dispatch]")
+{
+    One one{small()};
+    config::Record old;
+    old.version = 1;
+    CHECK(one.dispatcher.configure(std::make_shared<const config::Snapshot>(old), one.now).empty());
+    CHECK(startOf(one.arrive("q", "t")) != nullptr);
+}
+
+TEST_CASE("Dispatcher follows the table of outcomes", "[dispatch]")
+{
+    using routing::ExchangeEnd;
+    struct Row {
+        ExchangeEnd end;
+        bool idempotent;
+        bool retried;
+        core::Outcome outcome; /**< Of the refusal after the last attempt. */
+    };
+    const Row row = GENERATE(values<Row>({
+        {ExchangeEnd::RefusedNotRun, false, true, core::Outcome::NotRun},
+        {ExchangeEnd::RefusedNotRun, true, true, core::Outcome::NotRun},
+        {ExchangeEnd::NotConnected, false, true, core::Outcome::NotRun},
+        {ExchangeEnd::NotConnected, true, true, core::Outcome::NotRun},
+        {ExchangeEnd::NothingSent, false, true, core::Outcome::NotRun},
+        {ExchangeEnd::NothingSent, true, true, core::Outcome::NotRun},
+        {ExchangeEnd::PartSent, false, false, core::Outcome::Unknown},
+        {ExchangeEnd::PartSent, true, true, core::Outcome::Unknown},
+        {ExchangeEnd::NoAnswer, false, false, core::Outcome::Unknown},
+        {ExchangeEnd::NoAnswer, true, true, core::Outcome::Unknown},
+        {ExchangeEnd::PartAnswer, false, false, core::Outcome::Unknown},
+        {ExchangeEnd::PartAnswer, true, true, core::Outcome::Unknown},
+        {ExchangeEnd::TimedOut, false, false, core::Outcome::Unknown},
+        {ExchangeEnd::TimedOut, true, true, core::Outcome::Unknown},
+        {ExchangeEnd::WrongAnswer, false, false, core::Outcome::Unknown},
+        {ExchangeEnd::WrongAnswer, true, true, core::Outcome::Unknown},
+        {ExchangeEnd::TooLarge, false, false, core::Outcome::Failed},
+        {ExchangeEnd::TooLarge, true, false, core::Outcome::Failed},
+    }));
+    One one{DocumentBuilder{}.pool("p", 20, 8).team("t", 1, 20).queue("q", "p", {"t"}).build()};
+    const dispatch::Actions first = one.arrive("q", "t", row.idempotent);
+    REQUIRE(startOf(first) != nullptr);
+    const core::InstanceId upstream = startOf(first)->upstream;
+    dispatch::Actions next = one.end(1, row.end);
+    CAPTURE(routing::toText(row.end), row.idempotent);
+    if (row.retried) {
+        const dispatch::StartAttempt *second = startOf(next);
+        REQUIRE(second != nullptr);
+        CHECK(second->upstream != upstream);
+        CHECK(second->freshConnection);
+        next = one.end(1, row.end);
+        next = one.end(1, row.end);
+    }
+    CHECK(refusalOf(next).outcome == row.outcome);
+}
+
+TEST_CASE("Dispatcher says unknown when an earlier attempt may have run", "[dispatch]")
+{
+    One one{DocumentBuilder{}.pool("p", 20, 8).team("t", 1, 20).queue("q", "p", {"t"}).build()};
+    (void)one.arrive("q", "t", true);
+    (void)one.end(1, routing::ExchangeEnd::NoAnswer);
+    (void)one.end(1, routing::ExchangeEnd::NotConnected);
+    CHECK(refusalOf(one.end(1, routing::ExchangeEnd::NotConnected)).outcome == core::Outcome::Unknown);
+}
+
+TEST_CASE("Dispatcher holds the right of work that may still run", "[dispatch]")
+{
+    One one{DocumentBuilder{}.pool("p", 4, 4).team("t", 1, 1).queue("q", "p", {"t"}, 1000).build()};
+    (void)one.arrive("q", "t");
+    (void)one.end(1, routing::ExchangeEnd::NoAnswer);
+    CHECK(one.arrive("q", "t").empty());
+    one.now += milliseconds{999};
+    CHECK(one.dispatcher.tick(one.now).empty());
+    one.now += milliseconds{1};
+    CHECK(one.dispatcher.size() == 1);
+    const dispatch::Actions actions = one.dispatcher.tick(one.now);
+    CHECK(actions.size() == 1);
+}
+
+TEST_CASE("Dispatcher gives a leaving upstream nothing new", "[dispatch]")
+{
+    One one{DocumentBuilder{}.pool("p", 2, 8).team("t", 1, 16).queue("q", "p", {"t"}).build()};
+    const core::InstanceId leaving = startOf(one.arrive("q", "t"))->upstream;
+    (void)one.dispatcher.attemptEnded(dispatch::AttemptEnd{1, routing::ExchangeEnd::Whole, true}, one.now);
+    for (int count = 0; count < 8; ++count) {
+        CHECK(startOf(one.arrive("q", "t"))->upstream != leaving);
+    }
+    CHECK(one.arrive("q", "t").empty());
+}
--- /dev/null
+++ b/test/oleanderwick/dispatch/fleet.cpp
@@ -0,0 +1,255 @@
+#include <catch2/catch.hpp>
+
+#include <random>
+
+#include "support/virtual_fleet.hpp"
+
+namespace config = oleanderwick::config;
+namespace core = oleanderwick::core;
+namespace dispatch = oleanderwick::dispatch;
+namespace routing = oleanderwick::routing;
+using oleanderwick::test::DocumentBuilder;
+using oleanderwick::test::Seen;
+using oleanderwick::test::VirtualFleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr std::size_t fleetSize = 7;
+
+VirtualFleet::ServiceOf takes(std::int64_t leastMs, std::int64_t mostMs)
+{
+    return [leastMs, mostMs](const dispatch::StartAttempt &, std::mt19937_64 &random) {
+        std::uniform_int_distribution<std::int64_t> run{leastMs, mostMs};
+        return VirtualFleet::Service{milliseconds{run(random)}, routing::ExchangeEnd::Whole};
+    };
+}
+
+/** Time that each team had running, over the time of all teams, counted every millisecond. */
+struct UseCounter {
+    std::map<std::string, double> sums;
+
+    void count(const VirtualFleet &fleet, const std::vector<std::string> &teams)
+    {
+        for (const std::string &team : teams) {
+            sums[team] += fleet.running(team);
+        }
+    }
+
+    [[nodiscard]] double part(const std::string &team) const
+    {
+        double all = 0;
+        for (const std::pair<const std::string, double> &entry : sums) {
+            all += entry.second;
+        }
+        return sums.at(team) / all;
+    }
+};
+
+core::Duration percentile(std::vector<core::Duration> values, double part)
+{
+    REQUIRE_FALSE(values.empty());
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
+}
+
+std::vector<core::Duration> totals(const VirtualFleet &fleet, const std::string &queue, core::TimePoint from)
+{
+    std::vector<core::Duration> values;
+    for (const Seen &seen : fleet.seen()) {
+        if (seen.delivered && seen.queue.text() == queue && seen.arrival >= from) {
+            values.push_back(seen.total);
+        }
+    }
+    return values;
+}
+
+std::size_t delivered(const VirtualFleet &fleet)
+{
+    return static_cast<std::size_t>(std::count_if(fleet.seen().begin(), fleet.seen().end(), [](const Seen &seen) {
+        return seen.delivered;
+    }));
+}
+
+} // namespace
+
+TEST_CASE("Dispatchers keep a team's upper limit over the fleet", "[dispatch]")
+{
+    VirtualFleet fleet{fleetSize, DocumentBuilder{}.pool("p", 10, 8).team("t", 1, 20).queue("q", "p", {"t"}).build(), takes(10, 90)};
+    std::size_t turn = 0;
+    fleet.runFor(seconds{10}, [&] {
+        fleet.send(++turn % fleetSize, "q", "t");
+    });
+    CHECK(fleet.peakRunning("t") <= 20);
+    CHECK(fleet.peakRunning("t") >= 19);
+}
+
+TEST_CASE("Dispatchers keep the slots of an upstream over the fleet", "[dispatch]")
+{
+    VirtualFleet fleet{fleetSize, DocumentBuilder{}.pool("p", 2, 8).team("t", 1, 1000).queue("q", "p", {"t"}).build(), takes(10, 90)};
+    std::size_t turn = 0;
+    fleet.runFor(seconds{5}, [&] {
+        fleet.send(++turn % fleetSize, "q", "t");
+    });
+    CHECK(fleet.peakOn("p0") == 8);
+    CHECK(fleet.peakOn("p1") == 8);
+}
+
+TEST_CASE("Dispatchers give the whole limit to one node within 2 s", "[dispatch]")
+{
+    VirtualFleet fleet{fleetSize, DocumentBuilder{}.pool("p", 50, 8).team("t", 1, 100).queue("q", "p", {"t"}).build(), takes(200, 200)};
+    const std::function<void()> load = [&] {
+        fleet.send(0, "q", "t");
+    };
+    fleet.runFor(seconds{2}, load);
+    double sum = 0;
+    int steps = 0;
+    fleet.runFor(seconds{2}, [&] {
+        load();
+        sum += fleet.running("t");
+        ++steps;
+    });
+    CHECK(sum / steps >= 97.0);
+}
+
+TEST_CASE("Dispatchers share a full pool by weight", "[dispatch]")
+{
+    const config::Document document =
+        DocumentBuilder{}.pool("p", 10, 8).team("a", 1, 1000).team("b", 2, 1000).team("c", 5, 1000).queue("q", "p", {"a", "b", "c"}).build();
+    const bool uneven = GENERATE(false, true);
+    VirtualFleet fleet{fleetSize, document, takes(20, 60)};
+    std::size_t turn = 0;
+    const std::function<void()> load = [&] {
+        ++turn;
+        // Uneven: each team's callers come to nodes of their own.
+        fleet.send(uneven ? 0 : turn % fleetSize, "q", "a");
+        fleet.send(uneven ? 3 : turn % fleetSize, "q", "b");
+        fleet.send(uneven ? 5 : turn % fleetSize, "q", "c");
+        fleet.send(uneven ? 6 : turn % fleetSize, "q", "c");
+    };
+    fleet.runFor(seconds{5}, load);
+    UseCounter use;
+    fleet.runFor(seconds{10}, [&] {
+        load();
+        use.count(fleet, {"a", "b", "c"});
+    });
+    CHECK(use.part("a") == Approx(1.0 / 8).epsilon(0.03));
+    CHECK(use.part("b") == Approx(2.0 / 8).epsilon(0.03));
+    CHECK(use.part("c") == Approx(5.0 / 8).epsilon(0.03));
+}
+
+TEST_CASE("Dispatchers lend an unused share and give it back", "[dispatch]")
+{
+    const config::Document document = DocumentBuilder{}.pool("p", 10, 8).team("a", 1, 1000).team("b", 1, 1000).queue("q", "p", {"a", "b"}).build();
+    VirtualFleet fleet{fleetSize, document, takes(50, 50)};
+    std::size_t turn = 0;
+    const std::function<void()> onlyA = [&] {
+        fleet.send(++turn % fleetSize, "q", "a");
+        fleet.send(++turn % fleetSize, "q", "a");
+    };
+    fleet.runFor(seconds{3}, onlyA);
+    CHECK(fleet.running("a") >= 78);
+    const std::function<void()> both = [&] {
+        onlyA();
+        fleet.send(turn % fleetSize, "q", "b");
+        fleet.send((turn + 1) % fleetSize, "q", "b");
+    };
+    // The longest run is 50 ms; the share has to be back within that and 1 s.
+    fleet.runFor(milliseconds{1050}, both);
+    CHECK(fleet.running("b") >= 38);
+}
+
+TEST_CASE("A burst on one queue leaves the others' p99 as it was", "[dispatch]")
+{
+    // 80 slots; three queues that need 15 each in the mean, and one of them five times as much, more than the pool holds.
+    const config::Document document = DocumentBuilder{}
+                                          .pool("p", 10, 8)
+                                          .team("a", 1, 1000)
+                                          .team("b", 1, 1000)
+                                          .team("c", 1, 1000)
+                                          .queue("steady", "p", {"a"})
+                                          .queue("other", "p", {"c"})
+                                          .queue("bursty", "p", {"b"}, 2000)
+                                          .build();
+    VirtualFleet fleet{fleetSize, document, takes(20, 60)};
+    std::mt19937_64 random{11};
+    const auto arrive = [&](const char *queue, const char *team, double perMs) {
+        std::poisson_distribution<int> count{perMs};
+        for (int left = count(random); left > 0; --left) {
+            fleet.send(random() % fleetSize, queue, team);
+        }
+    };
+    const auto load = [&](double burst) {
+        return [&arrive, burst] {
+            arrive("steady", "a", 15.0 / 40);
+            arrive("other", "c", 15.0 / 40);
+            arrive("bursty", "b", burst * 15.0 / 40);
+        };
+    };
+    fleet.runFor(seconds{3}, load(1));
+    const core::TimePoint before = fleet.now();
+    fleet.runFor(seconds{10}, load(1));
+    const core::Duration p99Before = percentile(totals(fleet, "steady", before), 0.99);
+    const core::TimePoint burst = fleet.now();
+    fleet.runFor(seconds{10}, load(5));
+    const core::Duration p99Burst = percentile(totals(fleet, "steady", burst), 0.99);
+    CAPTURE(p99Before.count(), p99Burst.count());
+    CHECK(p99Burst.count() <= p99Before.count() * 11 / 10);
+}
+
+TEST_CASE("Goodput at five times the load is that of the load that fills the pool", "[dispatch]")
+{
+    const config::Document document = DocumentBuilder{}.pool("p", 5, 8).team("t", 1, 1000).queue("q", "p", {"t"}, 1000).build();
+    const auto goodput = [&document](int factor) {
+        VirtualFleet fleet{fleetSize, document, takes(40, 40)};
+        std::size_t turn = 0;
+        // 40 slots of 40 ms each give 1000 a second: one a millisecond fills the pool.
+        const std::function<void()> load = [&] {
+            for (int copy = 0; copy < factor; ++copy) {
+                fleet.send(++turn % fleetSize, "q", "t");
+            }
+        };
+        fleet.runFor(seconds{3}, load);
+        const std::size_t start = delivered(fleet);
+        fleet.runFor(seconds{5}, load);
+        return static_cast<double>(delivered(fleet) - start);
+    };
+    const double once = goodput(1);
+    const double fivefold = goodput(5);
+    CAPTURE(once, fivefold);
+    CHECK(fivefold >= 0.95 * once);
+    CHECK(fivefold >= 0.9 * 5000);
+}
+
+TEST_CASE("Callers notice nothing while the store is away", "[dispatch]")
+{
+    VirtualFleet fleet{fleetSize, DocumentBuilder{}.pool("p", 10, 8).team("t", 1, 80).queue("q", "p", {"t"}).build(), takes(20, 60)};
+    std::size_t turn = 0;
+    const std::function<void()> load = [&] {
+        fleet.send(++turn % fleetSize, "q", "t");
+    };
+    fleet.runFor(seconds{3}, load);
+    fleet.setStoreAway(true);
+    const std::size_t count = fleet.seen().size();
+    fleet.runFor(seconds{120}, load);
+    const bool allDelivered = std::all_of(fleet.seen().begin() + static_cast<std::ptrdiff_t>(count), fleet.seen().end(), [](const Seen &seen) {
+        return seen.delivered;
+    });
+    CHECK(allDelivered);
+}
+
+TEST_CASE("Retries add at most a tenth when every upstream fails", "[dispatch]")
+{
+    VirtualFleet fleet{
+        1, DocumentBuilder{}.pool("p", 10, 8).team("t", 1, 80).queue("q", "p", {"t"}).build(), [](const dispatch::StartAttempt &, std::mt19937_64 &) {
+            return VirtualFleet::Service{milliseconds{5}, routing::ExchangeEnd::NotConnected};
+        }};
+    std::uint64_t sent = 0;
+    fleet.runFor(seconds{60}, [&] {
+        ++sent;
+        fleet.send(0, "q", "t");
+    });
+    CHECK(static_cast<double>(fleet.attempts()) <= 1.1 * static_cast<double>(sent) + 10);
+}
--- a/test/oleanderwick/allotment/fleet_model.hpp
+++ b/test/support/fleet_model.hpp
@@ -50,6 +50,7 @@
         core::NodeId id;
         std::unique_ptr<allotment::Holder> holder;
         std::map<allotment::Unit, std::uint32_t> running;
+        std::pair<std::uint32_t, std::uint32_t> demand; /**< Running and waiting, as told last. */
         bool stopped{false};
     };
 
@@ -133,9 +134,12 @@
     {
         Node &entry = m_nodes[index];
         if (!entry.stopped) {
-            const bool enoughLeft = std::count_if(m_nodes.begin(), m_nodes.end(), [](const Node &other) {
-                                        return !other.stopped;
-                                    }) > 3;
+            const bool enoughLeft = std::count_if(m_nodes.begin(),
+                                                  m_nodes.end(),
+                                                  [](const Node &other) {
+                                                      return !other.stopped;
+                                                  })
+                > 3;
             entry.stopped = enoughLeft && chance(20) == 0;
             return;
         }
@@ -169,14 +173,17 @@
         Node &entry = m_nodes[index];
         const std::uint32_t running = entry.running[unit()];
         entry.holder->setRunning(unit(), running);
-        entry.holder->setDemand(group(), allotment::Demand{running, waiting, 0.0});
+        entry.holder->setDemands({allotment::TeamDemand{core::PoolId{"p"}, core::TeamId{"t"}, running, waiting}});
+        entry.demand = {running, waiting};
     }
 
     /** Tells one node's wants to another. */
     void tell(std::size_t from, std::size_t to)
     {
         if (from != to && !m_nodes[to].stopped) {
-            m_nodes[to].holder->setPeer(m_nodes[from].id, m_nodes[from].holder->wants(), m_nodes[from].holder->sequences());
+            const Node &sender = m_nodes[from];
+            const allotment::TeamDemand demand{core::PoolId{"p"}, core::TeamId{"t"}, sender.demand.first, sender.demand.second};
+            m_nodes[to].holder->setPeer(sender.id, {demand}, sender.holder->wants(), sender.holder->sequences());
         }
     }
 
--- /dev/null
+++ b/test/support/virtual_fleet.hpp
@@ -0,0 +1,345 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "oleanderwick/dispatch/dispatch.hpp"
+#include "oleanderwick/membership/membership.hpp"
+#include "support/fleet_model.hpp"
+
+namespace oleanderwick::test
+{
+
+/** @brief Ended request as the caller saw it. */
+struct Seen {
+    core::TeamId team;
+    core::QueueId queue;
+    core::TimePoint arrival;
+    core::Duration total{};
+    bool delivered{false};
+    core::Refusal refusal;
+};
+
+/** @brief Dispatchers with their holders in virtual time, over one store and upstreams that take a given time. */
+class VirtualFleet
+{
+public:
+    /** @brief Tells how long an upstream takes for a request, and how the exchange ends. */
+    struct Service {
+        core::Duration run{};
+        routing::ExchangeEnd end{routing::ExchangeEnd::Whole};
+    };
+    using ServiceOf = std::function<Service(const dispatch::StartAttempt &, std::mt19937_64 &)>;
+
+    VirtualFleet(std::size_t nodes, config::Document document, ServiceOf serviceOf)
+        : m_document{std::move(document)}
+        , m_serviceOf{std::move(serviceOf)}
+    {
+        for (std::size_t index = 0; index < nodes; ++index) {
+            const core::NodeId id{"n" + std::to_string(index)};
+            Node node;
+            node.holder = std::make_unique<allotment::Holder>(id, nodes);
+            node.dispatcher = std::make_unique<dispatch::Dispatcher>("a", index, *node.holder);
+            node.roster = std::make_unique<membership::Roster>(id, nodes, membership::Bounds{});
+            node.id = id;
+            m_nodes.push_back(std::move(node));
+        }
+        putInForce(m_document);
+        for (int round = 0; round < settleRounds; ++round) {
+            exchange();
+        }
+    }
+
+    [[nodiscard]] core::TimePoint now() const
+    {
+        return m_now;
+    }
+
+    [[nodiscard]] const std::vector<Seen> &seen() const
+    {
+        return m_seen;
+    }
+
+    [[nodiscard]] std::uint32_t running(const std::string &team) const
+    {
+        const auto found = m_running.find(team);
+        return found == m_running.end() ? 0 : found->second;
+    }
+
+    [[nodiscard]] std::uint32_t peakRunning(const std::string &team) const
+    {
+        const auto found = m_peak.find(team);
+        return found == m_peak.end() ? 0 : found->second;
+    }
+
+    [[nodiscard]] std::uint32_t peakOn(const std::string &upstream) const
+    {
+        const auto found = m_upstreamPeak.find(upstream);
+        return found == m_upstreamPeak.end() ? 0 : found->second;
+    }
+
+    [[nodiscard]] const allotment::Holder &holder(std::size_t node) const
+    {
+        return *m_nodes[node].holder;
+    }
+
+    [[nodiscard]] std::uint64_t attempts() const
+    {
+        return m_attempts;
+    }
+
+    void putInForce(config::Document document)
+    {
+        config::Record record;
+        record.version = ++m_version;
+        record.document = std::move(document);
+        const config::SnapshotPtr snapshot = std::make_shared<const config::Snapshot>(record);
+        for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+            act(index, m_nodes[index].dispatcher->configure(snapshot, m_now));
+        }
+    }
+
+    void setStoreAway(bool away)
+    {
+        m_away = away;
+    }
+
+    void send(std::size_t node, const std::string &queue, const std::string &key, bool idempotent = true)
+    {
+        dispatch::Arrival arrival;
+        arrival.number = ++m_lastNumber;
+        arrival.queue = core::QueueId{queue};
+        if (!key.empty()) {
+            arrival.key = config::PresentedKey{core::KeyId{key}, key};
+        }
+        arrival.idempotent = idempotent;
+        m_requests[arrival.number] = Open{core::TeamId{key}, arrival.queue, m_now};
+        act(node, m_nodes[node].dispatcher->arrive(arrival, m_now));
+        pace(node);
+    }
+
+    /** Runs until a time, calling `load` every millisecond. */
+    void runFor(core::Duration span, const std::function<void()> &load)
+    {
+        const core::TimePoint end = m_now + span;
+        while (m_now < end) {
+            m_now += step;
+            deliverEnds();
+            load();
+            ++m_steps;
+            if (m_steps % stepsPerTick == 0) {
+                tick();
+            }
+            if (m_steps % stepsPerExchange == 0) {
+                exchange();
+            }
+        }
+    }
+
+private:
+    struct Node {
+        core::NodeId id;
+        std::unique_ptr<allotment::Holder> holder;
+        std::unique_ptr<dispatch::Dispatcher> dispatcher;
+        std::unique_ptr<membership::Roster> roster;
+        core::TimePoint lastStep;
+    };
+    struct Open {
+        core::TeamId team;
+        core::QueueId queue;
+        core::TimePoint arrival;
+    };
+    struct End {
+        core::TimePoint at;
+        std::size_t node{};
+        dispatch::AttemptEnd end;
+        core::InstanceId upstream;
+        [[nodiscard]] bool operator>(const End &other) const
+        {
+            return at > other.at;
+        }
+    };
+
+    static constexpr core::Duration step = std::chrono::milliseconds{1};
+    static constexpr int stepsPerTick = 10;
+    static constexpr int stepsPerExchange = 250;
+    static constexpr int settleRounds = 12;
+
+    void tick()
+    {
+        for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+            act(index, m_nodes[index].dispatcher->tick(m_now));
+            pace(index);
+        }
+    }
+
+    void pace(std::size_t index)
+    {
+        Node &node = m_nodes[index];
+        const core::Duration period = std::chrono::milliseconds{node.dispatcher->starved() ? 5 : 50};
+        if (m_now - node.lastStep >= period) {
+            node.lastStep = m_now;
+            askStore(index);
+        }
+    }
+
+    void askStore(std::size_t index)
+    {
+        Node &node = m_nodes[index];
+        node.dispatcher->updateDemand();
+        const allotment::HolderStep calls = node.holder->step();
+        for (const allotment::LedgerRead &read : calls.reads) {
+            node.holder->onRead(read.shard, m_away ? std::nullopt : std::optional{m_store.read(read.shard)});
+        }
+        for (const allotment::LedgerWrite &write : calls.writes) {
+            using allotment::WriteEnd;
+            const bool done = !m_away && m_store.apply(write);
+            const WriteEnd end = m_away ? WriteEnd::NotSent : (done ? WriteEnd::Written : WriteEnd::Conflict);
+            node.holder->onWritten(write.shard, end, m_away ? std::nullopt : std::optional{m_store.read(write.shard)});
+        }
+        act(index, node.dispatcher->tick(m_now));
+    }
+
+    void exchange()
+    {
+        for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+            Node &node = m_nodes[index];
+            node.dispatcher->updateDemand();
+            membership::Digest digest;
+            digest.node = node.id;
+            digest.sequence = ++m_sequence;
+            digest.demands = node.dispatcher->demands();
+            digest.wants = node.holder->wants();
+            digest.sequences = node.holder->sequences();
+            for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+                if (other != index) {
+                    m_nodes[other].roster->hear(digest, m_now);
+                    m_nodes[other].holder->setPeer(digest.node, digest.demands, digest.wants, digest.sequences);
+                }
+            }
+        }
+        for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+            m_nodes[index].dispatcher->setElsewhere(m_nodes[index].roster->elsewhere(m_now));
+            askStore(index);
+        }
+    }
+
+    void act(std::size_t node, const dispatch::Actions &actions)
+    {
+        for (const dispatch::Action &action : actions) {
+            if (const dispatch::StartAttempt *start = std::get_if<dispatch::StartAttempt>(&action)) {
+                begin(node, *start);
+            } else if (const dispatch::Refuse *refuse = std::get_if<dispatch::Refuse>(&action)) {
+                see(refuse->number, false, refuse->refusal);
+            } else if (const dispatch::Deliver *deliver = std::get_if<dispatch::Deliver>(&action)) {
+                see(deliver->number, true, {});
+            }
+        }
+    }
+
+    void begin(std::size_t node, const dispatch::StartAttempt &start)
+    {
+        ++m_attempts;
+        Service service = m_serviceOf(start, m_random);
+        if (service.run > start.timeout) {
+            service = Service{start.timeout, routing::ExchangeEnd::TimedOut};
+        }
+        const std::string &team = m_requests.at(start.number).team.text();
+        m_peak[team] = std::max(m_peak[team], ++m_running[team]);
+        std::uint32_t &peak = m_upstreamPeak[start.upstream.text()];
+        peak = std::max(peak, ++m_upstreamRunning[start.upstream.text()]);
+        m_ends.push(End{m_now + service.run, node, dispatch::AttemptEnd{start.number, service.end, false}, start.upstream});
+    }
+
+    void deliverEnds()
+    {
+        while (!m_ends.empty() && m_ends.top().at <= m_now) {
+            const End end = m_ends.top();
+            m_ends.pop();
+            --m_running[m_requests.at(end.end.number).team.text()];
+            --m_upstreamRunning[end.upstream.text()];
+            act(end.node, m_nodes[end.node].dispatcher->attemptEnded(end.end, m_now));
+        }
+    }
+
+    void see(admission::RequestNumber number, bool delivered, const core::Refusal &refusal)
+    {
+        const Open &open = m_requests.at(number);
+        m_seen.push_back(Seen{open.team, open.queue, open.arrival, m_now - open.arrival, delivered, refusal});
+    }
+
+    config::Document m_document;
+    ServiceOf m_serviceOf;
+    std::mt19937_64 m_random{7};
+    core::TimePoint m_now{std::chrono::hours{1}};
+    std::uint64_t m_steps{0};
+    bool m_away{false};
+    config::Version m_version{0};
+    std::uint64_t m_sequence{0};
+    admission::RequestNumber m_lastNumber{0};
+    std::uint64_t m_attempts{0};
+    FaultyShards m_store;
+    std::vector<Node> m_nodes;
+    std::map<admission::RequestNumber, Open> m_requests;
+    std::priority_queue<End, std::vector<End>, std::greater<>> m_ends;
+    std::map<std::string, std::uint32_t> m_running;
+    std::map<std::string, std::uint32_t> m_peak;
+    std::map<std::string, std::uint32_t> m_upstreamRunning;
+    std::map<std::string, std::uint32_t> m_upstreamPeak;
+    std::vector<Seen> m_seen;
+};
+
+/** @brief Builds small configurations for tests; a team's key is its name. */
+class DocumentBuilder
+{
+public:
+    DocumentBuilder &pool(const std::string &name, std::uint32_t instances, std::uint32_t slots)
+    {
+        m_document.pools.emplace(core::PoolId{name}, config::Pool{});
+        for (std::uint32_t index = 0; index < instances; ++index) {
+            config::Instance instance;
+            instance.pool = core::PoolId{name};
+            instance.address = "127.0.0.1:" + std::to_string(9000 + m_document.instances.size());
+            instance.zone = "a";
+            instance.slots = slots;
+            m_document.instances.emplace(core::InstanceId{name + std::to_string(index)}, instance);
+        }
+        return *this;
+    }
+
+    DocumentBuilder &team(const std::string &name, std::uint32_t share, std::uint32_t upperLimit)
+    {
+        config::Team team{share, upperLimit, {}};
+        team.keys.emplace(core::KeyId{name}, config::TeamKey{config::hashSecret(name)});
+        m_document.teams.emplace(core::TeamId{name}, team);
+        return *this;
+    }
+
+    DocumentBuilder &queue(const std::string &name, const std::string &pool, const std::vector<std::string> &teams, std::uint32_t timeoutMs = 30'000)
+    {
+        config::Queue queue;
+        queue.pool = core::PoolId{pool};
+        for (const std::string &team : teams) {
+            queue.teams.emplace_back(team);
+        }
+        queue.timeoutMs = timeoutMs;
+        m_document.queues.emplace(core::QueueId{name}, queue);
+        return *this;
+    }
+
+    [[nodiscard]] config::Document build() const
+    {
+        return m_document;
+    }
+
+private:
+    config::Document m_document;
+};
+
+} // namespace oleanderwick::test
