--- /dev/null
+++ b/src/load/report.cpp
@@ -0,0 +1,110 @@
+#include "report.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <boost/histogram.hpp>
+
+namespace oleanderwick::load
+{
+
+namespace internal
+{
+
+namespace histogram = boost::histogram;
+
+using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
+using Latencies = decltype(histogram::make_histogram(Axis{}));
+
+constexpr unsigned bins = 400;
+constexpr double shortestMs = 0.01;
+constexpr double longestMs = 120'000.0;
+
+} // namespace internal
+
+struct StreamReport::State {
+    std::map<std::string, std::uint64_t> counts;
+    internal::Latencies latencies{internal::histogram::make_histogram(internal::Axis{internal::bins, internal::shortestMs, internal::longestMs})};
+};
+
+StreamReport::StreamReport()
+    : m_state{std::make_unique<State>()}
+{
+}
+
+StreamReport::~StreamReport() = default;
+StreamReport::StreamReport(StreamReport &&) noexcept = default;
+StreamReport &StreamReport::operator=(StreamReport &&) noexcept = default;
+
+const std::map<std::string, std::uint64_t> &StreamReport::counts() const noexcept
+{
+    return m_state->counts;
+}
+
+void StreamReport::add(const std::string &kind, core::Duration latency)
+{
+    ++m_state->counts[kind];
+    if (kind == "whole") {
+        m_state->latencies(std::chrono::duration<double, std::milli>{latency}.count());
+    }
+}
+
+core::Duration StreamReport::quantile(double part) const
+{
+    const double total = internal::histogram::algorithm::sum(m_state->latencies);
+    double seen = m_state->latencies.at(-1);
+    for (const auto &bin : internal::histogram::indexed(m_state->latencies)) {
+        seen += *bin;
+        if (total > 0.0 && seen >= part * total) {
+            return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double, std::milli>{bin.bin().upper()});
+        }
+    }
+    return core::Duration::zero();
+}
+
+std::string StreamReport::toSvg(const std::string &title) const
+{
+    constexpr double width = 800.0;
+    constexpr double height = 200.0;
+    double most = 1.0;
+    for (const auto &bin : internal::histogram::indexed(m_state->latencies)) {
+        most = std::max<double>(most, *bin);
+    }
+    std::string svg = absl::StrFormat("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%.0f\" height=\"%.0f\">\n", width, height + 40.0);
+    absl::StrAppend(&svg, "<text x=\"4\" y=\"14\" font-size=\"12\">", title, " (log of milliseconds)</text>\n");
+    const double step = width / internal::bins;
+    for (const auto &bin : internal::histogram::indexed(m_state->latencies)) {
+        const double bar = *bin / most * height;
+        if (bar > 0.0) {
+            absl::StrAppendFormat(&svg, "<rect x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" height=\"%.1f\"/>\n", bin.index() * step, 20.0 + height - bar, step, bar);
+        }
+    }
+    for (double mark = 0.1; mark < internal::longestMs; mark *= 10.0) {
+        const double position = m_state->latencies.axis().index(mark) * step;
+        absl::StrAppendFormat(&svg, "<text x=\"%.1f\" y=\"%.1f\" font-size=\"10\">%g ms</text>\n", position, height + 34.0, mark);
+    }
+    return svg + "</svg>\n";
+}
+
+std::string toText(const Report &report, double seconds)
+{
+    std::string text = absl::StrFormat("%-16s %10s %10s %10s %10s  %s\n", "stream", "whole/s", "p50 ms", "p99 ms", "p99.9 ms", "answers");
+    for (const std::pair<const std::string, StreamReport> &entry : report) {
+        const StreamReport &stream = entry.second;
+        const auto ms = [&stream](double part) {
+            return std::chrono::duration<double, std::milli>{stream.quantile(part)}.count();
+        };
+        const auto whole = stream.counts().find("whole");
+        const double rate = whole == stream.counts().end() ? 0.0 : static_cast<double>(whole->second) / seconds;
+        absl::StrAppendFormat(&text, "%-16s %10.1f %10.3f %10.3f %10.3f ", entry.first, rate, ms(0.5), ms(0.99), ms(0.999));
+        for (const std::pair<const std::string, std::uint64_t> &count : stream.counts()) {
+            absl::StrAppend(&text, " ", count.first, "=", count.second);
+        }
+        absl::StrAppend(&text, "\n");
+    }
+    return text;
+}
+
+} // namespace oleanderwick::load
--- a/src/oleanderwick/core/ring.hpp
+++ b/src/oleanderwick/core/ring.hpp
@@ -60,6 +60,16 @@
         return value;
     }
 
+    /**
+     * @brief Takes the oldest element if there is one.
+     * @param value Set to the element.
+     * @return False if the ring is empty.
+     */
+    [[nodiscard]] bool tryPop(value_type &value)
+    {
+        return m_queue.try_pop(value);
+    }
+
 private:
     using queue_type = tbb::concurrent_bounded_queue<value_type>;
     queue_type m_queue;
--- a/src/oleanderwick/http/loop.cpp
+++ b/src/oleanderwick/http/loop.cpp
@@ -1,5 +1,6 @@
 #include "loop.hpp"
 
+#include <chrono>
 #include <csignal>
 
 #include <boost/asio/post.hpp>
@@ -17,10 +18,9 @@
 namespace asio = boost::asio;
 
 struct Repeater : std::enable_shared_from_this<Repeater> {
-    Repeater(asio::io_context &context, core::Duration span, std::function<void()> job)
+    Repeater(asio::io_context &context, core::Duration span)
         : timer{context}
         , period{span}
-        , work{std::move(job)}
     {
     }
 
@@ -29,7 +29,9 @@
         timer.expires_after(period);
         timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
             if (!error) {
-                self->work();
+                for (const std::function<void()> &job : self->work) {
+                    job();
+                }
                 self->arm();
             }
         });
@@ -37,9 +39,11 @@
 
     asio::steady_timer timer;
     core::Duration period;
-    std::function<void()> work;
+    std::vector<std::function<void()>> work;
 };
 
+constexpr core::Duration sweepPeriod = std::chrono::milliseconds{10};
+
 struct SignalWaiter : std::enable_shared_from_this<SignalWaiter> {
     SignalWaiter(asio::io_context &context, std::function<void()> job)
         : signals{context, SIGTERM, SIGINT}
@@ -66,6 +70,9 @@
 Loop::Loop()
     : m_state{std::make_unique<internal::LoopState>()}
 {
+    every(internal::sweepPeriod, [this] {
+        m_state->deadlines.sweep(core::BootClock::now());
+    });
 }
 
 Loop::~Loop() = default;
@@ -97,7 +104,17 @@
 
 void Loop::every(core::Duration period, std::function<void()> work)
 {
-    std::make_shared<internal::Repeater>(m_state->context, period, std::move(work))->arm();
+    // Work of the same period shares one timer, and so one wake-up.
+    for (const std::shared_ptr<internal::Repeater> &repeater : m_state->repeaters) {
+        if (repeater->period == period) {
+            repeater->work.push_back(std::move(work));
+            return;
+        }
+    }
+    const std::shared_ptr<internal::Repeater> repeater = std::make_shared<internal::Repeater>(m_state->context, period);
+    repeater->work.push_back(std::move(work));
+    m_state->repeaters.push_back(repeater);
+    repeater->arm();
 }
 
 void Loop::onStopSignal(std::function<void()> work)
--- a/src/oleanderwick/http/server.cpp
+++ b/src/oleanderwick/http/server.cpp
@@ -4,8 +4,8 @@
 #include <set>
 
 #include <absl/strings/str_cat.h>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -27,9 +27,9 @@
 class ServerState : public std::enable_shared_from_this<ServerState>
 {
 public:
-    ServerState(asio::io_context &context, const ServerLimits &limits, Handler handler)
-        : m_context{context}
-        , m_acceptor{context}
+    ServerState(LoopState &loop, const ServerLimits &limits, Handler handler)
+        : m_loop{loop}
+        , m_acceptor{loop.context}
         , m_limits{limits}
         , m_handler{std::move(handler)}
     {
@@ -40,6 +40,11 @@
         return m_limits;
     }
 
+    [[nodiscard]] Deadlines &deadlines() noexcept
+    {
+        return m_loop.deadlines;
+    }
+
     [[nodiscard]] bool draining() const noexcept
     {
         return m_draining;
@@ -73,7 +78,7 @@
 private:
     void accept();
 
-    asio::io_context &m_context;
+    LoopState &m_loop;
     asio::ip::tcp::acceptor m_acceptor;
     ServerLimits m_limits;
     Handler m_handler;
@@ -88,9 +93,14 @@
     Session(asio::ip::tcp::socket socket, std::shared_ptr<ServerState> server)
         : m_stream{std::move(socket)}
         , m_server{std::move(server)}
+        , m_timer{m_server->deadlines(), [this] {
+                      // Ends what is under way with an error, which ends the session.
+                      error_code ignored;
+                      m_stream.close(ignored);
+                  }}
     {
         error_code ignored;
-        m_stream.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
+        m_stream.set_option(asio::ip::tcp::no_delay{true}, ignored);
     }
 
     [[nodiscard]] bool busy() const noexcept
@@ -106,14 +116,20 @@
     void end()
     {
         error_code ignored;
-        m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-        m_stream.close();
+        m_timer.disarm();
+        m_stream.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+        m_stream.close(ignored);
         m_server->remove(shared_from_this());
     }
 
 private:
     using Parser = beast::http::request_parser<beast::http::string_body>;
 
+    void allow(core::Duration span)
+    {
+        m_timer.arm(core::BootClock::now() + span);
+    }
+
     void waitForRequest()
     {
         m_busy = false;
@@ -121,7 +137,7 @@
             readHeader();
             return;
         }
-        m_stream.expires_after(m_server->limits().idleTimeout);
+        allow(m_server->limits().idleTimeout);
         m_stream.async_read_some(m_buffer.prepare(firstReadBytes), [self = shared_from_this()](const error_code &error, std::size_t bytes) {
             if (error) {
                 self->end();
@@ -138,7 +154,7 @@
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits().maxHeaderBytes));
         m_parser->body_limit(m_server->limits().maxBodyBytes);
-        m_stream.expires_after(m_server->limits().headerTimeout);
+        allow(m_server->limits().headerTimeout);
         beast::http::async_read_header(m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
             self->onHeader(error);
         });
@@ -175,7 +191,7 @@
             onRequest();
             return;
         }
-        m_stream.expires_after(m_server->limits().bodyTimeout);
+        allow(m_server->limits().bodyTimeout);
         beast::http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
             if (error) {
                 self->fail(error);
@@ -187,7 +203,7 @@
 
     void onRequest()
     {
-        m_stream.expires_never();
+        m_timer.disarm();
         beast::http::request<beast::http::string_body> message = m_parser->release();
         m_keepAlive = message.keep_alive();
         m_version = message.version();
@@ -202,7 +218,8 @@
         const std::weak_ptr<Session> weak = weak_from_this();
         asio::any_io_executor executor = m_stream.get_executor();
         m_server->handle(std::move(request), [weak, executor](Response response) {
-            asio::post(executor, [weak, answer = std::move(response)]() mutable {
+            // At once when the answer comes from the loop's own thread.
+            asio::dispatch(executor, [weak, answer = std::move(response)]() mutable {
                 if (const std::shared_ptr<Session> self = weak.lock()) {
                     self->send(std::move(answer));
                 }
@@ -230,7 +247,7 @@
         }
         m_serializer.emplace(*m_answer);
         m_serializer->split(m_head);
-        m_stream.expires_after(m_server->limits().bodyTimeout);
+        allow(m_server->limits().bodyTimeout);
         beast::http::async_write(m_stream, *m_serializer, [self = shared_from_this(), last](const error_code &error, std::size_t) {
             if (error || last) {
                 self->end();
@@ -250,15 +267,7 @@
         m_keepAlive = false;
         m_head = false;
         m_version = 11;
-        const int status = error == beast::http::error::body_limit ? 413
-            : error == beast::http::error::header_limit            ? 431
-            : error == beast::error::timeout                       ? 408
-                                                                   : 400;
-        if (error == beast::error::timeout) {
-            // The stream was closed by its timer; nothing can be sent any more.
-            end();
-            return;
-        }
+        const int status = error == beast::http::error::body_limit ? 413 : error == beast::http::error::header_limit ? 431 : 400;
         send(Response{status,
                       {{"Content-Type", "application/problem+json"}},
                       absl::StrCat(R"({"status":)", status, R"(,"outcome":"not-run","reason":"bad_request","detail":")", error.message(), "\"}")});
@@ -268,8 +277,9 @@
     static constexpr int noContent = 204;
     static constexpr int notModified = 304;
 
-    beast::tcp_stream m_stream;
+    asio::ip::tcp::socket m_stream;
     std::shared_ptr<ServerState> m_server;
+    Deadlines::Timer m_timer;
     beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     std::optional<beast::http::response<beast::http::string_body>> m_answer;
@@ -316,7 +326,7 @@
 
 void ServerState::accept()
 {
-    m_acceptor.async_accept(m_context, [self = shared_from_this()](const error_code &error, asio::ip::tcp::socket socket) {
+    m_acceptor.async_accept(m_loop.context, [self = shared_from_this()](const error_code &error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) {
             return;
         }
@@ -345,7 +355,7 @@
 } // namespace internal
 
 Server::Server(Loop &loop, const ServerLimits &limits, Handler handler)
-    : m_state{std::make_shared<internal::ServerState>(loop.state().context, limits, std::move(handler))}
+    : m_state{std::make_shared<internal::ServerState>(loop.state(), limits, std::move(handler))}
 {
 }
 
--- a/src/oleanderwick/http/upstream_links.cpp
+++ b/src/oleanderwick/http/upstream_links.cpp
@@ -33,7 +33,7 @@
 
 /** @brief Connection that waits for its next exchange. */
 struct IdleLink {
-    std::unique_ptr<beast::tcp_stream> stream;
+    std::unique_ptr<asio::ip::tcp::socket> stream;
     core::TimePoint since;
 };
 
@@ -47,10 +47,10 @@
 }
 
 /** Tells whether a kept connection is still open and has nothing to say. */
-bool isQuiet(beast::tcp_stream &stream)
+bool isQuiet(asio::ip::tcp::socket &socket)
 {
     char byte = 0;
-    const ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -58,18 +58,18 @@
 class LinksState : public std::enable_shared_from_this<LinksState>
 {
 public:
-    LinksState(asio::io_context &context, std::size_t maxPerUpstream)
-        : m_context{context}
+    LinksState(LoopState &loop, std::size_t maxPerUpstream)
+        : m_loop{loop}
         , m_maxPerUpstream{maxPerUpstream}
     {
     }
 
-    [[nodiscard]] asio::io_context &context() noexcept
+    [[nodiscard]] LoopState &loop() noexcept
     {
-        return m_context;
+        return m_loop;
     }
 
-    [[nodiscard]] std::unique_ptr<beast::tcp_stream> take(const std::string &address, bool fresh)
+    [[nodiscard]] std::unique_ptr<asio::ip::tcp::socket> take(const std::string &address, bool fresh)
     {
         std::deque<IdleLink> &links = m_idle[address];
         const core::TimePoint now = core::BootClock::now();
@@ -80,7 +80,7 @@
             if (fresh && now - links.back().since >= freshFor) {
                 return nullptr;
             }
-            std::unique_ptr<beast::tcp_stream> stream = std::move(links.back().stream);
+            std::unique_ptr<asio::ip::tcp::socket> stream = std::move(links.back().stream);
             links.pop_back();
             if (isQuiet(*stream)) {
                 return stream;
@@ -89,7 +89,7 @@
         return nullptr;
     }
 
-    void keep(const std::string &address, std::unique_ptr<beast::tcp_stream> stream)
+    void keep(const std::string &address, std::unique_ptr<asio::ip::tcp::socket> stream)
     {
         std::deque<IdleLink> &links = m_idle[address];
         links.push_back(IdleLink{std::move(stream), core::BootClock::now()});
@@ -114,7 +114,7 @@
     }
 
 private:
-    asio::io_context &m_context;
+    LoopState &m_loop;
     std::size_t m_maxPerUpstream;
     std::map<std::string, std::deque<IdleLink>> m_idle;
 };
@@ -127,7 +127,13 @@
         : m_links{std::move(links)}
         , m_exchange{std::move(exchange)}
         , m_onEnd{std::move(onEnd)}
-        , m_deadline{std::chrono::steady_clock::now() + m_exchange.timeout}
+        , m_deadline{core::BootClock::now() + m_exchange.timeout}
+        , m_timer{m_links->loop().deadlines, [this] {
+                      // Ends what is under way with an error.
+                      error_code ignored;
+                      m_timedOut = true;
+                      m_stream->close(ignored);
+                  }}
     {
     }
 
@@ -154,14 +160,14 @@
             finish(ExchangeEnd::NotConnected);
             return;
         }
-        m_stream = std::make_unique<beast::tcp_stream>(m_links->context());
-        m_stream->expires_at(std::min(m_deadline, std::chrono::steady_clock::now() + std::chrono::steady_clock::duration{connectTimeout}));
+        m_stream = std::make_unique<asio::ip::tcp::socket>(m_links->loop().context);
+        m_timer.arm(std::min(m_deadline, core::BootClock::now() + connectTimeout));
         m_stream->async_connect(asio::ip::tcp::endpoint{address, endpoint->port}, [self = shared_from_this()](const error_code &failed) {
-            if (failed) {
+            if (failed || self->m_timedOut) {
                 self->finish(ExchangeEnd::NotConnected);
                 return;
             }
-            setKeepAlive(self->m_stream->socket());
+            setKeepAlive(*self->m_stream);
             self->send();
         });
     }
@@ -178,7 +184,7 @@
         m_message.set(requestIdHeader, m_exchange.requestId);
         m_message.body() = std::move(m_exchange.request.body);
         m_message.prepare_payload();
-        m_stream->expires_at(m_deadline);
+        m_timer.arm(m_deadline);
         beast::http::async_write(*m_stream, m_message, [self = shared_from_this()](const error_code &error, std::size_t bytes) {
             if (!error) {
                 self->readHeader();
@@ -235,7 +241,6 @@
         }
         const bool refused = message.result_int() == serviceUnavailable && message[outcomeHeader] == "not-run";
         if (message.keep_alive() && m_buffer.size() == 0) {
-            m_stream->expires_never();
             m_links->keep(m_exchange.address, std::move(m_stream));
         }
         finish(refused ? ExchangeEnd::RefusedNotRun : ExchangeEnd::Whole);
@@ -243,7 +248,7 @@
 
     [[nodiscard]] ExchangeEnd endOf(const error_code &error) const
     {
-        if (error == beast::error::timeout) {
+        if (m_timedOut) {
             return ExchangeEnd::TimedOut;
         }
         if (error == beast::http::error::body_limit) {
@@ -254,6 +259,7 @@
 
     void finish(ExchangeEnd end)
     {
+        m_timer.disarm();
         ExchangeResult result;
         result.end = end;
         if (end == ExchangeEnd::Whole) {
@@ -273,8 +279,10 @@
     std::shared_ptr<LinksState> m_links;
     Exchange m_exchange;
     UpstreamLinks::OnEnd m_onEnd;
-    std::chrono::steady_clock::time_point m_deadline;
-    std::unique_ptr<beast::tcp_stream> m_stream;
+    core::TimePoint m_deadline;
+    Deadlines::Timer m_timer;
+    bool m_timedOut{false};
+    std::unique_ptr<asio::ip::tcp::socket> m_stream;
     Message m_message;
     beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
@@ -283,7 +291,7 @@
 } // namespace internal
 
 UpstreamLinks::UpstreamLinks(Loop &loop, std::size_t maxPerUpstream)
-    : m_state{std::make_shared<internal::LinksState>(loop.state().context, maxPerUpstream)}
+    : m_state{std::make_shared<internal::LinksState>(loop.state(), maxPerUpstream)}
 {
     const std::weak_ptr<internal::LinksState> weak = m_state;
     loop.every(std::chrono::seconds{1}, [weak] {
--- a/src/oleanderwick/node/decision_duty.cpp
+++ b/src/oleanderwick/node/decision_duty.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <utility>
 
 namespace oleanderwick::node
 {
@@ -12,6 +14,7 @@
 constexpr core::Duration viewPeriod = std::chrono::milliseconds{50};
 constexpr core::Duration urgentStep = std::chrono::milliseconds{5};
 constexpr core::Duration behindFor = std::chrono::seconds{4};
+constexpr std::size_t mostAtOnce = 64;
 
 } // namespace internal
 
@@ -30,22 +33,32 @@
 void DecisionDuty::run()
 {
     for (;;) {
-        const DecisionEvent event = m_ports.events.pop();
-        if (std::holds_alternative<Quit>(event)) {
-            return;
-        }
-        // Read after the wait: a pause of the process must count before anything is decided.
-        m_now = core::BootClock::now();
-        noteBehind();
-        std::visit(
-            [this](const auto &message) {
-                handle(message);
-            },
-            event);
-        afterEvent();
+        DecisionEvent event = m_ports.events.pop();
+        // What has gathered meanwhile goes to the I/O in one piece.
+        std::size_t taken = 0;
+        do {
+            if (std::holds_alternative<Quit>(event)) {
+                return;
+            }
+            decide(event);
+        } while (++taken < internal::mostAtOnce && m_ports.events.tryPop(event));
+        flush();
     }
 }
 
+void DecisionDuty::decide(const DecisionEvent &event)
+{
+    // Read after the wait: a pause of the process must count before anything is decided.
+    m_now = core::BootClock::now();
+    noteBehind();
+    std::visit(
+        [this](const auto &message) {
+            handle(message);
+        },
+        event);
+    afterEvent();
+}
+
 void DecisionDuty::noteBehind()
 {
     core::TimePoint until = m_roster.freshUntil();
@@ -141,8 +154,13 @@
 
 void DecisionDuty::act(dispatch::Actions actions)
 {
-    if (!actions.empty()) {
-        m_ports.act(std::move(actions));
+    m_actions.insert(m_actions.end(), std::make_move_iterator(actions.begin()), std::make_move_iterator(actions.end()));
+}
+
+void DecisionDuty::flush()
+{
+    if (!m_actions.empty()) {
+        m_ports.act(std::exchange(m_actions, {}));
     }
     for (dispatch::Completion &completion : m_dispatcher.takeCompletions()) {
         // Telemetry that falls behind is dropped rather than waited for.
--- a/src/oleanderwick/node/decision_duty.hpp
+++ b/src/oleanderwick/node/decision_duty.hpp
@@ -36,6 +36,8 @@
 
 private:
     void run();
+    void decide(const DecisionEvent &event);
+    void flush();
     void handle(const Tick &tick);
     void handle(const Leave &leave);
     void handle(const dispatch::Arrival &arrival);
@@ -71,6 +73,7 @@
     core::TimePoint m_lastStep;
     std::optional<core::TimePoint> m_behindSince;
     std::set<core::NodeId> m_aliveBefore;
+    dispatch::Actions m_actions;
     std::jthread m_thread;
 };
 
--- a/src/oleanderwick/node/duties.cpp
+++ b/src/oleanderwick/node/duties.cpp
@@ -13,6 +13,7 @@
 constexpr core::Duration heartbeatPeriod = std::chrono::seconds{1};
 constexpr core::Duration leaseSpan = std::chrono::seconds{5};
 constexpr core::Duration watchPause = std::chrono::milliseconds{500};
+constexpr int idleFactor = 2;
 constexpr core::Duration peerTimeout = std::chrono::seconds{1};
 
 /** Sleeps, but wakes at once when the thread is asked to stop. */
@@ -241,7 +242,8 @@
 {
     while (!stop.stop_requested()) {
         const core::TimePoint sentAt = core::BootClock::now();
-        absl::StatusOr<membership::Digest> digest = m_link.exchange(m_own.read());
+        const membership::Digest own = m_own.read();
+        absl::StatusOr<membership::Digest> digest = m_link.exchange(own);
         if (digest.ok()) {
             const bool larger = digest->version > m_keeper.current()->version();
             m_decisions.push(PeerReplied{*std::move(digest), sentAt});
@@ -250,7 +252,8 @@
                 m_keeper.offer(*std::move(record));
             }
         }
-        internal::sleepUnlessStopped(stop, m_period);
+        const bool idle = own.demands.empty() && own.wants.empty();
+        internal::sleepUnlessStopped(stop, idle ? m_period * internal::idleFactor : m_period);
     }
 }
 
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -20,6 +20,7 @@
 {
 
 constexpr core::Duration tickPeriod = std::chrono::milliseconds{10};
+constexpr std::uint64_t idleTicks = 5;
 constexpr core::Duration stopPoll = std::chrono::milliseconds{20};
 constexpr core::Duration storeTimeout = std::chrono::seconds{1};
 /** Time for giving back rights after the last request has ended; they are taken back by the others otherwise. */
@@ -183,7 +184,10 @@
         startDuties();
         log(telemetry::Event{"started"}.with("node", m_self.text()).with("callers", m_settings.callers).with("control", m_settings.control));
         m_loop.every(internal::tickPeriod, [this] {
-            (void)m_decisions.tryPush(Tick{});
+            // Nothing waits on an idle node: there it is enough to look up now and then.
+            if (m_callerApi.size() > 0 || ++m_idleTicks % internal::idleTicks == 0) {
+                (void)m_decisions.tryPush(Tick{});
+            }
         });
         m_loop.onStopSignal([this] {
             stop();
@@ -325,6 +329,7 @@
     http::Server m_control;
     Phase m_phase{Phase::Serving};
     core::TimePoint m_phaseStart;
+    std::uint64_t m_idleTicks{0};
     std::unique_ptr<TelemetryDuty> m_telemetry;
     std::unique_ptr<DecisionDuty> m_decision;
     std::unique_ptr<StoreDuty> m_store;
