--- a/src/oleanderwick/http/loop.cpp
+++ b/src/oleanderwick/http/loop.cpp
@@ -87,6 +87,11 @@
     m_state->context.stop();
 }
 
+void Loop::restart()
+{
+    m_state->context.restart();
+}
+
 void Loop::post(std::function<void()> work)
 {
     boost::asio::post(m_state->context, std::move(work));
--- a/src/oleanderwick/http/loop.hpp
+++ b/src/oleanderwick/http/loop.hpp
@@ -29,6 +29,9 @@
     /** @brief Ends `run`; safe from any thread. */
     void stop();
 
+    /** @brief Lets `run` be called again after a stop. */
+    void restart();
+
     /**
      * @brief Has work done on the loop's thread; safe from any thread.
      * @param work Work to do.
--- /dev/null
+++ b/test/oleanderwick/http/server.cpp
@@ -0,0 +1,133 @@
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "oleanderwick/http/http.hpp"
+
+namespace http = oleanderwick::http;
+namespace asio = boost::asio;
+
+namespace
+{
+
+/** Server that echoes, on a thread of its own. */
+class Echo
+{
+public:
+    Echo()
+        : m_server{m_loop,
+                   limits(),
+                   [this](http::Request request, const http::Responder &respond) {
+                       ++m_handled;
+                       respond(http::Response{200, {{"X-Target", request.target}}, std::move(request.body)});
+                   }}
+        , m_port{m_server.listen("127.0.0.1:0").value()}
+        , m_thread{[this] {
+            m_loop.run();
+        }}
+    {
+    }
+
+    ~Echo()
+    {
+        m_loop.stop();
+        m_thread.join();
+    }
+
+    Echo(const Echo &) = delete;
+    Echo &operator=(const Echo &) = delete;
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return m_port;
+    }
+
+    [[nodiscard]] int handled() const
+    {
+        return m_handled;
+    }
+
+    /** Sends bytes as they are and reads until the server closes. */
+    [[nodiscard]] std::string raw(const std::string &text) const
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket{context};
+        socket.connect({asio::ip::address_v4::loopback(), m_port});
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(text), error);
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        return answer;
+    }
+
+private:
+    static http::ServerLimits limits()
+    {
+        http::ServerLimits limits;
+        limits.maxHeaderBytes = 1000;
+        limits.maxBodyBytes = 100;
+        limits.headerTimeout = std::chrono::milliseconds{100};
+        limits.bodyTimeout = std::chrono::milliseconds{100};
+        return limits;
+    }
+
+    http::Loop m_loop;
+    std::atomic<int> m_handled{0};
+    http::Server m_server;
+    std::uint16_t m_port;
+    std::thread m_thread;
+};
+
+} // namespace
+
+TEST_CASE("Server hands on whole requests and sends whole answers", "[http]")
+{
+    const Echo echo;
+    http::Client client{http::Endpoint{"127.0.0.1", echo.port()}};
+    for (int count = 0; count < 3; ++count) {
+        const absl::StatusOr<http::Response> response = client.exchange(http::Request{"POST", "/x?y", {}, "body"}, std::chrono::seconds{20});
+        REQUIRE(response.ok());
+        CHECK(response->body == "body");
+        CHECK(*http::findHeader(response->headers, "x-target") == "/x?y");
+    }
+}
+
+TEST_CASE("Server answers bad input with an error and hands nothing on", "[http]")
+{
+    const Echo echo;
+    struct Row {
+        std::string text;
+        std::string status;
+    };
+    const Row row = GENERATE(values<Row>({
+        {"NONSENSE\r\n\r\n", "HTTP/1.1 400"},
+        {"GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n", "HTTP/1.1 431"},
+        {"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", "HTTP/1.1 413"},
+        {"POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n", "HTTP/1.1 400"},
+        {"POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "HTTP/1.1 400"},
+    }));
+    const std::string answer = echo.raw(row.text);
+    CHECK_THAT(answer, Catch::StartsWith(row.status));
+    CHECK_THAT(answer, Catch::Contains("not-run"));
+    CHECK(echo.handled() == 0);
+}
+
+TEST_CASE("Server ends a sender that is too slow", "[http]")
+{
+    const Echo echo;
+    const std::string part = GENERATE(std::string{"GET / HT"}, std::string{"POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nhalf"});
+    CHECK(echo.raw(part).empty());
+    CHECK(echo.handled() == 0);
+}
+
+TEST_CASE("removeHopByHop removes what the connection names", "[http]")
+{
+    std::vector<http::Header> headers{{"Connection", "close, X-Own"}, {"x-own", "1"}, {"TE", "trailers"}, {"Accept", "*/*"}};
+    http::removeHopByHop(headers);
+    CHECK(headers == std::vector<http::Header>{{"Accept", "*/*"}});
+}
--- /dev/null
+++ b/test/oleanderwick/http/upstream_links.cpp
@@ -0,0 +1,109 @@
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <optional>
+
+#include "oleanderwick/http/http.hpp"
+#include "support/raw_upstream.hpp"
+
+namespace http = oleanderwick::http;
+namespace core = oleanderwick::core;
+using oleanderwick::routing::ExchangeEnd;
+using oleanderwick::test::RawUpstream;
+using Manner = RawUpstream::Manner;
+
+namespace
+{
+
+/** Runs exchanges one after the other on a loop. */
+class Sender
+{
+public:
+    http::ExchangeResult send(const std::string &address, core::Duration timeout = std::chrono::seconds{20}, bool fresh = false)
+    {
+        http::Exchange exchange;
+        exchange.address = address;
+        exchange.request = http::Request{"GET", "/work", {}, ""};
+        exchange.requestId = "r" + std::to_string(++m_number);
+        exchange.timeout = timeout;
+        exchange.freshConnection = fresh;
+        exchange.maxAnswerBytes = 1000;
+        std::optional<http::ExchangeResult> result;
+        m_links.start(std::move(exchange), [&](http::ExchangeResult ended) {
+            result = std::move(ended);
+            m_loop.stop();
+        });
+        m_loop.run();
+        m_loop.restart();
+        REQUIRE(result.has_value());
+        return *result;
+    }
+
+private:
+    http::Loop m_loop;
+    http::UpstreamLinks m_links{m_loop, 8};
+    int m_number{0};
+};
+
+} // namespace
+
+TEST_CASE("UpstreamLinks tells how each exchange ended", "[http]")
+{
+    struct Row {
+        Manner manner;
+        ExchangeEnd end;
+    };
+    const Row row = GENERATE(values<Row>({
+        {Manner::Answer, ExchangeEnd::Whole},
+        {Manner::AnswerChunked, ExchangeEnd::Whole},
+        {Manner::CloseAfterRequest, ExchangeEnd::NoAnswer},
+        {Manner::CloseWithinHeader, ExchangeEnd::PartAnswer},
+        {Manner::CloseWithinBody, ExchangeEnd::PartAnswer},
+        {Manner::CloseWithinChunks, ExchangeEnd::PartAnswer},
+        {Manner::UntilClose, ExchangeEnd::PartAnswer},
+        {Manner::OtherRequest, ExchangeEnd::WrongAnswer},
+        {Manner::RefuseNotRun, ExchangeEnd::RefusedNotRun},
+        {Manner::TooLarge, ExchangeEnd::TooLarge},
+        {Manner::Malformed, ExchangeEnd::PartAnswer},
+    }));
+    RawUpstream upstream;
+    upstream.setManner(row.manner);
+    Sender sender;
+    const http::ExchangeResult result = sender.send(upstream.address());
+    CHECK(oleanderwick::routing::toText(result.end) == oleanderwick::routing::toText(row.end));
+    CHECK(result.response.body == (row.end == ExchangeEnd::Whole ? "whole" : ""));
+}
+
+TEST_CASE("UpstreamLinks gives up a silent connection and never uses it again", "[http]")
+{
+    RawUpstream upstream;
+    Sender sender;
+    CHECK(sender.send(upstream.address()).end == ExchangeEnd::Whole);
+    upstream.setManner(Manner::Silent);
+    CHECK(sender.send(upstream.address(), std::chrono::milliseconds{100}).end == ExchangeEnd::TimedOut);
+    upstream.setManner(Manner::Answer);
+    CHECK(sender.send(upstream.address()).end == ExchangeEnd::Whole);
+    CHECK(upstream.connections() == 2);
+}
+
+TEST_CASE("UpstreamLinks says not connected when nobody listens", "[http]")
+{
+    std::string address;
+    {
+        const RawUpstream gone;
+        address = gone.address();
+    }
+    Sender sender;
+    CHECK(sender.send(address).end == ExchangeEnd::NotConnected);
+}
+
+TEST_CASE("UpstreamLinks keeps a connection for the next exchange", "[http]")
+{
+    RawUpstream upstream;
+    Sender sender;
+    for (int count = 0; count < 5; ++count) {
+        CHECK(sender.send(upstream.address()).end == ExchangeEnd::Whole);
+    }
+    CHECK(upstream.connections() == 1);
+    CHECK(upstream.mostRuns() == 1);
+}
