--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -9,6 +9,7 @@
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 #include <sodium.h>
+#include <yaml-cpp/yaml.h>
 
 #include "oleanderwick/config/config.hpp"
 #include "oleanderwick/http/http.hpp"
@@ -119,6 +120,59 @@
     return std::string{std::istreambuf_iterator<char>{file}, std::istreambuf_iterator<char>{}};
 }
 
+/** Turns YAML into JSON; a plain scalar that reads as a number or a truth value becomes one. */
+nlohmann::json fromYaml(const YAML::Node &node)
+{
+    if (node.IsMap()) {
+        nlohmann::json object = nlohmann::json::object();
+        for (const std::pair<YAML::Node, YAML::Node> &entry : node) {
+            object[entry.first.Scalar()] = fromYaml(entry.second);
+        }
+        return object;
+    }
+    if (node.IsSequence()) {
+        nlohmann::json array = nlohmann::json::array();
+        for (const YAML::Node &entry : node) {
+            array.push_back(fromYaml(entry));
+        }
+        return array;
+    }
+    const bool quoted = node.Tag() == "!";
+    const nlohmann::json scalar = nlohmann::json::parse(node.IsNull() ? "null" : node.Scalar(), nullptr, false);
+    return quoted || scalar.is_discarded() ? nlohmann::json(node.Scalar()) : scalar;
+}
+
+/** Reads a patch or document; files that end in .yaml or .yml are YAML, others JSON. */
+absl::StatusOr<std::string> readDocument(const std::string &path)
+{
+    std::string text = readAll(path);
+    if (!path.ends_with(".yaml") && !path.ends_with(".yml")) {
+        return text;
+    }
+    try {
+        return fromYaml(YAML::Load(text)).dump();
+    } catch (const YAML::Exception &error) {
+        return absl::InvalidArgumentError(absl::StrCat(path, ": line ", error.mark.line + 1, ": ", error.msg));
+    }
+}
+
+int checkDocument(const std::string &path)
+{
+    const absl::StatusOr<std::string> text = readDocument(path);
+    if (!text.ok()) {
+        std::cerr << text.status().message() << '\n';
+        return EXIT_FAILURE;
+    }
+    const config::Patch patch{"check", "check", 0, config::PatchFormat::MergePatch, *text};
+    const absl::StatusOr<config::Record> record = config::applyPatch(config::Record{}, patch);
+    if (!record.ok()) {
+        std::cerr << path << ":\n" << record.status().message() << '\n';
+        return EXIT_FAILURE;
+    }
+    std::cout << path << ": ok\n";
+    return EXIT_SUCCESS;
+}
+
 int patchConfig(Operator &node, const CommandLine &line)
 {
     const absl::StatusOr<std::string> base = line.base.empty() ? node.currentVersion() : line.base;
@@ -128,7 +182,12 @@
     }
     const std::string type = line.format == "json" ? "application/json-patch+json" : "application/merge-patch+json";
     const std::string id = line.patchId.empty() ? config::makeSecret() : line.patchId;
-    return print(node.patch(*base, type, id, readAll(line.words.at(2))));
+    const absl::StatusOr<std::string> body = readDocument(line.words.at(2));
+    if (!body.ok()) {
+        std::cerr << body.status().message() << '\n';
+        return EXIT_FAILURE;
+    }
+    return print(node.patch(*base, type, id, *body));
 }
 
 /** Sends a small merge patch against the newest number, again if another operator was faster. */
@@ -193,7 +252,8 @@
     for (const Command &command : commands) {
         absl::StrAppend(&text, "  ", command.usage, "\n");
     }
-    return text + "  key hash               digest of an operator's secret read from standard input, for the settings\n";
+    return text + "  config check FILE      check a whole document without a node\n"
+                  "  key hash               digest of an operator's secret read from standard input, for the settings\n";
 }
 
 const Command *findCommand(const std::vector<std::string> &words)
@@ -220,6 +280,9 @@
     if (line.words == std::vector<std::string>{"key", "hash"}) {
         return hashFromInput();
     }
+    if (line.words.size() == 3 && line.words[0] == "config" && line.words[1] == "check") {
+        return checkDocument(line.words[2]);
+    }
     const Command *command = line.words.empty() ? nullptr : findCommand(line.words);
     if (command == nullptr) {
         std::cerr << "oleanderwick: unknown command" << usage();
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -81,7 +81,7 @@
             absl::StrAppendFormat(&svg, "<rect x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" height=\"%.1f\"/>\n", bin.index() * step, 20.0 + height - bar, step, bar);
         }
     }
-    for (double mark = 0.1; mark < internal::longestMs; mark *= 10.0) {
+    for (const double mark : {0.1, 1.0, 10.0, 100.0, 1000.0, 10'000.0, 100'000.0}) {
         const double position = m_state->latencies.axis().index(mark) * step;
         absl::StrAppendFormat(&svg, "<text x=\"%.1f\" y=\"%.1f\" font-size=\"10\">%g ms</text>\n", position, height + 34.0, mark);
     }
