Judge upstreams when an exchange ends and bear a single refusal

Failures were counted when a lingering slot came back, so a second's failures fell together and ejected sound upstreams; and one refusal counted as leaving (10 s away, 5 s of slow start). Two draws with replacement gave a slow upstream 1% of the requests. Ruled out: rights, limits, retries. Change: health is learned at the end of the exchange, the slot comes back apart from it; one refusal rests an upstream for 0.5 s, a second in a row for 10 s; an answer that has begun frees its slot; two different draws.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -106,7 +107,17 @@
         process.kill()
         process.wait()
 
+    def report_dead(self):
+        """Prints the end of the log of each process that ended by itself."""
+        for index, process in self.nodes.items():
+            if process.poll() is not None:
+                print(f"node {index} ended by itself with {process.returncode}:\n{self.log_of(index)[-2000:]}", file=sys.stderr)
+        for name, process in [("store", self.store), *self.upstreams.items()]:
+            if process is not None and process.poll() is not None:
+                print(f"stand-in {name} ended by itself with {process.returncode}", file=sys.stderr)
+
     def stop_all(self):
+        self.report_dead()
         processes = list(self.nodes.values()) + list(self.upstreams.values()) + ([self.store] if self.store else [])
         for process in processes:
             process.send_signal(signal.SIGCONT)
--- a/src/oleanderwick/dispatch/dispatcher.cpp
+++ b/src/oleanderwick/dispatch/dispatcher.cpp
@@ -374,15 +374,19 @@
     Request &request = entry->second;
     PoolState &pool = poolOf(request.pool);
     const routing::Verdict verdict = routing::judge(routing::Attempt{end.end, request.idempotent});
-    const Lingering use{request.deadline, request.pool, request.team, request.queue, request.upstream, now - request.attemptStart, verdict.blamesUpstream};
-    if (end.leaving || end.end == routing::ExchangeEnd::RefusedNotRun) {
+    const Lingering use{request.deadline, request.pool, request.team, request.queue, request.upstream};
+    if (end.end == routing::ExchangeEnd::RefusedNotRun) {
+        pool.upstreams.markRefused(request.upstream, now);
+    } else if (end.end != routing::ExchangeEnd::NothingSent) {
+        pool.upstreams.observe(request.upstream, verdict.blamesUpstream, now - request.attemptStart, now);
+    }
+    if (end.leaving) {
         pool.upstreams.markLeaving(request.upstream, now);
     }
-    const bool mayGoOn = verdict.step != routing::Verdict::Step::Deliver && verdict.outcome == core::Outcome::Unknown;
-    if (mayGoOn && now < request.deadline) {
+    if (verdict.mayStillRun && now < request.deadline) {
         m_lingering.push_back(use);
     } else {
-        release(use, now);
+        release(use);
     }
     if (verdict.step == routing::Verdict::Step::Deliver) {
         m_runTimes.observe(request.queue, now - request.attemptStart);
@@ -414,11 +418,11 @@
     refuse(entry, core::Refusal{status, request.outcome, "upstream_failed", retry}, now, actions);
 }
 
-void Dispatcher::release(const Lingering &use, core::TimePoint now)
+void Dispatcher::release(const Lingering &use)
 {
     PoolState &pool = poolOf(use.pool);
     pool.queue.finish(use.team, use.queue);
-    pool.upstreams.finish(use.upstream, use.failed, use.run, now);
+    pool.upstreams.finish(use.upstream);
     --pool.running;
     --m_teamRunning[use.team];
     const auto instance = m_instanceRunning.find(use.upstream);
@@ -434,7 +438,7 @@
         return now < use.until;
     });
     for (auto use = kept; use != m_lingering.end(); ++use) {
-        release(*use, now);
+        release(*use);
     }
     m_lingering.erase(kept, m_lingering.end());
 }
--- a/src/oleanderwick/dispatch/dispatcher.hpp
+++ b/src/oleanderwick/dispatch/dispatcher.hpp
@@ -127,8 +127,6 @@
         core::TeamId team;
         core::QueueId queue;
         core::InstanceId upstream;
-        core::Duration run;
-        bool failed{false};
     };
     using Requests = std::unordered_map<admission::RequestNumber, Request>;
 
@@ -151,7 +149,7 @@
     void retryOrRefuse(Requests::iterator entry, const routing::Verdict &verdict, core::TimePoint now, Actions &actions);
     void refuse(Requests::iterator entry, core::Refusal refusal, core::TimePoint now, Actions &actions);
     void complete(Requests::iterator entry, std::string reason, core::TimePoint now);
-    void release(const Lingering &use, core::TimePoint now);
+    void release(const Lingering &use);
     void releaseLingering(core::TimePoint now);
     void refuseExpired(PoolState &pool, core::TimePoint now, Actions &actions);
     void refuseDisallowed(core::TimePoint now, Actions &actions);
--- a/src/oleanderwick/routing/upstream_table.cpp
+++ b/src/oleanderwick/routing/upstream_table.cpp
@@ -14,6 +14,7 @@
 constexpr core::Duration ejectionStep = std::chrono::seconds{1};
 constexpr core::Duration longestEjection = std::chrono::seconds{30};
 constexpr core::Duration leavingTime = std::chrono::seconds{10};
+constexpr core::Duration refusedTime = std::chrono::milliseconds{500};
 constexpr core::Duration slowStartTime = std::chrono::seconds{5};
 /** At most one upstream in this many is ejected at once. */
 constexpr std::size_t ejectedPart = 2;
@@ -111,9 +112,12 @@
     if (group.empty()) {
         return last == nullptr ? std::nullopt : std::optional{last->info.id};
     }
+    // Two different ones: drawn with replacement, a slow upstream would get a request whenever it is drawn twice.
     std::uniform_int_distribution<std::size_t> pick{0, group.size() - 1};
-    const Health *one = group[pick(random)];
-    const Health *two = group[pick(random)];
+    std::uniform_int_distribution<std::size_t> step{1, std::max<std::size_t>(1, group.size() - 1)};
+    const std::size_t first = pick(random);
+    const Health *one = group[first];
+    const Health *two = group[(first + step(random)) % group.size()];
     return load(*two) < load(*one) ? two->info.id : one->info.id;
 }
 
@@ -124,20 +128,29 @@
     ++found->second.running;
 }
 
-void UpstreamTable::finish(const core::InstanceId &id, bool failed, core::Duration run, core::TimePoint now)
+void UpstreamTable::observe(const core::InstanceId &id, bool failed, core::Duration run, core::TimePoint now)
 {
     const auto found = m_upstreams.find(id);
-    OLEANDERWICK_ASSERT(found != m_upstreams.end() && found->second.running > 0, "only running work ends");
+    if (found == m_upstreams.end()) {
+        return;
+    }
     Health &health = found->second;
-    --health.running;
     if (!failed) {
         health.failuresInRow = 0;
+        health.refusalsInRow = 0;
         health.ejections = 0;
         health.meanRun += (static_cast<double>(core::milliseconds(run)) - health.meanRun) * internal::smoothing;
     } else if (++health.failuresInRow >= internal::failuresToEject && mayEject(now)) {
         eject(health, now);
     }
-    if (!health.present && health.running == 0) {
+}
+
+void UpstreamTable::finish(const core::InstanceId &id)
+{
+    const auto found = m_upstreams.find(id);
+    OLEANDERWICK_ASSERT(found != m_upstreams.end() && found->second.running > 0, "only running work ends");
+    --found->second.running;
+    if (!found->second.present && found->second.running == 0) {
         m_upstreams.erase(found);
     }
 }
@@ -168,4 +181,18 @@
     }
 }
 
+void UpstreamTable::markRefused(const core::InstanceId &id, core::TimePoint now)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    if (++found->second.refusalsInRow > 1) {
+        markLeaving(id, now);
+        return;
+    }
+    // One refusal may be a moment's lack of room: rights of other nodes can be in use there.
+    found->second.ejectedUntil = std::max(found->second.ejectedUntil, now + internal::refusedTime);
+}
+
 } // namespace oleanderwick::routing
--- a/src/oleanderwick/routing/upstream_table.hpp
+++ b/src/oleanderwick/routing/upstream_table.hpp
@@ -94,13 +94,19 @@
     void start(const core::InstanceId &id);
 
     /**
-     * @brief Counts a request as ended and learns from it.
+     * @brief Learns from an exchange when it ends; its slot may stay out for longer.
      * @param id Its upstream.
      * @param failed True if the upstream is to blame for a failure.
      * @param run Time from start to end.
      * @param now Present time.
      */
-    void finish(const core::InstanceId &id, bool failed, core::Duration run, core::TimePoint now);
+    void observe(const core::InstanceId &id, bool failed, core::Duration run, core::TimePoint now);
+
+    /**
+     * @brief Counts a request as ended.
+     * @param id Its upstream.
+     */
+    void finish(const core::InstanceId &id);
 
     /**
      * @brief Marks an upstream that said that it is leaving; lasts until it has been seen back in service.
@@ -109,11 +115,19 @@
      */
     void markLeaving(const core::InstanceId &id, core::TimePoint now);
 
+    /**
+     * @brief Marks an upstream that refused a request; it rests for a moment, and as if it were leaving when it refuses again.
+     * @param id Upstream that refused.
+     * @param now Present time.
+     */
+    void markRefused(const core::InstanceId &id, core::TimePoint now);
+
 private:
     struct Health {
         UpstreamInfo info;
         std::uint32_t running{0};
         std::uint32_t failuresInRow{0};
+        std::uint32_t refusalsInRow{0};
         std::uint32_t ejections{0};
         bool present{true};
         double meanRun{0.0};
--- a/src/oleanderwick/routing/verdict.cpp
+++ b/src/oleanderwick/routing/verdict.cpp
@@ -12,21 +12,22 @@
 struct Row {
     std::string_view name;
     bool mayHaveRun; /**< An upstream may have run the request. */
+    bool mayStillRun; /**< An upstream may go on with it after the exchange. */
     bool blamesUpstream;
 };
 
-/** Indexed by `ExchangeEnd`. */
+/** Indexed by `ExchangeEnd`. An answer that has begun shows that the work is over. */
 constexpr std::array<Row, exchangeEnds> rows{{
-    {"whole", true, false},
-    {"refused_not_run", false, false},
-    {"not_connected", false, true},
-    {"nothing_sent", false, false},
-    {"part_sent", true, true},
-    {"no_answer", true, true},
-    {"part_answer", true, true},
-    {"timed_out", true, true},
-    {"wrong_answer", true, true},
-    {"too_large", true, false},
+    {"whole", true, false, false},
+    {"refused_not_run", false, false, false},
+    {"not_connected", false, false, true},
+    {"nothing_sent", false, false, false},
+    {"part_sent", true, true, true},
+    {"no_answer", true, true, true},
+    {"part_answer", true, false, true},
+    {"timed_out", true, true, true},
+    {"wrong_answer", true, true, true},
+    {"too_large", true, false, false},
 }};
 
 constexpr const Row &rowOf(ExchangeEnd end) noexcept
@@ -47,17 +48,17 @@
 {
     const internal::Row &row = internal::rowOf(attempt.end);
     if (attempt.end == ExchangeEnd::Whole) {
-        return Verdict{Verdict::Step::Deliver, core::Outcome::Failed, false, false};
+        return Verdict{Verdict::Step::Deliver, core::Outcome::Failed};
     }
     if (attempt.end == ExchangeEnd::TooLarge) {
-        return Verdict{Verdict::Step::Refuse, core::Outcome::Failed, false, false};
+        return Verdict{Verdict::Step::Refuse, core::Outcome::Failed};
     }
     if (!row.mayHaveRun) {
         const bool costsBudget = attempt.end != ExchangeEnd::NothingSent;
-        return Verdict{Verdict::Step::Retry, core::Outcome::NotRun, costsBudget, row.blamesUpstream};
+        return Verdict{Verdict::Step::Retry, core::Outcome::NotRun, costsBudget, row.blamesUpstream, false};
     }
     const Verdict::Step step = attempt.idempotent ? Verdict::Step::Retry : Verdict::Step::Refuse;
-    return Verdict{step, core::Outcome::Unknown, true, row.blamesUpstream};
+    return Verdict{step, core::Outcome::Unknown, true, row.blamesUpstream, row.mayStillRun};
 }
 
 bool isIdempotent(std::string_view method) noexcept
--- a/src/oleanderwick/routing/verdict.hpp
+++ b/src/oleanderwick/routing/verdict.hpp
@@ -54,6 +54,7 @@
     core::Outcome outcome{core::Outcome::Unknown}; /**< What a refusal says. */
     bool costsBudget{false}; /**< A retry draws from the budget. */
     bool blamesUpstream{false}; /**< Counts against the upstream. */
+    bool mayStillRun{false}; /**< Rights of the attempt stay out until the request's deadline. */
 
     [[nodiscard]] bool operator==(const Verdict &) const = default;
 };
--- a/test/oleanderwick/dispatch/dispatcher.cpp
+++ b/test/oleanderwick/dispatch/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <set>
+
 #include "support/virtual_fleet.hpp"
 
 namespace allotment = oleanderwick::allotment;
@@ -255,3 +257,25 @@
     }
     CHECK(one.arrive("q", "t").empty());
 }
+
+TEST_CASE("Dispatcher judges an upstream when an exchange fails, not when its slot comes back", "[dispatch]")
+{
+    One one{DocumentBuilder{}.pool("p", 2, 8).team("t", 1, 16).queue("q", "p", {"t"}, 1000).build()};
+    // On each upstream a failure, a success and two more failures: never three in a row.
+    for (const routing::ExchangeEnd end :
+         {routing::ExchangeEnd::NoAnswer, routing::ExchangeEnd::Whole, routing::ExchangeEnd::NoAnswer, routing::ExchangeEnd::NoAnswer}) {
+        const std::uint64_t first = one.number + 1;
+        for (int count = 0; count < 2; ++count) {
+            (void)one.arrive("q", "t");
+        }
+        (void)one.end(first, end);
+        (void)one.end(first + 1, end);
+    }
+    one.now += milliseconds{1001};
+    (void)one.dispatcher.tick(one.now);
+    std::set<core::InstanceId> used;
+    for (int count = 0; count < 16; ++count) {
+        used.insert(startOf(one.arrive("q", "t"))->upstream);
+    }
+    CHECK(used.size() == 2);
+}
--- a/test/oleanderwick/dispatch/fleet.cpp
+++ b/test/oleanderwick/dispatch/fleet.cpp
@@ -253,3 +253,38 @@
     });
     CHECK(static_cast<double>(fleet.attempts()) <= 1.1 * static_cast<double>(sent) + 10);
 }
+
+TEST_CASE("Outcomes are true over 100,000 random exchanges", "[dispatch]")
+{
+    const config::Document document = DocumentBuilder{}.pool("p", 20, 16).team("t", 1, 2000).queue("q", "p", {"t"}, 2000).build();
+    VirtualFleet fleet{fleetSize, document, [](const dispatch::StartAttempt &, std::mt19937_64 &random) {
+                           // Work that may still run keeps its rights until its deadline, so too many breaks would fill the pool.
+                           const bool sound = random() % 16 != 0;
+                           const std::size_t end = random() % routing::exchangeEnds;
+                           const milliseconds run{1 + random() % (random() % 500 == 0 ? 4000 : 60)};
+                           return VirtualFleet::Service{run, sound ? routing::ExchangeEnd::Whole : static_cast<routing::ExchangeEnd>(end)};
+                       }};
+    std::mt19937_64 random{5};
+    fleet.runFor(seconds{25}, [&] {
+        for (int count = 0; count < 4; ++count) {
+            fleet.send(random() % fleetSize, "q", "t", random() % 2 == 0);
+        }
+    });
+    fleet.runFor(seconds{10}, [] {
+    });
+    REQUIRE(fleet.seen().size() == 100'000);
+    std::size_t delivered = 0;
+    std::size_t untrue = 0;
+    std::size_t twice = 0;
+    std::size_t mixed = 0;
+    for (const Seen &seen : fleet.seen()) {
+        delivered += seen.delivered ? 1 : 0;
+        untrue += !seen.delivered && seen.refusal.outcome == core::Outcome::NotRun && seen.runs > 0 ? 1 : 0;
+        twice += !seen.idempotent && seen.runs > 1 ? 1 : 0;
+        mixed += seen.delivered && seen.lastEnd != routing::ExchangeEnd::Whole ? 1 : 0;
+    }
+    CHECK(untrue == 0);
+    CHECK(twice == 0);
+    CHECK(mixed == 0);
+    CHECK(delivered > 50'000);
+}
--- a/test/support/virtual_fleet.hpp
+++ b/test/support/virtual_fleet.hpp
@@ -24,6 +24,9 @@
     core::Duration total{};
     bool delivered{false};
     core::Refusal refusal;
+    bool idempotent{false};
+    int runs{0}; /**< Times that an upstream ran it, as far as the exchange went. */
+    routing::ExchangeEnd lastEnd{routing::ExchangeEnd::NotConnected};
 };
 
 /** @brief Dispatchers with their holders in virtual time, over one store and upstreams that take a given time. */
@@ -89,6 +92,11 @@
         return *m_nodes[node].holder;
     }
 
+    [[nodiscard]] const dispatch::Dispatcher &dispatcher(std::size_t node) const
+    {
+        return *m_nodes[node].dispatcher;
+    }
+
     [[nodiscard]] std::uint64_t attempts() const
     {
         return m_attempts;
@@ -119,7 +127,7 @@
             arrival.key = config::PresentedKey{core::KeyId{key}, key};
         }
         arrival.idempotent = idempotent;
-        m_requests[arrival.number] = Open{core::TeamId{key}, arrival.queue, m_now};
+        m_requests[arrival.number] = Open{core::TeamId{key}, arrival.queue, m_now, idempotent};
         act(node, m_nodes[node].dispatcher->arrive(arrival, m_now));
         pace(node);
     }
@@ -154,6 +162,9 @@
         core::TeamId team;
         core::QueueId queue;
         core::TimePoint arrival;
+        bool idempotent{false};
+        int runs{0};
+        routing::ExchangeEnd lastEnd{routing::ExchangeEnd::NotConnected};
     };
     struct End {
         core::TimePoint at;
@@ -171,6 +182,12 @@
     static constexpr int stepsPerExchange = 250;
     static constexpr int settleRounds = 12;
 
+    [[nodiscard]] static bool mayRun(routing::ExchangeEnd end)
+    {
+        using routing::ExchangeEnd;
+        return end != ExchangeEnd::NotConnected && end != ExchangeEnd::NothingSent && end != ExchangeEnd::RefusedNotRun;
+    }
+
     void tick()
     {
         for (std::size_t index = 0; index < m_nodes.size(); ++index) {
@@ -250,7 +267,10 @@
         if (service.run > start.timeout) {
             service = Service{start.timeout, routing::ExchangeEnd::TimedOut};
         }
-        const std::string &team = m_requests.at(start.number).team.text();
+        Open &open = m_requests.at(start.number);
+        open.lastEnd = service.end;
+        open.runs += mayRun(service.end) ? 1 : 0;
+        const std::string &team = open.team.text();
         m_peak[team] = std::max(m_peak[team], ++m_running[team]);
         std::uint32_t &peak = m_upstreamPeak[start.upstream.text()];
         peak = std::max(peak, ++m_upstreamRunning[start.upstream.text()]);
@@ -271,7 +291,7 @@
     void see(admission::RequestNumber number, bool delivered, const core::Refusal &refusal)
     {
         const Open &open = m_requests.at(number);
-        m_seen.push_back(Seen{open.team, open.queue, open.arrival, m_now - open.arrival, delivered, refusal});
+        m_seen.push_back(Seen{open.team, open.queue, open.arrival, m_now - open.arrival, delivered, refusal, open.idempotent, open.runs, open.lastEnd});
     }
 
     config::Document m_document;
