--- a/src/oleanderwick/allotment/holder.cpp
+++ b/src/oleanderwick/allotment/holder.cpp
@@ -115,10 +115,12 @@
 
 std::uint32_t Holder::asked(const Group &group) const
 {
+    const auto available = m_input.available.find(group);
+    const std::uint32_t even = available == m_input.available.end() ? 0 : available->second / static_cast<std::uint32_t>(m_input.fleetSize);
     std::uint32_t sum = 0;
     for (const TeamDemand &demand : m_demands.at(m_self)) {
         const std::string &name = group.kind == Group::Kind::Team ? demand.team.text() : demand.pool.text();
-        sum += name == group.name ? demand.asked() : 0;
+        sum += name == group.name ? demand.asked(even) : 0;
     }
     return sum;
 }
@@ -178,10 +180,10 @@
     if (m_surrendering) {
         return wants;
     }
-    for (const std::pair<const Group, GroupState> &group : m_groups) {
-        const std::uint32_t count = missing(group.first, group.second);
+    for (const Group &group : m_short) {
+        const std::uint32_t count = missing(group, m_groups.at(group));
         if (count > 0) {
-            wants.push_back(Want{group.first, count});
+            wants.push_back(Want{group, count});
         }
     }
     return wants;
@@ -230,6 +232,8 @@
         m_capacity[unit] = instance.second.slots;
     }
     m_groups = std::move(groups);
+    m_trimming = true;
+    plan();
     for (Shard &shard : m_shards) {
         shard.stale = true;
     }
@@ -277,27 +281,53 @@
 HolderStep Holder::step()
 {
     HolderStep step;
-    updatePlan();
+    for (const Group &group : m_yielding) {
+        updateYield(group, m_groups.at(group));
+    }
+    bool settled = true;
     for (std::size_t index = 0; index < m_shards.size(); ++index) {
-        if (!m_shards[index].busy) {
+        const Shard &shard = m_shards[index];
+        settled = settled && shard.known && !shard.stale && !shard.busy;
+        if (!shard.busy) {
             planShard(index, step);
         }
     }
+    // Once all shards are known and nothing is left to write, no account is over its bound.
+    m_trimming = m_trimming && !(settled && step.writes.empty());
     return step;
 }
 
-void Holder::updatePlan()
+void Holder::plan()
 {
     m_input.available.clear();
     for (const std::pair<const Group, GroupState> &group : m_groups) {
         m_input.available[group.first] = available(group.second);
     }
     m_plan = Plan{m_input, m_demands};
+    m_short.clear();
+    m_yielding.clear();
     for (std::pair<const Group, GroupState> &group : m_groups) {
-        group.second.yielding = std::min(surplus(group.first, group.second), wantedByPeers(group.first));
+        updateYield(group.first, group.second);
+        if (group.second.yielding > 0) {
+            m_yielding.insert(group.first);
+        }
+        if (missing(group.first, group.second) > 0) {
+            m_short.insert(group.first);
+        }
     }
 }
 
+void Holder::updateYield(const Group &group, GroupState &state)
+{
+    const std::uint32_t own = surplus(group, state);
+    state.yielding = own == 0 ? 0 : std::min(own, wantedByPeers(group));
+}
+
+bool Holder::hasWork(const Shard &shard) const
+{
+    return shard.fenced || m_trimming || m_surrendering || !m_short.empty() || !m_yielding.empty() || !m_departed.empty();
+}
+
 void Holder::planShard(std::size_t index, HolderStep &step)
 {
     Shard &shard = m_shards[index];
@@ -307,6 +337,9 @@
         step.reads.push_back(LedgerRead{index});
         return;
     }
+    if (!hasWork(shard)) {
+        return;
+    }
     Ledger next = shard.stored.ledger;
     dropDeparted(next);
     trim(next, index);
@@ -372,12 +405,13 @@
     if (ledger.version() > m_version) {
         return;
     }
-    for (const std::pair<const Group, GroupState> &group : m_groups) {
-        std::uint32_t left = shardPart(group.second, index, missing(group.first, group.second));
-        const std::uint32_t even = shardUnits(group.second, index) == 0 ? 0 : left / shardUnits(group.second, index) + 1;
+    for (const Group &group : m_short) {
+        const GroupState &state = m_groups.at(group);
+        std::uint32_t left = shardPart(state, index, missing(group, state));
+        const std::uint32_t even = shardUnits(state, index) == 0 ? 0 : left / shardUnits(state, index) + 1;
         // The first round spreads over the units, the second takes what is still free.
         for (const std::uint32_t part : {even, left}) {
-            for (const Unit &unit : group.second.units) {
+            for (const Unit &unit : state.units) {
                 if (shardOf(unit) == index) {
                     left -= ledger.claim(m_self, unit, std::min(part, left), capacity(unit));
                 }
@@ -411,11 +445,11 @@
 void Holder::giveTo(Ledger &ledger, std::size_t index, const core::NodeId &peer, const Want &want) const
 {
     const auto found = m_groups.find(want.group);
-    const std::uint32_t wanted = wantedByPeers(want.group);
-    if (found == m_groups.end() || wanted == 0) {
+    if (found == m_groups.end() || found->second.yielding == 0) {
         return;
     }
     const GroupState &group = found->second;
+    const std::uint32_t wanted = std::max<std::uint32_t>(1, wantedByPeers(want.group));
     // Peers that lack something get it in proportion to what each lacks.
     const std::uint64_t part = (std::uint64_t{group.yielding} * lacking(peer, want) + wanted - 1) / wanted;
     std::uint32_t budget = shardPart(group, index, static_cast<std::uint32_t>(part));
--- a/src/oleanderwick/allotment/holder.hpp
+++ b/src/oleanderwick/allotment/holder.hpp
@@ -160,6 +160,9 @@
     /** @brief Gives back everything that is not in use from now on; for a stop. */
     void surrender();
 
+    /** @brief Divides anew by the demands known now. Linear in demands and units; a step uses the latest plan. */
+    void plan();
+
     /**
      * @brief Works out what to ask of the store; at most one call for each shard is under way.
      * @return Calls to make; each has to be answered by `onRead` or `onWritten`.
@@ -211,7 +214,8 @@
     [[nodiscard]] std::uint32_t wantedByPeers(const Group &group) const;
     [[nodiscard]] std::uint32_t asked(const Group &group) const;
 
-    void updatePlan();
+    void updateYield(const Group &group, GroupState &state);
+    [[nodiscard]] bool hasWork(const Shard &shard) const;
     void planShard(std::size_t index, HolderStep &step);
     void dropDeparted(Ledger &ledger) const;
     void trim(Ledger &ledger, std::size_t index) const;
@@ -231,6 +235,9 @@
     NodeDemands m_demands;
     std::map<core::NodeId, std::vector<Want>> m_wants;
     Plan m_plan;
+    std::set<Group> m_short; /**< Groups that lacked something when the plan was made. */
+    std::set<Group> m_yielding; /**< Groups that had something for peers then. */
+    bool m_trimming{true}; /**< Accounts may add up to more than a bound. */
     std::set<core::NodeId> m_departed;
     std::vector<Shard> m_shards;
 };
--- a/src/oleanderwick/allotment/plan.cpp
+++ b/src/oleanderwick/allotment/plan.cpp
@@ -48,11 +48,19 @@
 
 } // namespace internal
 
-std::uint32_t TeamDemand::asked() const noexcept
+std::uint32_t TeamDemand::asked(std::uint32_t even) const noexcept
 {
-    // At most doubled at each exchange between nodes: rights that chase a backlog would slosh from node to node.
-    constexpr std::uint32_t firstStep = 4;
-    return std::max(recent, running + std::min(waiting, std::max(running, firstStep)));
+    // At most doubled at each exchange between nodes: rights that chase a backlog would slosh from node to node. Half an
+    // even part is asked for in any case, or a node that has little would stay so however much waits there.
+    constexpr std::uint32_t leastStep = 4;
+    const std::uint32_t step = std::max({running, even / 2, leastStep});
+    return std::max(recent, running + std::min(waiting, step));
+}
+
+std::uint32_t Plan::evenPart(const PlanInput &input, const Group &group)
+{
+    const auto available = input.available.find(group);
+    return available == input.available.end() ? 0 : available->second / static_cast<std::uint32_t>(std::max<std::size_t>(1, input.fleetSize));
 }
 
 std::vector<double> fairShares(const std::vector<Claimant> &claimants, double capacity)
@@ -103,7 +111,7 @@
     std::map<core::TeamId, Targets> byNode;
     for (const std::pair<const core::NodeId, std::vector<TeamDemand>> &node : demands) {
         for (const TeamDemand &demand : node.second) {
-            const double asked = demand.asked();
+            const double asked = demand.asked(evenPart(input, Group{Group::Kind::Team, demand.team.text()}));
             totals[demand.team] += asked;
             byNode[demand.team][node.first] += asked;
         }
@@ -128,7 +136,7 @@
     std::map<core::PoolId, internal::PoolDemand> pools;
     for (const std::pair<const core::NodeId, std::vector<TeamDemand>> &node : demands) {
         for (const TeamDemand &demand : node.second) {
-            const double asked = demand.asked();
+            const double asked = demand.asked(evenPart(input, Group{Group::Kind::Pool, demand.pool.text()}));
             pools[demand.pool].teams[demand.team] += asked;
             pools[demand.pool].nodes[node.first][demand.team] += asked;
         }
--- a/src/oleanderwick/allotment/plan.hpp
+++ b/src/oleanderwick/allotment/plan.hpp
@@ -35,8 +35,12 @@
     std::uint32_t waiting{0};
     std::uint32_t recent{0}; /**< Most that was asked of late. */
 
-    /** @return Rights that the team can put to use soon; a short backlog does not call for a right for each request. */
-    [[nodiscard]] std::uint32_t asked() const noexcept;
+    /**
+     * @brief Tells how many rights the team can put to use soon; a backlog does not call for a right for each request.
+     * @param even A node's even part of the rights.
+     * @return Rights asked for.
+     */
+    [[nodiscard]] std::uint32_t asked(std::uint32_t even) const noexcept;
 
     [[nodiscard]] bool operator==(const TeamDemand &) const = default;
 };
@@ -96,6 +100,9 @@
 private:
     using Targets = std::map<core::NodeId, double>;
 
+    /** @return A node's even part of a group. */
+    [[nodiscard]] static std::uint32_t evenPart(const PlanInput &input, const Group &group);
+
     void divideTeams(const PlanInput &input, const NodeDemands &demands);
     void dividePools(const PlanInput &input, const NodeDemands &demands);
     void roundAll();
--- a/src/oleanderwick/node/decision_duty.cpp
+++ b/src/oleanderwick/node/decision_duty.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr core::Duration viewPeriod = std::chrono::milliseconds{50};
+constexpr core::Duration planPeriod = std::chrono::milliseconds{250};
+constexpr core::Duration urgentPlan = std::chrono::milliseconds{50};
 constexpr core::Duration urgentStep = std::chrono::milliseconds{5};
 constexpr core::Duration behindFor = std::chrono::seconds{4};
 constexpr std::size_t mostAtOnce = 64;
@@ -216,6 +218,11 @@
 void DecisionDuty::stepHolder()
 {
     m_dispatcher.updateDemand();
+    const core::Duration planPace = m_dispatcher.starved() ? internal::urgentPlan : internal::planPeriod;
+    if (m_now - m_lastPlan >= planPace) {
+        m_lastPlan = m_now;
+        m_holder.plan();
+    }
     const allotment::HolderStep step = m_holder.step();
     for (const allotment::LedgerRead &read : step.reads) {
         if (!m_ports.store.tryPush(read)) {
--- a/src/oleanderwick/node/decision_duty.hpp
+++ b/src/oleanderwick/node/decision_duty.hpp
@@ -71,6 +71,7 @@
     core::TimePoint m_now;
     core::TimePoint m_lastView;
     core::TimePoint m_lastStep;
+    core::TimePoint m_lastPlan;
     std::optional<core::TimePoint> m_behindSince;
     std::set<core::NodeId> m_aliveBefore;
     dispatch::Actions m_actions;
--- a/test/oleanderwick/allotment/holder.cpp
+++ b/test/oleanderwick/allotment/holder.cpp
@@ -195,6 +195,7 @@
     REQUIRE(holder.usable(unit) == 4);
     holder.setPeer(
         core::NodeId{"n1"}, {allotment::TeamDemand{oleanderwick::core::PoolId{"p"}, core::TeamId{"t"}, 0, 2}}, {allotment::Want{FleetModel::group(), 2}}, {});
+    holder.plan();
     REQUIRE(holder.step().writes.size() == 1);
     CHECK(holder.usable(unit) == 2);
     holder.onWritten(shard, allotment::WriteEnd::Unknown, std::nullopt);
--- /dev/null
+++ b/test/oleanderwick/allotment/plan.cpp
@@ -0,0 +1,109 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <numeric>
+
+#include "oleanderwick/allotment/allotment.hpp"
+
+namespace allotment = oleanderwick::allotment;
+namespace core = oleanderwick::core;
+
+namespace
+{
+
+const allotment::Group pool{allotment::Group::Kind::Pool, "p"};
+
+allotment::TeamDemand demandOf(std::uint32_t running, std::uint32_t waiting)
+{
+    return allotment::TeamDemand{core::PoolId{"p"}, core::TeamId{"t"}, running, waiting, 0};
+}
+
+core::NodeId node(std::size_t index)
+{
+    return core::NodeId{"n" + std::to_string(index)};
+}
+
+/** Pours the capacity out in small drops, each to the one with the least for its weight. */
+std::vector<double> naiveShares(const std::vector<allotment::Claimant> &claimants, double capacity)
+{
+    constexpr double drop = 0.01;
+    std::vector<double> parts(claimants.size(), 0.0);
+    for (double left = capacity; left > 0.0; left -= drop) {
+        std::size_t best = claimants.size();
+        for (std::size_t index = 0; index < claimants.size(); ++index) {
+            const bool wants = claimants[index].weight > 0.0 && parts[index] < claimants[index].demand;
+            if (wants && (best == claimants.size() || parts[index] / claimants[index].weight < parts[best] / claimants[best].weight)) {
+                best = index;
+            }
+        }
+        if (best == claimants.size()) {
+            break;
+        }
+        parts[best] += drop;
+    }
+    return parts;
+}
+
+} // namespace
+
+TEST_CASE("fairShares agrees with pouring drop by drop", "[allotment]")
+{
+    const bool same = rc::check("each part within a few drops", [] {
+        const std::size_t count = *rc::gen::inRange<std::size_t>(1, 8);
+        std::vector<allotment::Claimant> claimants;
+        for (std::size_t index = 0; index < count; ++index) {
+            claimants.push_back(allotment::Claimant{static_cast<double>(*rc::gen::inRange(1, 6)), static_cast<double>(*rc::gen::inRange(0, 20))});
+        }
+        const double capacity = *rc::gen::inRange(0, 60);
+        const std::vector<double> parts = allotment::fairShares(claimants, capacity);
+        const std::vector<double> naive = naiveShares(claimants, capacity);
+        for (std::size_t index = 0; index < count; ++index) {
+            RC_ASSERT(std::abs(parts[index] - naive[index]) < 0.2);
+        }
+    });
+    CHECK(same);
+}
+
+TEST_CASE("fairShares serves a claimant without weight from what is left", "[allotment]")
+{
+    const std::vector<double> parts = allotment::fairShares({{0.0, 10.0}, {1.0, 4.0}}, 10.0);
+    CHECK(parts[0] == Approx(6.0));
+    CHECK(parts[1] == Approx(4.0));
+}
+
+TEST_CASE("Plan hands out whole rights that add up to what there is", "[allotment]")
+{
+    const bool sound = rc::check("sum of all nodes", [] {
+        allotment::PlanInput input;
+        input.fleetSize = 7;
+        input.shares[core::TeamId{"t"}] = 1;
+        input.limits[core::TeamId{"t"}] = 1000;
+        const std::uint32_t available = *rc::gen::inRange<std::uint32_t>(0, 100);
+        input.available[pool] = available;
+        allotment::NodeDemands demands;
+        for (std::size_t index = 0; index < 7; ++index) {
+            demands[node(index)] = {demandOf(*rc::gen::inRange<std::uint32_t>(0, 40), *rc::gen::inRange<std::uint32_t>(0, 40))};
+        }
+        const allotment::Plan plan{input, demands};
+        std::uint32_t sum = 0;
+        for (std::size_t index = 0; index < 7; ++index) {
+            sum += plan.target(pool, node(index));
+        }
+        RC_ASSERT(sum == available);
+    });
+    CHECK(sound);
+}
+
+TEST_CASE("Plan gives a node with little and much waiting a part worth having", "[allotment]")
+{
+    allotment::PlanInput input;
+    input.fleetSize = 7;
+    input.available[pool] = 320;
+    allotment::NodeDemands demands;
+    demands[node(0)] = {demandOf(2, 900)};
+    for (std::size_t index = 1; index < 7; ++index) {
+        demands[node(index)] = {demandOf(50, 100)};
+    }
+    // An even part is 45.
+    CHECK(allotment::Plan{input, demands}.target(pool, node(0)) >= 10);
+}
--- a/test/oleanderwick/dispatch/dispatcher.cpp
+++ b/test/oleanderwick/dispatch/dispatcher.cpp
@@ -40,6 +40,7 @@
     void askStore()
     {
         dispatcher.updateDemand();
+        holder.plan();
         const allotment::HolderStep calls = holder.step();
         for (const allotment::LedgerRead &read : calls.reads) {
             holder.onRead(read.shard, store.read(read.shard));
--- a/test/support/fleet_model.hpp
+++ b/test/support/fleet_model.hpp
@@ -194,6 +194,7 @@
         if (entry.stopped) {
             return;
         }
+        entry.holder->plan();
         const allotment::HolderStep calls = entry.holder->step();
         for (const allotment::LedgerRead &read : calls.reads) {
             const bool failed = away || (faulty && chance(4) == 0);
--- a/test/support/virtual_fleet.hpp
+++ b/test/support/virtual_fleet.hpp
@@ -157,6 +157,7 @@
         std::unique_ptr<dispatch::Dispatcher> dispatcher;
         std::unique_ptr<membership::Roster> roster;
         core::TimePoint lastStep;
+        core::TimePoint lastPlan;
     };
     struct Open {
         core::TeamId team;
@@ -210,6 +211,11 @@
     {
         Node &node = m_nodes[index];
         node.dispatcher->updateDemand();
+        const core::Duration pace = std::chrono::milliseconds{node.dispatcher->starved() ? 50 : 250};
+        if (m_now - node.lastPlan >= pace || m_steps == 0) {
+            node.lastPlan = m_now;
+            node.holder->plan();
+        }
         const allotment::HolderStep calls = node.holder->step();
         for (const allotment::LedgerRead &read : calls.reads) {
             node.holder->onRead(read.shard, m_away ? std::nullopt : std::optional{m_store.read(read.shard)});
