--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -5,7 +5,7 @@
 import sys
 
 LAYERS = ["core", "settings", "config", "admission", "routing", "allotment", "dispatch", "membership",
-          "http", "store", "peer", "telemetry", "node"]
+          "maintenance", "http", "store", "peer", "telemetry", "node"]
 # Modules that a module may use, beyond itself.
 ALLOWED = {
     "core": set(),
@@ -16,6 +16,7 @@
     "allotment": {"core", "config"},
     "dispatch": {"core", "config", "admission", "routing", "allotment"},
     "membership": {"core", "config", "allotment", "dispatch"},
+    "maintenance": {"core"},
     "http": {"core", "routing"},
     "store": {"core", "http"},
     "peer": {"core", "config", "http", "membership"},
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -18,6 +18,7 @@
 STORE_PORT = 24790
 UPSTREAM_PORT = 24800
 CALLER_PORT = 24600
+PLATFORM_PORT = 24780
 CONTROL_PORT = 24700
 
 
@@ -43,6 +44,7 @@
         self.slots = slots
         self.balancer_delay_ms = balancer_delay_ms
         self.store = None
+        self.platform = None
         self.upstreams = {}
         self.nodes = {}
         self.keys = {}
@@ -51,6 +53,7 @@
     def __enter__(self):
         try:
             self.start_store()
+            self.platform = subprocess.Popen([BIN / "oleanderwick-platformstub", "--listen", f"127.0.0.1:{PLATFORM_PORT}", "--reboot-ms", "400"])
             for index in range(self.upstream_count):
                 self.start_upstream(index)
             for index in range(self.node_count):
@@ -81,7 +84,7 @@
         lines = [f"node: n{index}", f"zone: {self.zones[index % len(self.zones)]}",
                  f"callers: 127.0.0.1:{CALLER_PORT + index}", f"control: 127.0.0.1:{CONTROL_PORT + index}",
                  "store:", "  kind: platform", f"  endpoints: ['127.0.0.1:{STORE_PORT}']",
-                 f"peers: {json.dumps(peers)}", f"clusterSecret: {CLUSTER_SECRET}",
+                 f"platform: 127.0.0.1:{PLATFORM_PORT}", f"peers: {json.dumps(peers)}", f"clusterSecret: {CLUSTER_SECRET}",
                  "operators:", "  - name: demo", f"    keyHash: {digest}",
                  "limits:", f"  balancerDelayMs: {self.balancer_delay_ms}"]
         return "\n".join(lines) + "\n"
@@ -118,7 +121,7 @@
 
     def stop_all(self):
         self.report_dead()
-        processes = list(self.nodes.values()) + list(self.upstreams.values()) + ([self.store] if self.store else [])
+        processes = list(self.nodes.values()) + list(self.upstreams.values()) + [p for p in (self.store, self.platform) if p]
         for process in processes:
             process.send_signal(signal.SIGCONT)
             process.kill()
@@ -202,6 +205,15 @@
     def store_counts(self):
         return json.loads(call(STORE_PORT, "GET", "/stub/counts")[2])
 
+    def platform_list(self):
+        return json.loads(call(PLATFORM_PORT, "GET", "/v1/instances")[2])
+
+    def set_health(self, healths):
+        call(PLATFORM_PORT, "POST", "/stub/instances", json.dumps(healths))
+
+    def waves(self, index=0):
+        return json.loads(self.operator(index, "GET", "/v1/waves")[2])
+
     def upstream_counts(self):
         counts = [json.loads(call(UPSTREAM_PORT + i, "GET", "/stub/counts")[2]) for i in self.upstreams]
         return {key: sum(entry[key] for entry in counts) for key in ("runs", "twice", "peak")}
--- a/src/capacity/main.cpp
+++ b/src/capacity/main.cpp
@@ -85,7 +85,9 @@
         record.document = documentOf(49, 130, instances);
         const std::string text = config::toText(record);
         print("configuration bytes by instances", instances, static_cast<double>(text.size()), "B");
-        print("configuration read by instances", instances, microseconds([&text] {
+        print("configuration read by instances",
+              instances,
+              microseconds([&text] {
                   (void)config::recordFromText(text);
               }),
               "us");
@@ -111,7 +113,9 @@
         const membership::Digest digest = digestOf(teams);
         const std::string text = peer::toText(digest);
         print("digest bytes by teams with demand", teams, static_cast<double>(text.size()), "B");
-        print("digest written and read by teams with demand", teams, microseconds([&digest] {
+        print("digest written and read by teams with demand",
+              teams,
+              microseconds([&digest] {
                   (void)peer::digestFromText(peer::toText(digest));
               }),
               "us");
@@ -166,7 +170,9 @@
             holder.plan();
             step();
         }
-        print("plan of the holder by instances", instances, microseconds([&holder] {
+        print("plan of the holder by instances",
+              instances,
+              microseconds([&holder] {
                   holder.plan();
               }),
               "us");
@@ -195,7 +201,9 @@
             answer(holder, revision);
         }
         std::uint64_t number = 0;
-        print("decisions of one request by instances", instances, microseconds([&] {
+        print("decisions of one request by instances",
+              instances,
+              microseconds([&] {
                   dispatch::Arrival arrival;
                   arrival.number = ++number;
                   arrival.queue = core::QueueId{"queue-07"};
@@ -206,7 +214,9 @@
                   (void)dispatcher.takeCompletions();
               }),
               "us");
-        print("tick of the dispatcher by instances", instances, microseconds([&] {
+        print("tick of the dispatcher by instances",
+              instances,
+              microseconds([&] {
                   now += std::chrono::milliseconds{10};
                   (void)dispatcher.tick(now);
               }),
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -26,6 +26,7 @@
 constexpr int statusOk = 200;
 constexpr int statusConflict = 412;
 constexpr int maxTries = 5;
+constexpr std::size_t waveIdLength = 12;
 constexpr core::Duration callTimeout = std::chrono::seconds{10};
 
 /** @brief Options and words of one command line. */
@@ -53,6 +54,11 @@
         return m_client.exchange(http::Request{"GET", path, {{"Authorization", "Bearer " + m_key}}, ""}, callTimeout);
     }
 
+    [[nodiscard]] absl::StatusOr<http::Response> post(const std::string &path, const std::string &body)
+    {
+        return m_client.exchange(http::Request{"POST", path, {{"Authorization", "Bearer " + m_key}}, body}, callTimeout);
+    }
+
     [[nodiscard]] absl::StatusOr<http::Response> patch(const std::string &base, const std::string &type, const std::string &id, const std::string &body)
     {
         http::Request request{"PATCH", "/v1/config", {}, body};
@@ -228,6 +234,22 @@
     return mergeNow(node, body);
 }
 
+int showWaves(Operator &node, const CommandLine &line)
+{
+    return show(node, line, "/v1/waves");
+}
+
+int startWave(Operator &node, const CommandLine &line)
+{
+    const nlohmann::json body = {{"pool", line.words.at(2)}, {"id", config::makeSecret().substr(0, waveIdLength)}};
+    return print(node.post("/v1/waves", body.dump()));
+}
+
+int changeWave(Operator &node, const CommandLine &line)
+{
+    return print(node.post(absl::StrCat("/v1/waves/", line.words.at(2), "/", line.words.at(1)), "{}"));
+}
+
 /** @brief One command of the program. */
 struct Command {
     const char *first;
@@ -243,6 +265,11 @@
     {"config", "patch", 3, "config patch FILE|-   [--base N] [--format merge|json] [--patch-id ID]", &patchConfig},
     {"key", "add", 4, "key add TEAM NAME", &addKey},
     {"key", "withdraw", 4, "key withdraw TEAM NAME", &withdrawKey},
+    {"wave", "status", 2, "wave status", &showWaves},
+    {"wave", "start", 3, "wave start POOL", &startWave},
+    {"wave", "pause", 3, "wave pause WAVE", &changeWave},
+    {"wave", "resume", 3, "wave resume WAVE", &changeWave},
+    {"wave", "stop", 3, "wave stop WAVE", &changeWave},
     {"status", "", 1, "status", &showStatus},
 };
 
--- a/src/oleanderwick/allotment/holder.cpp
+++ b/src/oleanderwick/allotment/holder.cpp
@@ -209,7 +209,7 @@
     return nodes;
 }
 
-void Holder::configure(const config::Snapshot &snapshot)
+void Holder::configure(const config::Snapshot &snapshot, const std::set<core::InstanceId> &withheld)
 {
     m_version = snapshot.version();
     m_capacity.clear();
@@ -224,7 +224,7 @@
         m_input.limits[team.first] = team.second.upperLimit;
     }
     for (const std::pair<const core::InstanceId, config::Instance> &instance : snapshot.document().instances) {
-        if (instance.second.leaving) {
+        if (instance.second.leaving || withheld.contains(instance.first)) {
             continue;
         }
         const Unit unit{Unit::Kind::Instance, instance.first.text()};
--- a/src/oleanderwick/allotment/holder.hpp
+++ b/src/oleanderwick/allotment/holder.hpp
@@ -120,8 +120,9 @@
     /**
      * @brief Takes the bounds of a configuration.
      * @param snapshot Configuration in force.
+     * @param withheld Instances to which all rights are given back, as if they were leaving.
      */
-    void configure(const config::Snapshot &snapshot);
+    void configure(const config::Snapshot &snapshot, const std::set<core::InstanceId> &withheld = {});
 
     /**
      * @brief Sets what runs and waits on this node.
--- a/src/oleanderwick/dispatch/dispatcher.cpp
+++ b/src/oleanderwick/dispatch/dispatcher.cpp
@@ -103,17 +103,11 @@
         return actions;
     }
     m_snapshot = std::move(snapshot);
-    m_holder.configure(*m_snapshot);
-    std::map<core::PoolId, std::vector<routing::UpstreamInfo>> upstreams;
-    for (const std::pair<const core::InstanceId, config::Instance> &entry : m_snapshot->document().instances) {
-        const config::Instance &instance = entry.second;
-        upstreams[instance.pool].push_back(routing::UpstreamInfo{entry.first, instance.address, instance.zone, instance.leaving});
-    }
     for (const std::pair<const core::PoolId, config::Pool> &pool : m_snapshot->document().pools) {
         (void)poolOf(pool.first);
     }
+    assignUpstreams(now);
     for (std::pair<const core::PoolId, PoolState> &pool : m_pools) {
-        pool.second.upstreams.assign(upstreams[pool.first], now);
         pool.second.queue.setShare(config::openTeam(), 1);
     }
     for (const std::pair<const core::QueueId, config::Queue> &queue : m_snapshot->document().queues) {
@@ -126,6 +120,31 @@
     return actions;
 }
 
+Actions Dispatcher::setOutOfService(std::set<core::InstanceId> instances, core::TimePoint now)
+{
+    Actions actions;
+    m_outOfService = std::move(instances);
+    if (m_snapshot != nullptr) {
+        assignUpstreams(now);
+        pumpAll(now, actions);
+    }
+    return actions;
+}
+
+void Dispatcher::assignUpstreams(core::TimePoint now)
+{
+    m_holder.configure(*m_snapshot, m_outOfService);
+    std::map<core::PoolId, std::vector<routing::UpstreamInfo>> upstreams;
+    for (const std::pair<const core::InstanceId, config::Instance> &entry : m_snapshot->document().instances) {
+        const config::Instance &instance = entry.second;
+        const bool leaving = instance.leaving || m_outOfService.contains(entry.first);
+        upstreams[instance.pool].push_back(routing::UpstreamInfo{entry.first, instance.address, instance.zone, leaving});
+    }
+    for (std::pair<const core::PoolId, PoolState> &pool : m_pools) {
+        pool.second.upstreams.assign(upstreams[pool.first], now);
+    }
+}
+
 bool Dispatcher::stillAllowed(const Request &request) const
 {
     const config::Queue *queue = m_snapshot->queue(request.queue);
--- a/src/oleanderwick/dispatch/dispatcher.hpp
+++ b/src/oleanderwick/dispatch/dispatcher.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -57,6 +58,14 @@
      */
     void setFreshUntil(core::TimePoint until) noexcept;
 
+    /**
+     * @brief Sets the instances that get no new work because of maintenance.
+     * @param instances Their names; replaces those before.
+     * @param now Present time.
+     * @return Starts that became possible.
+     */
+    [[nodiscard]] Actions setOutOfService(std::set<core::InstanceId> instances, core::TimePoint now);
+
     /** @brief Refuses new requests from now on; those taken go on. */
     void stop() noexcept;
 
@@ -152,12 +161,14 @@
     void release(const Lingering &use);
     void releaseLingering(core::TimePoint now);
     void refuseExpired(PoolState &pool, core::TimePoint now, Actions &actions);
+    void assignUpstreams(core::TimePoint now);
     void refuseDisallowed(core::TimePoint now, Actions &actions);
 
     std::string m_zone;
     routing::RandomEngine m_random;
     allotment::Holder &m_holder;
     config::SnapshotPtr m_snapshot;
+    std::set<core::InstanceId> m_outOfService;
     core::TimePoint m_freshUntil{core::TimePoint::max()};
     bool m_stopping{false};
     core::TimePoint m_lastAge;
--- /dev/null
+++ b/src/oleanderwick/maintenance/fwd.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace oleanderwick::maintenance
+{
+
+enum class Health : unsigned char;
+struct InstanceView;
+struct PoolView;
+struct Wave;
+struct WaveBook;
+
+} // namespace oleanderwick::maintenance
--- /dev/null
+++ b/src/oleanderwick/maintenance/planner.cpp
@@ -0,0 +1,155 @@
+#include "planner.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+#include <absl/strings/str_cat.h>
+
+namespace oleanderwick::maintenance
+{
+
+namespace internal
+{
+
+constexpr std::uint32_t failuresToStop = 2;
+
+const Step *stepOf(const Wave &wave, const core::InstanceId &instance)
+{
+    const auto found = wave.steps.find(instance);
+    return found == wave.steps.end() ? nullptr : &found->second;
+}
+
+bool isDown(const Wave &wave, const InstanceView &instance)
+{
+    const Step *step = stepOf(wave, instance.id);
+    return (step != nullptr && *step != Step::Done) || instance.health != Health::Healthy;
+}
+
+/** Moves instances on that the wave has begun with. */
+void advanceBegun(Wave &wave, const PoolView &pool)
+{
+    for (const InstanceView &instance : pool.instances) {
+        const auto entry = wave.steps.find(instance.id);
+        if (entry == wave.steps.end()) {
+            continue;
+        }
+        const bool rebooted = instance.bootMark == rebootMark(wave, instance.id);
+        if (entry->second == Step::Draining && wave.status == WaveStatus::Stopped) {
+            wave.steps.erase(entry);
+        } else if (entry->second == Step::Draining && instance.rightsOut == 0) {
+            entry->second = Step::Rebooting;
+        } else if (entry->second == Step::Rebooting && rebooted && instance.health == Health::Healthy) {
+            entry->second = Step::Done;
+        } else if (entry->second == Step::Rebooting && rebooted && instance.health == Health::Unhealthy) {
+            entry->second = Step::Failed;
+            wave.status = wave.status == WaveStatus::Running ? WaveStatus::Paused : wave.status;
+            wave.reason = absl::StrCat("instance '", instance.id.text(), "' came back unhealthy");
+        }
+    }
+}
+
+void stopIfBad(Wave &wave)
+{
+    const auto failures = std::count_if(wave.steps.begin(), wave.steps.end(), [](const std::pair<const core::InstanceId, Step> &step) {
+        return step.second == Step::Failed;
+    });
+    if (static_cast<std::uint32_t>(failures) >= failuresToStop && wave.status != WaveStatus::Done) {
+        wave.status = WaveStatus::Stopped;
+        wave.reason = absl::StrCat(failures, " instances came back unhealthy");
+    }
+}
+
+std::vector<const InstanceView *> candidates(const Wave &wave, const PoolView &pool)
+{
+    std::vector<const InstanceView *> list;
+    for (const InstanceView &instance : pool.instances) {
+        if (stepOf(wave, instance.id) == nullptr && instance.health == Health::Healthy) {
+            list.push_back(&instance);
+        }
+    }
+    std::sort(list.begin(), list.end(), [](const InstanceView *one, const InstanceView *two) {
+        const bool oneBusy = one->rightsOut > 0;
+        const bool twoBusy = two->rightsOut > 0;
+        return std::tie(oneBusy, one->zone, one->rack, one->id) < std::tie(twoBusy, two->zone, two->rack, two->id);
+    });
+    return list;
+}
+
+/** Slots that stay in service when an instance is drained besides those that are down. */
+std::uint32_t slotsWithout(const Wave &wave, const PoolView &pool, const InstanceView &drained)
+{
+    std::uint32_t slots = 0;
+    for (const InstanceView &instance : pool.instances) {
+        slots += isDown(wave, instance) || instance.id == drained.id ? 0 : instance.slots;
+    }
+    return slots;
+}
+
+void beginDrains(Wave &wave, const PoolView &pool)
+{
+    wave.reason.clear();
+    for (const InstanceView *instance : candidates(wave, pool)) {
+        const std::uint32_t down = countDown(wave, pool);
+        if (down >= pool.budget) {
+            wave.reason = absl::StrCat("waits: ", down, " instances are down, the budget is ", pool.budget);
+            return;
+        }
+        const std::uint32_t slots = slotsWithout(wave, pool, *instance);
+        if (slots < pool.demand) {
+            wave.reason = absl::StrCat("waits: without '", instance->id.text(), "' ", slots, " slots stay, the demand is ", pool.demand);
+            return;
+        }
+        wave.steps.emplace(instance->id, Step::Draining);
+    }
+}
+
+void finishIfDone(Wave &wave, const PoolView &pool)
+{
+    const bool done = std::all_of(pool.instances.begin(), pool.instances.end(), [&wave](const InstanceView &instance) {
+        const Step *step = stepOf(wave, instance.id);
+        return step != nullptr && *step == Step::Done;
+    });
+    if (done) {
+        wave.status = WaveStatus::Done;
+        wave.reason.clear();
+    } else if (wave.reason.empty() && candidates(wave, pool).empty() && countDown(wave, pool) > 0) {
+        wave.reason = absl::StrCat("waits for ", countDown(wave, pool), " instances that are down");
+    }
+}
+
+} // namespace internal
+
+std::uint32_t countDown(const Wave &wave, const PoolView &pool)
+{
+    return static_cast<std::uint32_t>(std::count_if(pool.instances.begin(), pool.instances.end(), [&wave](const InstanceView &instance) {
+        return internal::isDown(wave, instance);
+    }));
+}
+
+Wave advance(Wave wave, const PoolView &pool)
+{
+    if (hasEnded(wave)) {
+        return wave;
+    }
+    internal::advanceBegun(wave, pool);
+    internal::stopIfBad(wave);
+    if (wave.status == WaveStatus::Running) {
+        internal::beginDrains(wave, pool);
+        internal::finishIfDone(wave, pool);
+    }
+    return wave;
+}
+
+std::vector<core::InstanceId> dueReboots(const Wave &wave, const PoolView &pool)
+{
+    std::vector<core::InstanceId> due;
+    for (const InstanceView &instance : pool.instances) {
+        const Step *step = internal::stepOf(wave, instance.id);
+        if (step != nullptr && *step == Step::Rebooting && instance.bootMark != rebootMark(wave, instance.id)) {
+            due.push_back(instance.id);
+        }
+    }
+    return due;
+}
+
+} // namespace oleanderwick::maintenance
--- /dev/null
+++ b/src/oleanderwick/maintenance/platform.cpp
@@ -0,0 +1,45 @@
+#include "platform.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace oleanderwick::maintenance
+{
+
+namespace internal
+{
+
+Health healthOf(const std::string &name)
+{
+    if (name == "healthy") {
+        return Health::Healthy;
+    }
+    if (name == "rebooting") {
+        return Health::Rebooting;
+    }
+    return name == "unhealthy" ? Health::Unhealthy : Health::Unknown;
+}
+
+} // namespace internal
+
+absl::StatusOr<PlatformList> listFromText(const std::string &text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object()) {
+        return absl::InvalidArgumentError("not a list of instances");
+    }
+    PlatformList list;
+    for (const auto &entry : json.items()) {
+        if (!entry.value().is_object()) {
+            return absl::InvalidArgumentError("a malformed instance in the list");
+        }
+        const nlohmann::json health = entry.value().value("health", nlohmann::json());
+        const nlohmann::json mark = entry.value().value("bootMark", nlohmann::json());
+        PlatformInstance instance;
+        instance.health = health.is_string() ? internal::healthOf(health.get<std::string>()) : Health::Unknown;
+        instance.bootMark = mark.is_string() ? mark.get<std::string>() : "";
+        list.emplace(core::InstanceId{entry.key()}, std::move(instance));
+    }
+    return list;
+}
+
+} // namespace oleanderwick::maintenance
--- /dev/null
+++ b/src/oleanderwick/maintenance/wave.cpp
@@ -0,0 +1,155 @@
+#include "wave.hpp"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace oleanderwick::maintenance
+{
+
+namespace internal
+{
+
+/** Indexed by `Step`. */
+constexpr std::array<std::string_view, 4> stepNames{"draining", "rebooting", "done", "failed"};
+/** Indexed by `WaveStatus`. */
+constexpr std::array<std::string_view, 4> statusNames{"running", "paused", "stopped", "done"};
+
+template <typename Enum>
+std::optional<Enum> named(const std::array<std::string_view, 4> &names, const std::string &name)
+{
+    const auto found = std::find(names.begin(), names.end(), name);
+    return found == names.end() ? std::nullopt : std::optional{static_cast<Enum>(found - names.begin())};
+}
+
+std::optional<Wave> waveFromJson(const nlohmann::json &json)
+{
+    Wave wave;
+    wave.id = json.at("id").get<std::string>();
+    wave.pool = core::PoolId{json.at("pool").get<std::string>()};
+    const std::optional<WaveStatus> status = named<WaveStatus>(statusNames, json.at("status").get<std::string>());
+    wave.reason = json.at("reason").get<std::string>();
+    for (const auto &entry : json.at("steps").items()) {
+        const std::optional<Step> step = named<Step>(stepNames, entry.value().get<std::string>());
+        if (!step) {
+            return std::nullopt;
+        }
+        wave.steps.emplace(core::InstanceId{entry.key()}, *step);
+    }
+    wave.status = status.value_or(wave.status);
+    return status ? std::optional{std::move(wave)} : std::nullopt;
+}
+
+} // namespace internal
+
+std::string_view toText(Step step) noexcept
+{
+    return internal::stepNames.at(static_cast<std::size_t>(step));
+}
+
+std::string_view toText(WaveStatus status) noexcept
+{
+    return internal::statusNames.at(static_cast<std::size_t>(status));
+}
+
+bool hasEnded(const Wave &wave) noexcept
+{
+    const bool underWay = std::any_of(wave.steps.begin(), wave.steps.end(), [](const std::pair<const core::InstanceId, Step> &step) {
+        return step.second == Step::Draining || step.second == Step::Rebooting;
+    });
+    return wave.status == WaveStatus::Done || (wave.status == WaveStatus::Stopped && !underWay);
+}
+
+std::set<core::InstanceId> outOfService(const WaveBook &book)
+{
+    std::set<core::InstanceId> instances;
+    for (const Wave &wave : book.waves) {
+        for (const std::pair<const core::InstanceId, Step> &step : wave.steps) {
+            if (step.second != Step::Done) {
+                instances.insert(step.first);
+            }
+        }
+    }
+    return instances;
+}
+
+std::string rebootMark(const Wave &wave, const core::InstanceId &instance)
+{
+    return absl::StrCat(wave.id, "/", instance.text());
+}
+
+absl::StatusOr<WaveBook> startWave(WaveBook book, const std::string &id, const core::PoolId &pool)
+{
+    for (const Wave &wave : book.waves) {
+        if (wave.id == id) {
+            return book;
+        }
+        if (wave.pool == pool && !hasEnded(wave)) {
+            return absl::AlreadyExistsError(absl::StrCat("pool '", pool.text(), "' has wave '", wave.id, "' under way"));
+        }
+    }
+    // An instance that failed in an ended wave gets its chance in the new one.
+    std::erase_if(book.waves, [&pool](const Wave &wave) {
+        return wave.pool == pool;
+    });
+    while (book.waves.size() >= maxEndedWaves && hasEnded(book.waves.front())) {
+        book.waves.erase(book.waves.begin());
+    }
+    book.waves.push_back(Wave{id, pool, WaveStatus::Running, "", {}});
+    return book;
+}
+
+absl::StatusOr<WaveBook> changeWave(WaveBook book, const std::string &id, WaveStatus status)
+{
+    const auto wave = std::find_if(book.waves.begin(), book.waves.end(), [&id](const Wave &entry) {
+        return entry.id == id;
+    });
+    if (wave == book.waves.end()) {
+        return absl::NotFoundError(absl::StrCat("there is no wave '", id, "'"));
+    }
+    if (wave->status == WaveStatus::Done || wave->status == WaveStatus::Stopped) {
+        return absl::FailedPreconditionError(absl::StrCat("wave '", id, "' is ", std::string{toText(wave->status)}));
+    }
+    wave->status = status;
+    wave->reason = status == WaveStatus::Running ? "" : "by an operator";
+    return book;
+}
+
+nlohmann::json toJson(const WaveBook &book)
+{
+    nlohmann::json waves = nlohmann::json::array();
+    for (const Wave &wave : book.waves) {
+        nlohmann::json steps = nlohmann::json::object();
+        for (const std::pair<const core::InstanceId, Step> &step : wave.steps) {
+            steps[step.first.text()] = toText(step.second);
+        }
+        waves.push_back({{"id", wave.id}, {"pool", wave.pool.text()}, {"status", toText(wave.status)}, {"reason", wave.reason}, {"steps", std::move(steps)}});
+    }
+    return waves;
+}
+
+absl::StatusOr<WaveBook> bookFromText(const std::string &text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_array()) {
+        return absl::InvalidArgumentError("not a book of waves");
+    }
+    WaveBook book;
+    try {
+        for (const nlohmann::json &entry : json) {
+            std::optional<Wave> wave = internal::waveFromJson(entry);
+            if (!wave) {
+                return absl::InvalidArgumentError("a wave with an unknown step or status");
+            }
+            book.waves.push_back(*std::move(wave));
+        }
+    } catch (const nlohmann::json::exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+    return book;
+}
+
+} // namespace oleanderwick::maintenance
--- a/src/oleanderwick/node/decision_duty.cpp
+++ b/src/oleanderwick/node/decision_duty.cpp
@@ -154,6 +154,12 @@
     m_roster.observe(seen.nodes, m_holder.holders(), m_now);
 }
 
+void DecisionDuty::handle(const OutOfService &out)
+{
+    act(m_dispatcher.setOutOfService(out.instances, m_now));
+    m_lastPlan = core::TimePoint{};
+}
+
 void DecisionDuty::act(dispatch::Actions actions)
 {
     m_actions.insert(m_actions.end(), std::make_move_iterator(actions.begin()), std::make_move_iterator(actions.end()));
@@ -190,7 +196,9 @@
 
 void DecisionDuty::refreshView()
 {
-    m_dispatcher.setElsewhere(m_roster.elsewhere(m_now));
+    const std::vector<allotment::TeamDemand> elsewhere = m_roster.elsewhere(m_now);
+    m_dispatcher.setElsewhere(elsewhere);
+    publishDemands(elsewhere);
     m_holder.setDeparted(m_roster.departed(m_now));
     std::set<core::NodeId> alive;
     for (core::NodeId &node : m_roster.alive(m_now)) {
@@ -236,6 +244,18 @@
     }
 }
 
+void DecisionDuty::publishDemands(const std::vector<allotment::TeamDemand> &elsewhere)
+{
+    std::map<core::PoolId, std::uint32_t> pools;
+    for (const allotment::TeamDemand &demand : elsewhere) {
+        pools[demand.pool] += demand.running + demand.waiting;
+    }
+    for (const allotment::TeamDemand &demand : m_dispatcher.demands()) {
+        pools[demand.pool] += demand.running + demand.waiting;
+    }
+    m_ports.demands.write(std::move(pools));
+}
+
 void DecisionDuty::publish()
 {
     membership::Digest digest;
--- a/src/oleanderwick/node/decision_duty.hpp
+++ b/src/oleanderwick/node/decision_duty.hpp
@@ -16,6 +16,7 @@
     StoreRing &store;
     TelemetryRing &telemetry;
     DigestSlot &digest;
+    DemandSlot &demands;
     std::function<void(dispatch::Actions)> act; /**< Has the I/O do the actions. */
     std::function<void()> left; /**< Called once when all rights have been given back. */
 };
@@ -49,6 +50,7 @@
     void handle(const LedgerWriteDone &done);
     void handle(const StoreHeard &heard);
     void handle(const NodesSeen &seen);
+    void handle(const OutOfService &out);
     static void handle(const Quit &quit);
 
     void tellHolder(const membership::Digest &digest);
@@ -57,6 +59,7 @@
     void refreshView();
     void stepHolder();
     void publish();
+    void publishDemands(const std::vector<allotment::TeamDemand> &elsewhere);
     void noteBehind();
 
     core::NodeId m_self;
--- a/src/oleanderwick/node/duties.cpp
+++ b/src/oleanderwick/node/duties.cpp
@@ -1,7 +1,9 @@
 #include "duties.hpp"
 
+#include "sleep.hpp"
+#include "wave_duty.hpp"
+
 #include <chrono>
-#include <condition_variable>
 #include <type_traits>
 
 namespace oleanderwick::node
@@ -16,17 +18,6 @@
 constexpr int idleFactor = 2;
 constexpr core::Duration peerTimeout = std::chrono::seconds{1};
 
-/** Sleeps, but wakes at once when the thread is asked to stop. */
-void sleepUnlessStopped(const std::stop_token &stop, core::Duration span)
-{
-    std::mutex mutex;
-    std::condition_variable_any wake;
-    std::unique_lock<std::mutex> lock{mutex};
-    wake.wait_for(lock, stop, span, [] {
-        return false;
-    });
-}
-
 } // namespace internal
 
 StoreDuty::StoreDuty(std::unique_ptr<store::Store> store, StoreKeys keys, StoreRing &tasks, DecisionRing &decisions, ConfigKeeper &keeper)
@@ -54,6 +45,8 @@
             handle(*write);
         } else if (const PatchTask *patch = std::get_if<PatchTask>(&task)) {
             handle(*patch);
+        } else if (const WaveTask *wave = std::get_if<WaveTask>(&task)) {
+            handle(*wave);
         }
     }
 }
@@ -101,6 +94,11 @@
     task.done(std::move(outcome));
 }
 
+void StoreDuty::handle(const WaveTask &task)
+{
+    task.done(changeBook(*m_store, m_keys, task.change));
+}
+
 HeartbeatDuty::HeartbeatDuty(std::unique_ptr<store::Store> store, StoreKeys keys, core::NodeId self, DecisionRing &decisions, ConfigKeeper &keeper)
     : m_store{std::move(store)}
     , m_keys{std::move(keys)}
@@ -117,7 +115,7 @@
 {
     while (!stop.stop_requested()) {
         beat();
-        internal::sleepUnlessStopped(stop, internal::heartbeatPeriod);
+        sleepUnlessStopped(stop, internal::heartbeatPeriod);
     }
     if (m_lease != 0) {
         // The lease lapses by itself if this call is lost.
@@ -222,7 +220,7 @@
                 continue;
             }
         }
-        internal::sleepUnlessStopped(stop, internal::watchPause);
+        sleepUnlessStopped(stop, internal::watchPause);
     }
 }
 
@@ -253,7 +251,7 @@
             }
         }
         const bool idle = own.demands.empty() && own.wants.empty();
-        internal::sleepUnlessStopped(stop, idle ? m_period * internal::idleFactor : m_period);
+        sleepUnlessStopped(stop, idle ? m_period * internal::idleFactor : m_period);
     }
 }
 
--- a/src/oleanderwick/node/duties.hpp
+++ b/src/oleanderwick/node/duties.hpp
@@ -36,6 +36,7 @@
     void handle(const allotment::LedgerRead &read);
     void handle(const allotment::LedgerWrite &write);
     void handle(const PatchTask &task);
+    void handle(const WaveTask &task);
     [[nodiscard]] static std::optional<allotment::StoredLedger> decode(const std::optional<store::KeyValue> &found);
 
     std::unique_ptr<store::Store> m_store;
@@ -97,32 +98,44 @@
     std::jthread m_thread;
 };
 
-/** @brief Latest digest of this node, written by the decision duty and read by the others. */
-class DigestSlot
+/**
+ * @brief Latest value that one duty tells the others.
+ * @tparam Type What is told.
+ */
+template <typename Type>
+class Slot
 {
 public:
-    /** @return The digest. */
-    [[nodiscard]] membership::Digest read() const
+    /** @brief What is told. */
+    using value_type = Type;
+
+    /** @return The latest value. */
+    [[nodiscard]] value_type read() const
     {
         const std::lock_guard<std::mutex> lock{m_mutex};
-        return m_digest;
+        return m_value;
     }
 
     /**
-     * @brief Replaces the digest.
-     * @param digest New one.
+     * @brief Replaces the value.
+     * @param value New one.
      */
-    void write(membership::Digest digest)
+    void write(value_type value)
     {
         const std::lock_guard<std::mutex> lock{m_mutex};
-        m_digest = std::move(digest);
+        m_value = std::move(value);
     }
 
 private:
     mutable std::mutex m_mutex;
-    membership::Digest m_digest;
+    value_type m_value;
 };
 
+/** @brief Latest digest of this node, written by the decision duty. */
+using DigestSlot = Slot<membership::Digest>;
+/** @brief What runs and waits in each pool on all live nodes, written by the decision duty. */
+using DemandSlot = Slot<std::map<core::PoolId, std::uint32_t>>;
+
 /** @brief Exchanges digests with one peer, and fetches a larger configuration from it. */
 class PeerDuty
 {
--- a/src/oleanderwick/node/fwd.hpp
+++ b/src/oleanderwick/node/fwd.hpp
@@ -13,6 +13,7 @@
 class StoreDuty;
 class TelemetryDuty;
 class WatchDuty;
+class WaveDuty;
 struct PatchTask;
 
 } // namespace oleanderwick::node
--- a/src/oleanderwick/node/messages.hpp
+++ b/src/oleanderwick/node/messages.hpp
@@ -11,6 +11,7 @@
 #include "../allotment/allotment.hpp"
 #include "../config/config.hpp"
 #include "../dispatch/dispatch.hpp"
+#include "../maintenance/maintenance.hpp"
 #include "../membership/membership.hpp"
 #include "../telemetry/telemetry.hpp"
 #include "fwd.hpp"
@@ -61,6 +62,11 @@
     std::set<core::NodeId> nodes;
 };
 
+/** @brief Instances that get no new work because of maintenance. */
+struct OutOfService {
+    std::set<core::InstanceId> instances;
+};
+
 /** @brief The node gives back its rights when its work has ended. */
 struct Leave {
 };
@@ -81,7 +87,8 @@
                                    LedgerReadDone,
                                    LedgerWriteDone,
                                    StoreHeard,
-                                   NodesSeen>;
+                                   NodesSeen,
+                                   OutOfService>;
 
 /** @brief Outcome of an operator's patch. */
 struct PatchOutcome {
@@ -105,8 +112,14 @@
     std::function<void(PatchOutcome)> done;
 };
 
+/** @brief Operator's change of the waves on its way to the store. */
+struct WaveTask {
+    std::function<absl::StatusOr<maintenance::WaveBook>(maintenance::WaveBook)> change; /**< May be called again after a race. */
+    std::function<void(absl::StatusOr<maintenance::WaveBook>)> done;
+};
+
 /** @brief What the store duty takes. */
-using StoreTask = std::variant<Quit, allotment::LedgerRead, allotment::LedgerWrite, PatchTask>;
+using StoreTask = std::variant<Quit, allotment::LedgerRead, allotment::LedgerWrite, PatchTask, WaveTask>;
 
 /** @brief What the telemetry duty takes. */
 using TelemetryItem = std::variant<Quit, dispatch::Completion, telemetry::Event>;
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -12,6 +12,7 @@
 #include "caller_api.hpp"
 #include "decision_duty.hpp"
 #include "operator_api.hpp"
+#include "wave_duty.hpp"
 
 namespace oleanderwick::node
 {
@@ -223,6 +224,7 @@
                             m_tasks,
                             m_items,
                             m_digest,
+                            m_demands,
                             [this](dispatch::Actions actions) {
                                 m_loop.post([this, todo = std::move(actions)] {
                                     m_callerApi.act(todo);
@@ -238,6 +240,9 @@
         m_store = std::make_unique<StoreDuty>(m_stores.make(), keys, m_tasks, m_decisions, m_keeper);
         m_heartbeat = std::make_unique<HeartbeatDuty>(m_stores.make(), keys, m_self, m_decisions, m_keeper);
         m_watch = std::make_unique<WatchDuty>(m_stores.make(), keys, m_keeper);
+        const absl::StatusOr<http::Endpoint> platform = http::parseEndpoint(m_settings.platform);
+        m_waves = std::make_unique<WaveDuty>(
+            m_stores.make(), platform.ok() ? std::make_unique<PlatformClient>(*platform) : nullptr, keys, m_digest, m_demands, m_decisions, m_items, m_keeper);
         for (const std::string &address : m_settings.peers) {
             const absl::StatusOr<http::Endpoint> endpoint = http::parseEndpoint(address);
             if (endpoint.ok()) {
@@ -249,6 +254,7 @@
     void endDuties()
     {
         m_peers.clear();
+        m_waves.reset();
         m_watch.reset();
         m_heartbeat.reset();
         m_tasks.push(Quit{});
@@ -320,6 +326,7 @@
     TelemetryRing m_items;
     telemetry::Metrics m_metrics;
     DigestSlot m_digest;
+    DemandSlot m_demands;
     ConfigKeeper m_keeper;
     http::Loop m_loop;
     http::UpstreamLinks m_links;
@@ -335,6 +342,7 @@
     std::unique_ptr<StoreDuty> m_store;
     std::unique_ptr<HeartbeatDuty> m_heartbeat;
     std::unique_ptr<WatchDuty> m_watch;
+    std::unique_ptr<WaveDuty> m_waves;
     std::vector<std::unique_ptr<PeerDuty>> m_peers;
 };
 
--- a/src/oleanderwick/node/operator_api.cpp
+++ b/src/oleanderwick/node/operator_api.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
@@ -27,7 +28,27 @@
 constexpr int statusPreconditionRequired = 428;
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
+constexpr int statusWaveConflict = 409;
 constexpr std::size_t maxPatchId = 128;
+constexpr std::size_t waveIdLength = 12;
+/** Parts of `/v1/waves/{id}/{word}` between slashes. */
+constexpr std::size_t waveParts = 5;
+
+http::Response waveProblem(const absl::Status &status)
+{
+    const std::string detail{status.message()};
+    switch (status.code()) {
+    case absl::StatusCode::kNotFound:
+        return operatorProblem(statusNotFound, "no_such_wave", detail);
+    case absl::StatusCode::kAlreadyExists:
+    case absl::StatusCode::kFailedPrecondition:
+        return operatorProblem(statusWaveConflict, "wave_conflict", detail);
+    case absl::StatusCode::kUnavailable:
+        return operatorProblem(statusUnavailable, "store_unavailable", "not done: " + detail);
+    default:
+        return operatorProblem(statusTimeout, "outcome_unknown", "it may have been done: " + detail);
+    }
+}
 
 std::optional<config::Version> parseVersion(std::string_view text)
 {
@@ -113,18 +134,22 @@
 
 const OperatorApi::RouteEntry *OperatorApi::findRoute(const http::Request &request, const std::string &path)
 {
-    static constexpr std::array<RouteEntry, 8> routes{{
-        {"GET", "/v1/config", false, &OperatorApi::showConfig},
-        {"PATCH", "/v1/config", false, &OperatorApi::patchConfig},
-        {"GET", "/v1/config/history", false, &OperatorApi::showHistory},
-        {"GET", "/v1/status", false, &OperatorApi::showStatus},
-        {"GET", "/metrics", true, &OperatorApi::showMetrics},
-        {"GET", "/healthz", true, &OperatorApi::showHealth},
-        {"GET", "/readyz", true, &OperatorApi::showReady},
-        {"POST", peer::peerPath, true, &OperatorApi::servePeer},
+    static constexpr std::array<RouteEntry, 11> routes{{
+        {"GET", "/v1/config", false, false, &OperatorApi::showConfig},
+        {"PATCH", "/v1/config", false, false, &OperatorApi::patchConfig},
+        {"GET", "/v1/config/history", false, false, &OperatorApi::showHistory},
+        {"GET", "/v1/status", false, false, &OperatorApi::showStatus},
+        {"GET", "/v1/waves", false, false, &OperatorApi::showWaves},
+        {"POST", "/v1/waves", false, false, &OperatorApi::startWave},
+        {"POST", "/v1/waves/", true, false, &OperatorApi::changeWave},
+        {"GET", "/metrics", false, true, &OperatorApi::showMetrics},
+        {"GET", "/healthz", false, true, &OperatorApi::showHealth},
+        {"GET", "/readyz", false, true, &OperatorApi::showReady},
+        {"POST", peer::peerPath, false, true, &OperatorApi::servePeer},
     }};
     for (const RouteEntry &entry : routes) {
-        if (request.method == entry.method && path == entry.path) {
+        const bool matches = entry.prefix ? path.starts_with(entry.path) : path == entry.path;
+        if (request.method == entry.method && matches) {
             return &entry;
         }
     }
@@ -242,6 +267,64 @@
     respond(jsonAnswer(body.dump()));
 }
 
+void OperatorApi::changeBook(WaveTask task, const http::Responder &respond)
+{
+    task.done = [respond](const absl::StatusOr<maintenance::WaveBook> &book) {
+        respond(book.ok() ? jsonAnswer(maintenance::toJson(*book).dump()) : internal::waveProblem(book.status()));
+    };
+    if (!m_tasks.tryPush(std::move(task))) {
+        respond(operatorProblem(internal::statusUnavailable, "node_full", "not done: too many changes wait"));
+    }
+}
+
+void OperatorApi::showWaves(const http::Request &, const http::Responder &respond, const std::string &)
+{
+    changeBook(WaveTask{[](const maintenance::WaveBook &book) {
+                            return absl::StatusOr<maintenance::WaveBook>{book};
+                        },
+                        nullptr},
+               respond);
+}
+
+void OperatorApi::startWave(const http::Request &request, const http::Responder &respond, const std::string &)
+{
+    const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+    const nlohmann::json pool = body.is_object() ? body.value("pool", nlohmann::json()) : nlohmann::json();
+    const nlohmann::json given = body.is_object() ? body.value("id", nlohmann::json()) : nlohmann::json();
+    if (!pool.is_string() || !m_keeper.current()->document().pools.contains(core::PoolId{pool.get<std::string>()})) {
+        respond(operatorProblem(internal::statusInvalid, "no_such_pool", "the body has to be {\"pool\": NAME, \"id\": MARK}"));
+        return;
+    }
+    const std::string id = given.is_string() ? given.get<std::string>() : config::makeSecret().substr(0, internal::waveIdLength);
+    const core::PoolId name{pool.get<std::string>()};
+    changeBook(WaveTask{[id, name](maintenance::WaveBook book) {
+                            return maintenance::startWave(std::move(book), id, name);
+                        },
+                        nullptr},
+               respond);
+}
+
+void OperatorApi::changeWave(const http::Request &request, const http::Responder &respond, const std::string &)
+{
+    using maintenance::WaveStatus;
+    const std::vector<std::string> parts = absl::StrSplit(request.target, '/');
+    const std::string id = parts.size() == internal::waveParts ? parts[3] : "";
+    const std::string word = parts.size() == internal::waveParts ? parts[4] : "";
+    const std::optional<WaveStatus> status = word == "pause" ? std::optional{WaveStatus::Paused}
+        : word == "resume"                                   ? std::optional{WaveStatus::Running}
+        : word == "stop"                                     ? std::optional{WaveStatus::Stopped}
+                                                             : std::nullopt;
+    if (!status) {
+        respond(operatorProblem(internal::statusNotFound, "no_such_path", "/v1/waves/{id}/pause, resume or stop"));
+        return;
+    }
+    changeBook(WaveTask{[id, chosen = *status](maintenance::WaveBook book) {
+                            return maintenance::changeWave(std::move(book), id, chosen);
+                        },
+                        nullptr},
+               respond);
+}
+
 void OperatorApi::showMetrics(const http::Request &, const http::Responder &respond, const std::string &)
 {
     m_metrics.set("config_version", static_cast<double>(m_keeper.current()->version()));
--- a/src/oleanderwick/node/operator_api.hpp
+++ b/src/oleanderwick/node/operator_api.hpp
@@ -50,6 +50,7 @@
     struct RouteEntry {
         const char *method;
         const char *path;
+        bool prefix; /**< Also serves longer paths. */
         bool open; /**< Needs no operator's key. */
         Route route;
     };
@@ -62,6 +63,10 @@
     void patchConfig(const http::Request &request, const http::Responder &respond, const std::string &author);
     void showHistory(const http::Request &request, const http::Responder &respond, const std::string &author);
     void showStatus(const http::Request &request, const http::Responder &respond, const std::string &author);
+    void showWaves(const http::Request &request, const http::Responder &respond, const std::string &author);
+    void startWave(const http::Request &request, const http::Responder &respond, const std::string &author);
+    void changeWave(const http::Request &request, const http::Responder &respond, const std::string &author);
+    void changeBook(WaveTask task, const http::Responder &respond);
     void showMetrics(const http::Request &request, const http::Responder &respond, const std::string &author);
     void showHealth(const http::Request &request, const http::Responder &respond, const std::string &author);
     void showReady(const http::Request &request, const http::Responder &respond, const std::string &author);
--- a/src/oleanderwick/node/store_keys.hpp
+++ b/src/oleanderwick/node/store_keys.hpp
@@ -31,6 +31,12 @@
         return m_prefix + "/nodes/";
     }
 
+    /** @return Key of the book of waves. */
+    [[nodiscard]] std::string waves() const
+    {
+        return m_prefix + "/waves/book";
+    }
+
     /**
      * @brief Gives the key of a shard of the ledger.
      * @param shard Number of the shard.
--- /dev/null
+++ b/src/oleanderwick/node/wave_duty.cpp
@@ -0,0 +1,270 @@
+#include "wave_duty.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include "sleep.hpp"
+
+namespace oleanderwick::node
+{
+
+namespace internal
+{
+
+constexpr core::Duration restPeriod = std::chrono::seconds{1};
+constexpr core::Duration wavePeriod = std::chrono::milliseconds{200};
+constexpr core::Duration platformTimeout = std::chrono::seconds{1};
+/** A decision on an older view is not written: instances may have failed since. */
+constexpr core::Duration oldestView = std::chrono::seconds{2};
+constexpr int maxTries = 8;
+constexpr int statusOk = 200;
+
+} // namespace internal
+
+absl::StatusOr<StoredBook> readBook(store::Store &store, const StoreKeys &keys)
+{
+    const absl::StatusOr<std::optional<store::KeyValue>> found = store.read(keys.waves());
+    if (!found.ok()) {
+        return found.status();
+    }
+    if (!found->has_value()) {
+        return StoredBook{};
+    }
+    absl::StatusOr<maintenance::WaveBook> book = maintenance::bookFromText((*found)->value);
+    if (!book.ok()) {
+        return book.status();
+    }
+    return StoredBook{*std::move(book), (*found)->revision};
+}
+
+absl::StatusOr<maintenance::WaveBook> changeBook(store::Store &store,
+                                                 const StoreKeys &keys,
+                                                 const std::function<absl::StatusOr<maintenance::WaveBook>(maintenance::WaveBook)> &change)
+{
+    absl::Status last = absl::UnavailableError("the store cannot be reached");
+    bool pending = false;
+    for (int attempt = 0; attempt < internal::maxTries; ++attempt) {
+        const absl::StatusOr<StoredBook> before = readBook(store, keys);
+        if (!before.ok()) {
+            last = before.status();
+            continue;
+        }
+        absl::StatusOr<maintenance::WaveBook> next = change(before->book);
+        if (!next.ok() || *next == before->book) {
+            return next;
+        }
+        const absl::StatusOr<store::SwapResult> swapped = store.compareAndSwap(keys.waves(), before->revision, maintenance::toJson(*next).dump(), 0);
+        if (swapped.ok() && swapped->swapped) {
+            return next;
+        }
+        if (!swapped.ok()) {
+            last = swapped.status();
+            pending = pending || last.code() != absl::StatusCode::kUnavailable;
+        }
+    }
+    return pending ? absl::DeadlineExceededError(std::string{last.message()}) : absl::UnavailableError(std::string{last.message()});
+}
+
+PlatformClient::PlatformClient(http::Endpoint endpoint)
+    : m_client{std::move(endpoint)}
+{
+}
+
+absl::StatusOr<maintenance::PlatformList> PlatformClient::list()
+{
+    const absl::StatusOr<http::Response> response = m_client.exchange(http::Request{"GET", "/v1/instances", {}, ""}, internal::platformTimeout);
+    if (!response.ok()) {
+        return response.status();
+    }
+    if (response->status != internal::statusOk) {
+        return absl::UnavailableError(absl::StrCat("the platform answered ", response->status));
+    }
+    return maintenance::listFromText(response->body);
+}
+
+absl::Status PlatformClient::reboot(const core::InstanceId &instance, const std::string &mark)
+{
+    const nlohmann::json body = {{"mark", mark}};
+    const http::Request request{"POST", absl::StrCat("/v1/instances/", instance.text(), "/reboot"), {{"Content-Type", "application/json"}}, body.dump()};
+    const absl::StatusOr<http::Response> response = m_client.exchange(request, internal::platformTimeout);
+    if (!response.ok()) {
+        return response.status();
+    }
+    return response->status == internal::statusOk ? absl::OkStatus() : absl::UnavailableError(absl::StrCat("the platform answered ", response->status));
+}
+
+WaveDuty::WaveDuty(std::unique_ptr<store::Store> store,
+                   std::unique_ptr<maintenance::Platform> platform,
+                   StoreKeys keys,
+                   DigestSlot &own,
+                   DemandSlot &demands,
+                   DecisionRing &decisions,
+                   TelemetryRing &telemetry,
+                   ConfigKeeper &keeper)
+    : m_store{std::move(store)}
+    , m_platform{std::move(platform)}
+    , m_keys{std::move(keys)}
+    , m_own{own}
+    , m_demands{demands}
+    , m_decisions{decisions}
+    , m_telemetry{telemetry}
+    , m_keeper{keeper}
+    , m_thread{[this](const std::stop_token &stop) {
+        run(stop);
+    }}
+{
+}
+
+maintenance::WaveBook WaveDuty::book() const
+{
+    return m_book.read();
+}
+
+void WaveDuty::run(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        refresh();
+        const std::vector<maintenance::Wave> &waves = m_stored.book.waves;
+        const bool active = !std::all_of(waves.begin(), waves.end(), maintenance::hasEnded);
+        if (active && m_platform != nullptr && actsForAll()) {
+            carryOn();
+        }
+        sleepUnlessStopped(stop, active ? internal::wavePeriod : internal::restPeriod);
+    }
+}
+
+void WaveDuty::refresh()
+{
+    const absl::StatusOr<store::Revision> revision = m_store->revision(m_keys.waves());
+    if (!revision.ok() || *revision == m_stored.revision) {
+        return;
+    }
+    absl::StatusOr<StoredBook> stored = readBook(*m_store, m_keys);
+    if (stored.ok()) {
+        adopt(*std::move(stored));
+    }
+}
+
+void WaveDuty::adopt(StoredBook stored)
+{
+    if (stored.revision < m_stored.revision) {
+        return;
+    }
+    const std::set<core::InstanceId> before = maintenance::outOfService(m_stored.book);
+    m_stored = std::move(stored);
+    m_book.write(m_stored.book);
+    std::set<core::InstanceId> after = maintenance::outOfService(m_stored.book);
+    if (after != before) {
+        m_decisions.push(OutOfService{std::move(after)});
+    }
+}
+
+bool WaveDuty::actsForAll() const
+{
+    const membership::Digest digest = m_own.read();
+    return !digest.alive.empty() && *std::min_element(digest.alive.begin(), digest.alive.end()) == digest.node;
+}
+
+void WaveDuty::carryOn()
+{
+    const absl::StatusOr<maintenance::PlatformList> list = m_platform->list();
+    // Without the list every instance counts as unknown, and so as down.
+    const maintenance::PlatformList known = list.ok() ? *list : maintenance::PlatformList{};
+    const std::vector<maintenance::Wave> waves = m_stored.book.waves;
+    for (const maintenance::Wave &wave : waves) {
+        if (!maintenance::hasEnded(wave)) {
+            advanceWave(wave, known);
+        }
+    }
+}
+
+std::optional<std::map<core::InstanceId, std::uint32_t>> WaveDuty::rightsOut()
+{
+    std::map<core::InstanceId, std::uint32_t> rights;
+    for (std::size_t shard = 0; shard < allotment::Holder::shards; ++shard) {
+        const absl::StatusOr<std::optional<store::KeyValue>> found = m_store->read(m_keys.ledger(shard));
+        const absl::StatusOr<allotment::Ledger> ledger =
+            found.ok() ? (found->has_value() ? allotment::Ledger::fromText((*found)->value) : allotment::Ledger{}) : found.status();
+        if (!ledger.ok()) {
+            return std::nullopt;
+        }
+        for (const std::pair<const core::NodeId, allotment::Account> &account : ledger->accounts()) {
+            for (const std::pair<const allotment::Unit, std::uint32_t> &entry : account.second) {
+                if (entry.first.kind == allotment::Unit::Kind::Instance) {
+                    rights[core::InstanceId{entry.first.name}] += entry.second;
+                }
+            }
+        }
+    }
+    return rights;
+}
+
+std::optional<maintenance::PoolView> WaveDuty::viewOf(const maintenance::Wave &wave, const maintenance::PlatformList &list)
+{
+    const std::optional<std::map<core::InstanceId, std::uint32_t>> rights = rightsOut();
+    const config::SnapshotPtr snapshot = m_keeper.current();
+    const auto pool = snapshot->document().pools.find(wave.pool);
+    if (!rights || pool == snapshot->document().pools.end()) {
+        return std::nullopt;
+    }
+    maintenance::PoolView view;
+    view.budget = pool->second.availabilityBudget;
+    const std::map<core::PoolId, std::uint32_t> demands = m_demands.read();
+    const auto demand = demands.find(wave.pool);
+    view.demand = demand == demands.end() ? 0 : demand->second;
+    for (const std::pair<const core::InstanceId, config::Instance> &entry : snapshot->document().instances) {
+        if (entry.second.pool != wave.pool) {
+            continue;
+        }
+        const auto known = list.find(entry.first);
+        const maintenance::PlatformInstance listed = known == list.end() ? maintenance::PlatformInstance{} : known->second;
+        const auto out = rights->find(entry.first);
+        view.instances.push_back(maintenance::InstanceView{
+            entry.first, entry.second.zone, entry.second.rack, listed.health, listed.bootMark, entry.second.slots, out == rights->end() ? 0 : out->second});
+    }
+    return view;
+}
+
+void WaveDuty::advanceWave(const maintenance::Wave &wave, const maintenance::PlatformList &list)
+{
+    const core::TimePoint seenAt = core::BootClock::now();
+    const std::optional<maintenance::PoolView> view = viewOf(wave, list);
+    if (!view) {
+        return;
+    }
+    const maintenance::Wave next = maintenance::advance(wave, *view);
+    if (next == wave) {
+        reboot(wave, *view);
+        return;
+    }
+    StoredBook changed = m_stored;
+    std::replace(changed.book.waves.begin(), changed.book.waves.end(), wave, next);
+    if (core::BootClock::now() - seenAt > internal::oldestView) {
+        return;
+    }
+    const absl::StatusOr<store::SwapResult> swapped = m_store->compareAndSwap(m_keys.waves(), m_stored.revision, maintenance::toJson(changed.book).dump(), 0);
+    if (!swapped.ok() || !swapped->swapped) {
+        // Read back before anything else is done; the next round begins with that.
+        return;
+    }
+    changed.revision = swapped->revision;
+    adopt(std::move(changed));
+    (void)m_telemetry.tryPush(
+        telemetry::Event{"wave_advanced"}.with("wave", next.id).with("status", maintenance::toText(next.status)).with("reason", next.reason));
+    reboot(next, *view);
+}
+
+void WaveDuty::reboot(const maintenance::Wave &wave, const maintenance::PoolView &view)
+{
+    for (const core::InstanceId &instance : maintenance::dueReboots(wave, view)) {
+        // A lost answer is no matter: the mark is asked for again until the list shows it.
+        const absl::Status asked = m_platform->reboot(instance, maintenance::rebootMark(wave, instance));
+        (void)m_telemetry.tryPush(
+            telemetry::Event{"reboot_asked"}.with("wave", wave.id).with("instance", instance.text()).with("ok", asked.ok() ? "yes" : "no"));
+    }
+}
+
+} // namespace oleanderwick::node
--- a/src/oleanderwick/routing/upstream_table.cpp
+++ b/src/oleanderwick/routing/upstream_table.cpp
@@ -69,6 +69,9 @@
             health.failuresInRow = 0;
             health.ejectedUntil = core::TimePoint{};
         }
+        if (!added && health.info.leaving && !info.leaving) {
+            health.since = now;
+        }
         health.info = info;
         health.present = true;
     }
--- a/src/oleanderwick/settings/settings.cpp
+++ b/src/oleanderwick/settings/settings.cpp
@@ -160,6 +160,7 @@
     reader.text("zone", settings.zone);
     reader.text("callers", settings.callers);
     reader.text("control", settings.control);
+    reader.text("platform", settings.platform);
     reader.texts("peers", settings.peers);
     reader.text("clusterSecret", settings.clusterSecret);
     if (const YAML::Node store = reader.find("store"); store.IsDefined()) {
--- a/src/oleanderwick/settings/settings.hpp
+++ b/src/oleanderwick/settings/settings.hpp
@@ -47,6 +47,7 @@
     std::string callers{"127.0.0.1:8080"}; /**< Where callers are served. */
     std::string control{"127.0.0.1:8081"}; /**< Where operators and peers are served. */
     StoreSettings store;
+    std::string platform; /**< IP number and port of the platform's list of instances; empty for none. */
     std::vector<std::string> peers; /**< Control addresses of the other nodes. */
     std::string clusterSecret; /**< Shown by peers to each other. */
     std::vector<Operator> operators;
--- /dev/null
+++ b/test/oleanderwick/maintenance/waves.cpp
@@ -0,0 +1,295 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <cmath>
+#include <iostream>
+#include <random>
+
+#include <nlohmann/json.hpp>
+
+#include "oleanderwick/maintenance/maintenance.hpp"
+
+namespace core = oleanderwick::core;
+namespace maintenance = oleanderwick::maintenance;
+using maintenance::Health;
+using maintenance::Step;
+using maintenance::WaveStatus;
+
+namespace
+{
+
+/** Pool whose instances drain, reboot and fail, with a lagging list; time goes in ticks. */
+class PoolModel
+{
+public:
+    PoolModel(std::size_t instances, std::uint32_t budget, std::uint64_t seed)
+        : m_random{seed}
+    {
+        m_view.budget = budget;
+        for (std::size_t index = 0; index < instances; ++index) {
+            maintenance::InstanceView instance;
+            instance.id = core::InstanceId{"i" + std::to_string(index)};
+            instance.zone = "z" + std::to_string(index % 3);
+            instance.rack = "r" + std::to_string(index / 4);
+            instance.health = Health::Healthy;
+            instance.slots = 8;
+            instance.rightsOut = 8;
+            m_view.instances.push_back(instance);
+        }
+        m_list = m_view;
+    }
+
+    [[nodiscard]] const maintenance::PoolView &listed() const
+    {
+        return m_list;
+    }
+
+    [[nodiscard]] maintenance::PoolView &actual()
+    {
+        return m_view;
+    }
+
+    [[nodiscard]] std::uint64_t random(std::uint64_t bound)
+    {
+        return m_random() % bound;
+    }
+
+    /** Reboots asked for; each mark is done once. */
+    void reboot(const maintenance::Wave &wave, const core::InstanceId &id)
+    {
+        maintenance::InstanceView &instance = find(id);
+        const std::string mark = maintenance::rebootMark(wave, id);
+        if (instance.bootMark == mark) {
+            return;
+        }
+        cut += instance.rightsOut;
+        ++reboots[id];
+        instance.bootMark = mark;
+        instance.health = Health::Rebooting;
+    }
+
+    /** One tick: drained instances empty, rebooting ones come back, the list is refreshed now and then. */
+    void tick(const maintenance::Wave &wave, std::uint64_t failuresIn, std::uint64_t lag)
+    {
+        const maintenance::WaveBook book{{wave}};
+        const std::set<core::InstanceId> out = maintenance::outOfService(book);
+        for (maintenance::InstanceView &instance : m_view.instances) {
+            const bool drained = out.contains(instance.id);
+            if (drained && instance.rightsOut > 0) {
+                --instance.rightsOut;
+            } else if (!drained && instance.health == Health::Healthy) {
+                instance.rightsOut = 8;
+            }
+            if (instance.health == Health::Rebooting && random(3) == 0) {
+                instance.health = Health::Healthy;
+            } else if (instance.health == Health::Unhealthy && random(10) == 0) {
+                instance.health = Health::Healthy;
+            } else if (instance.health == Health::Healthy && failuresIn > 0 && random(failuresIn) == 0) {
+                instance.health = Health::Unhealthy;
+            }
+        }
+        if (random(lag) == 0) {
+            m_list = m_view;
+        } else {
+            // Rights are read from the ledger, which does not lag; the platform's list does.
+            for (std::size_t index = 0; index < m_view.instances.size(); ++index) {
+                m_list.instances[index].rightsOut = m_view.instances[index].rightsOut;
+            }
+        }
+    }
+
+    std::map<core::InstanceId, int> reboots;
+    std::uint32_t cut{0};
+
+private:
+    [[nodiscard]] maintenance::InstanceView &find(const core::InstanceId &id)
+    {
+        return *std::find_if(m_view.instances.begin(), m_view.instances.end(), [&id](const maintenance::InstanceView &instance) {
+            return instance.id == id;
+        });
+    }
+
+    std::mt19937_64 m_random;
+    maintenance::PoolView m_view;
+    maintenance::PoolView m_list;
+};
+
+std::uint32_t newlyDown(const maintenance::Wave &before, const maintenance::Wave &after)
+{
+    std::uint32_t count = 0;
+    for (const std::pair<const core::InstanceId, Step> &step : after.steps) {
+        count += step.second == Step::Draining && !before.steps.contains(step.first) ? 1 : 0;
+    }
+    return count;
+}
+
+maintenance::Wave running(const std::string &pool = "p")
+{
+    return maintenance::Wave{"w", core::PoolId{pool}, WaveStatus::Running, "", {}};
+}
+
+} // namespace
+
+TEST_CASE("advance never drains beyond the budget, whatever fails", "[maintenance]")
+{
+    const bool sound = rc::check("known down within the budget after each drain, no work cut, each instance once", [] {
+        const std::size_t instances = *rc::gen::inRange<std::size_t>(1, 30);
+        const std::uint32_t budget = *rc::gen::inRange<std::uint32_t>(0, 6);
+        PoolModel pool{instances, budget, *rc::gen::arbitrary<std::uint64_t>()};
+        maintenance::Wave recorded = running();
+        maintenance::Wave stale = recorded;
+        for (int tick = 0; tick < 400; ++tick) {
+            // A paused owner may work from an old state; its swap is refused, so nothing comes of it.
+            stale = pool.random(5) == 0 ? recorded : stale;
+            const maintenance::Wave next = maintenance::advance(recorded, pool.listed());
+            if (newlyDown(recorded, next) > 0) {
+                RC_ASSERT(maintenance::countDown(next, pool.listed()) <= budget);
+            }
+            recorded = next;
+            for (const core::InstanceId &id : maintenance::dueReboots(recorded, pool.listed())) {
+                // An answer that is lost before or after makes the owner ask again.
+                if (pool.random(3) != 0) {
+                    pool.reboot(recorded, id);
+                }
+            }
+            pool.tick(recorded, 200, 3);
+        }
+        RC_ASSERT(pool.cut == 0);
+        for (const std::pair<const core::InstanceId, int> &reboot : pool.reboots) {
+            RC_ASSERT(reboot.second == 1);
+        }
+    });
+    CHECK(sound);
+}
+
+TEST_CASE("advance maintains every instance once", "[maintenance]")
+{
+    PoolModel pool{20, 3, 1};
+    maintenance::Wave wave = running();
+    for (int tick = 0; tick < 2000 && wave.status == WaveStatus::Running; ++tick) {
+        wave = maintenance::advance(wave, pool.listed());
+        for (const core::InstanceId &id : maintenance::dueReboots(wave, pool.listed())) {
+            pool.reboot(wave, id);
+        }
+        pool.tick(wave, 0, 1);
+    }
+    CHECK(wave.status == WaveStatus::Done);
+    CHECK(pool.reboots.size() == 20);
+    CHECK(pool.cut == 0);
+}
+
+TEST_CASE("advance rolls out near its lower bound", "[maintenance]")
+{
+    // Each instance takes 8 ticks to drain and 5 to reboot, always; the bound is a full budget at all times.
+    constexpr std::size_t instances = 50;
+    const std::uint32_t budget = GENERATE(1U, 4U, 10U);
+    PoolModel pool{instances, budget, 1};
+    std::map<core::InstanceId, int> left;
+    maintenance::Wave wave = running();
+    int ticks = 0;
+    for (; wave.status == WaveStatus::Running && ticks < 5000; ++ticks) {
+        wave = maintenance::advance(wave, pool.actual());
+        for (const core::InstanceId &id : maintenance::dueReboots(wave, pool.actual())) {
+            pool.reboot(wave, id);
+            left[id] = 5;
+        }
+        for (maintenance::InstanceView &instance : pool.actual().instances) {
+            const auto step = wave.steps.find(instance.id);
+            if (step != wave.steps.end() && step->second == Step::Draining && instance.rightsOut > 0) {
+                --instance.rightsOut;
+            }
+            if (instance.health == Health::Rebooting && --left[instance.id] == 0) {
+                instance.health = Health::Healthy;
+            }
+        }
+    }
+    const double bound = std::ceil(static_cast<double>(instances) / budget) * (8 + 5);
+    std::cout << "wave of " << instances << " with budget " << budget << ": " << ticks << " ticks, lower bound " << bound << '\n';
+    CHECK(ticks <= 1.15 * bound);
+}
+
+TEST_CASE("advance says why it waits", "[maintenance]")
+{
+    PoolModel pool{1, 0, 1};
+    maintenance::Wave wave = maintenance::advance(running(), pool.listed());
+    CHECK(wave.reason == "waits: 0 instances are down, the budget is 0");
+    PoolModel busy{1, 1, 1};
+    maintenance::PoolView view = busy.listed();
+    view.demand = 1;
+    wave = maintenance::advance(running(), view);
+    CHECK(wave.reason == "waits: without 'i0' 0 slots stay, the demand is 1");
+    CHECK(wave.steps.empty());
+}
+
+TEST_CASE("advance counts failed and unknown instances against the budget", "[maintenance]")
+{
+    PoolModel pool{5, 2, 1};
+    maintenance::PoolView view = pool.listed();
+    view.instances[0].health = Health::Unhealthy;
+    view.instances[1].health = Health::Unknown;
+    CHECK(maintenance::advance(running(), view).steps.empty());
+}
+
+TEST_CASE("advance pauses for one bad instance and stops for two", "[maintenance]")
+{
+    PoolModel pool{10, 2, 1};
+    maintenance::PoolView view = pool.listed();
+    maintenance::Wave wave = maintenance::advance(running(), view);
+    REQUIRE(wave.steps.size() == 2);
+    for (maintenance::InstanceView &instance : view.instances) {
+        instance.rightsOut = 0;
+    }
+    wave = maintenance::advance(wave, view);
+    const auto comeBack = [&](std::size_t which) {
+        const core::InstanceId id = std::next(wave.steps.begin(), static_cast<std::ptrdiff_t>(which))->first;
+        for (maintenance::InstanceView &instance : view.instances) {
+            if (instance.id == id) {
+                instance.bootMark = maintenance::rebootMark(wave, id);
+                instance.health = Health::Unhealthy;
+            }
+        }
+    };
+    comeBack(0);
+    wave = maintenance::advance(wave, view);
+    CHECK(wave.status == WaveStatus::Paused);
+    comeBack(1);
+    wave = maintenance::advance(wave, view);
+    CHECK(wave.status == WaveStatus::Stopped);
+    CHECK(maintenance::hasEnded(wave));
+}
+
+TEST_CASE("advance takes drains back when a wave is stopped", "[maintenance]")
+{
+    PoolModel pool{10, 2, 1};
+    maintenance::WaveBook book{{maintenance::advance(running(), pool.listed())}};
+    CHECK(maintenance::outOfService(book).size() == 2);
+    book = maintenance::changeWave(book, "w", WaveStatus::Stopped).value();
+    book.waves[0] = maintenance::advance(book.waves[0], pool.listed());
+    CHECK(maintenance::outOfService(book).empty());
+}
+
+TEST_CASE("startWave allows one wave for each pool", "[maintenance]")
+{
+    maintenance::WaveBook book = maintenance::startWave({}, "one", core::PoolId{"p"}).value();
+    CHECK(maintenance::startWave(book, "two", core::PoolId{"p"}).status().code() == absl::StatusCode::kAlreadyExists);
+    CHECK(maintenance::startWave(book, "one", core::PoolId{"p"}).value() == book);
+    CHECK(maintenance::startWave(book, "two", core::PoolId{"q"}).ok());
+    CHECK(maintenance::changeWave(book, "none", WaveStatus::Paused).status().code() == absl::StatusCode::kNotFound);
+}
+
+TEST_CASE("bookFromText reads what toJson wrote and refuses the rest", "[maintenance]")
+{
+    PoolModel pool{4, 2, 1};
+    const maintenance::WaveBook book{{maintenance::advance(running(), pool.listed())}};
+    CHECK(maintenance::bookFromText(maintenance::toJson(book).dump()).value() == book);
+    const std::string text = GENERATE(std::string{}, std::string{"{}"}, std::string{"[1]"}, std::string{R"([{"id":"w","pool":"p","status":"odd"}])"});
+    CHECK_FALSE(maintenance::bookFromText(text).ok());
+}
+
+TEST_CASE("listFromText takes what it does not know for unknown", "[maintenance]")
+{
+    const maintenance::PlatformList list = maintenance::listFromText(R"({"a":{"health":"healthy","bootMark":"m"},"b":{"health":7},"c":{}})").value();
+    CHECK(list.at(core::InstanceId{"a"}) == maintenance::PlatformInstance{Health::Healthy, "m"});
+    CHECK(list.at(core::InstanceId{"b"}).health == Health::Unknown);
+    CHECK_FALSE(maintenance::listFromText("[]").ok());
+}
