Let a team's rights follow its callers, and scarce ones go round

Cause: two new tests in virtual time failed. A node with a backlog never gave up rights to its team's limit, since only pools were held back for peers: after all callers had come to one node, the others got 106 to 149 of 375 answers. With a limit of 1 the node with the smallest name kept it: five of seven nodes got nothing, with a limit of 3 two. Change: a team's rights are held back for peers as a pool's are; where there are fewer rights than nodes they go by the time requests have waited.

--- a/src/oleanderwick/admission/fair_queue.cpp
+++ b/src/oleanderwick/admission/fair_queue.cpp
@@ -35,19 +35,30 @@
     return found == m_teams.end() ? 0 : found->second.running;
 }
 
-std::vector<TeamLoad> FairQueue::loads() const
+std::vector<TeamLoad> FairQueue::loads(core::TimePoint now) const
 {
     std::vector<TeamLoad> loads;
     for (const std::pair<const core::TeamId, TeamState> &team : m_teams) {
         const TeamState &state = team.second;
         const std::uint32_t recent = static_cast<std::uint32_t>(std::lround(state.recent));
         if (state.running > 0 || state.waiting > 0 || recent > 0) {
-            loads.push_back(TeamLoad{team.first, state.running, static_cast<std::uint32_t>(state.waiting), recent});
+            loads.push_back(TeamLoad{team.first, state.running, static_cast<std::uint32_t>(state.waiting), recent, oldestWait(state, now)});
         }
     }
     return loads;
 }
 
+core::Duration FairQueue::oldestWait(const TeamState &state, core::TimePoint now)
+{
+    core::Duration oldest = core::Duration::zero();
+    for (const std::pair<const core::QueueId, Lane> &lane : state.lanes) {
+        if (!lane.second.requests.empty()) {
+            oldest = std::max(oldest, now - lane.second.requests.front().arrival);
+        }
+    }
+    return oldest;
+}
+
 double FairQueue::weight(const TeamState &state)
 {
     const double here = static_cast<double>(state.running) + static_cast<double>(state.waiting);
--- a/src/oleanderwick/admission/fair_queue.hpp
+++ b/src/oleanderwick/admission/fair_queue.hpp
@@ -34,6 +34,7 @@
     std::uint32_t running{};
     std::uint32_t waiting{};
     std::uint32_t recent{}; /**< Running and waiting at its height, forgotten within a second or so. */
+    core::Duration waited{}; /**< Time that the oldest one has waited. */
 
     [[nodiscard]] bool operator==(const TeamLoad &) const = default;
 };
@@ -76,8 +77,12 @@
      */
     [[nodiscard]] std::uint32_t running(const core::TeamId &team) const;
 
-    /** @return What each team has running and waiting on this node; teams with neither are left out. */
-    [[nodiscard]] std::vector<TeamLoad> loads() const;
+    /**
+     * @brief Tells what each team has running and waiting on this node; teams with neither are left out.
+     * @param now Present time.
+     * @return Their loads.
+     */
+    [[nodiscard]] std::vector<TeamLoad> loads(core::TimePoint now) const;
 
     /**
      * @brief Tells whether any team waits that may start a request.
@@ -166,6 +171,7 @@
         double credit{0.0}; /**< Running work owed, since shares of few slots are no whole numbers. */
     };
 
+    [[nodiscard]] static core::Duration oldestWait(const TeamState &state, core::TimePoint now);
     [[nodiscard]] static double weight(const TeamState &state);
     [[nodiscard]] static double pressure(const TeamState &state);
     void updateCredits();
--- a/src/oleanderwick/allotment/plan.cpp
+++ b/src/oleanderwick/allotment/plan.cpp
@@ -12,6 +12,8 @@
 
 /** Sums of parts may miss a whole number by this. */
 constexpr double roundingError = 1e-6;
+/** Head start of a node that has a scarce right. */
+constexpr double keepSeconds = 0.5;
 
 /** Fills claimants of a positive weight, or all alike; returns what is left. */
 double fill(const std::vector<Claimant> &claimants, bool weighted, double capacity, std::vector<double> &parts)
@@ -78,10 +80,25 @@
     for (const std::pair<const Group, std::uint32_t> &group : input.available) {
         spreadRest(input, group.first, demands);
     }
-    roundAll();
+    noteWaits(demands);
+    roundAll(input);
 }
 
-void Plan::roundAll()
+void Plan::noteWaits(const NodeDemands &demands)
+{
+    for (const std::pair<const core::NodeId, std::vector<TeamDemand>> &node : demands) {
+        for (const TeamDemand &demand : node.second) {
+            // What a node has is left to it for a moment, or a right would move with each request.
+            const double waited = demand.waitedMs / 1000.0 + (demand.running > 0 ? internal::keepSeconds : 0.0);
+            double &team = m_waits[Group{Group::Kind::Team, demand.team.text()}][node.first];
+            double &pool = m_waits[Group{Group::Kind::Pool, demand.pool.text()}][node.first];
+            team = std::max(team, waited);
+            pool = std::max(pool, waited);
+        }
+    }
+}
+
+void Plan::roundAll(const PlanInput &input)
 {
     // Largest remainders, in the order of names among equals, so that nodes with the same view agree on whole rights.
     for (const std::pair<const Group, Targets> &group : m_targets) {
@@ -89,12 +106,15 @@
         std::uint32_t given = 0;
         std::vector<std::pair<double, core::NodeId>> remainders;
         std::map<core::NodeId, std::uint32_t> &rounded = m_rounded[group.first];
+        // Fewer rights than nodes: they go round by the time for which requests have waited.
+        Targets &waits = m_waits[group.first];
+        const bool scarce = input.available.contains(group.first) && input.available.at(group.first) < waits.size();
         for (const std::pair<const core::NodeId, double> &node : group.second) {
             const double whole = std::floor(node.second);
             sum += node.second;
             given += static_cast<std::uint32_t>(whole);
             rounded[node.first] = static_cast<std::uint32_t>(whole);
-            remainders.emplace_back(whole - node.second, node.first);
+            remainders.emplace_back(scarce ? -waits[node.first] : whole - node.second, node.first);
         }
         std::sort(remainders.begin(), remainders.end());
         const std::uint32_t total = static_cast<std::uint32_t>(std::floor(sum + internal::roundingError));
--- a/src/oleanderwick/allotment/plan.hpp
+++ b/src/oleanderwick/allotment/plan.hpp
@@ -34,6 +34,7 @@
     std::uint32_t running{0};
     std::uint32_t waiting{0};
     std::uint32_t recent{0}; /**< Most that was asked of late. */
+    std::uint32_t waitedMs{0}; /**< Time that the oldest waiting one has waited, in milliseconds. */
 
     /**
      * @brief Tells how many rights the team can put to use soon; a backlog does not call for a right for each request.
@@ -105,10 +106,12 @@
 
     void divideTeams(const PlanInput &input, const NodeDemands &demands);
     void dividePools(const PlanInput &input, const NodeDemands &demands);
-    void roundAll();
+    void noteWaits(const NodeDemands &demands);
+    void roundAll(const PlanInput &input);
     void spreadRest(const PlanInput &input, const Group &group, const NodeDemands &demands);
 
     std::map<Group, Targets> m_targets;
+    std::map<Group, Targets> m_waits; /**< Seconds for which each node's oldest request has waited. */
     std::map<Group, std::map<core::NodeId, std::uint32_t>> m_rounded;
 };
 
--- a/src/oleanderwick/dispatch/dispatcher.cpp
+++ b/src/oleanderwick/dispatch/dispatcher.cpp
@@ -1,50 +1,12 @@
 #include "dispatcher.hpp"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
-namespace oleanderwick::dispatch
-{
-
-namespace internal
-{
-
-constexpr std::uint32_t maxAttempts = 3;
-constexpr core::Duration shortestRetryAfter = std::chrono::seconds{1};
-constexpr core::Duration refusalRetryAfter = std::chrono::seconds{2};
-/** An attempt that may be repeated is cut at half the time left when runs usually need less than an eighth of it. */
-constexpr int usualRunsInTime = 8;
-
-constexpr int statusUnauthorized = 401;
-constexpr int statusForbidden = 403;
-constexpr int statusNotFound = 404;
-constexpr int statusTooMany = 429;
-constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
-constexpr int statusTimeout = 504;
-
-core::Refusal notRun(int status, std::string reason, core::Duration retryAfter = core::Duration::zero())
-{
-    return core::Refusal{status, core::Outcome::NotRun, std::move(reason), retryAfter};
-}
-
-allotment::Unit teamUnit(const core::TeamId &team)
-{
-    return allotment::Unit{allotment::Unit::Kind::Team, team.text()};
-}
-
-allotment::Unit instanceUnit(const core::InstanceId &instance)
-{
-    return allotment::Unit{allotment::Unit::Kind::Instance, instance.text()};
-}
+#include "internal/rules.hpp"
 
-allotment::Group poolGroup(const core::PoolId &pool)
+namespace oleanderwick::dispatch
 {
-    return allotment::Group{allotment::Group::Kind::Pool, pool.text()};
-}
-
-} // namespace internal
 
 Dispatcher::Dispatcher(std::string zone, std::uint64_t seed, allotment::Holder &holder)
     : m_zone{std::move(zone)}
@@ -65,12 +27,13 @@
     });
 }
 
-std::vector<allotment::TeamDemand> Dispatcher::demands() const
+std::vector<allotment::TeamDemand> Dispatcher::demands(core::TimePoint now) const
 {
     std::vector<allotment::TeamDemand> demands;
     for (const std::pair<const core::PoolId, PoolState> &pool : m_pools) {
-        for (const admission::TeamLoad &load : pool.second.queue.loads()) {
-            demands.push_back(allotment::TeamDemand{pool.first, load.team, load.running, load.waiting, load.recent});
+        for (const admission::TeamLoad &load : pool.second.queue.loads(now)) {
+            const std::uint32_t waited = static_cast<std::uint32_t>(core::milliseconds(load.waited));
+            demands.push_back(allotment::TeamDemand{pool.first, load.team, load.running, load.waiting, load.recent, waited});
         }
     }
     return demands;
@@ -306,7 +269,7 @@
         return true;
     }
     const auto running = m_teamRunning.find(team);
-    return (running == m_teamRunning.end() ? 0 : running->second) < m_holder.usable(internal::teamUnit(team));
+    return (running == m_teamRunning.end() ? 0 : running->second) < m_holder.usable(allotment::Group{allotment::Group::Kind::Team, team.text()});
 }
 
 void Dispatcher::pump(PoolState &pool, core::TimePoint now, Actions &actions)
@@ -330,24 +293,6 @@
     }
 }
 
-std::uint32_t Dispatcher::freeSlots(const PoolState &pool, const core::InstanceId &instance) const
-{
-    const auto running = m_instanceRunning.find(instance);
-    const std::uint32_t all = running == m_instanceRunning.end() ? 0 : running->second;
-    // An instance that was moved may still have work of the pool it was in before.
-    const std::uint32_t elsewhere = all - pool.upstreams.running(instance);
-    const std::uint32_t usable = m_holder.usable(internal::instanceUnit(instance));
-    return usable > elsewhere ? usable - elsewhere : 0;
-}
-
-std::optional<core::InstanceId> Dispatcher::choose(const PoolState &pool, const core::InstanceId &avoid, core::TimePoint now)
-{
-    const routing::UpstreamTable::SlotsOf slotsOf = [this, &pool](const core::InstanceId &instance) {
-        return freeSlots(pool, instance);
-    };
-    return pool.upstreams.choose(slotsOf, avoid, now, m_random);
-}
-
 void Dispatcher::pumpAll(core::TimePoint now, Actions &actions)
 {
     for (std::pair<const core::PoolId, PoolState> &pool : m_pools) {
@@ -355,113 +300,6 @@
     }
 }
 
-core::Duration Dispatcher::attemptTimeout(const Request &request, core::TimePoint now) const
-{
-    const core::Duration left = request.deadline - now;
-    const core::Duration usual = m_runTimes.mean(request.queue);
-    const bool shorten = request.idempotent && request.attempts < internal::maxAttempts && usual > core::Duration::zero();
-    return shorten && usual * internal::usualRunsInTime < left ? left / 2 : left;
-}
-
-void Dispatcher::startAttempt(Requests::iterator entry, PoolState &pool, const core::InstanceId &upstream, core::TimePoint now, Actions &actions)
-{
-    Request &request = entry->second;
-    pool.upstreams.start(upstream);
-    ++pool.running;
-    ++m_teamRunning[request.team];
-    ++m_instanceRunning[upstream];
-    ++request.attempts;
-    request.upstream = upstream;
-    request.attemptStart = now;
-    if (request.attempts == 1) {
-        request.firstStart = now;
-        m_budgets[request.queue].deposit();
-    }
-    const bool fresh = !request.idempotent || request.attempts > 1;
-    const std::string &address = pool.upstreams.find(upstream)->address;
-    const core::Duration timeout = attemptTimeout(request, now);
-    actions.emplace_back(StartAttempt{entry->first, upstream, address, request.attempts, timeout, request.deadline - now, fresh, m_freshUntil});
-}
-
-Actions Dispatcher::attemptEnded(const AttemptEnd &end, core::TimePoint now)
-{
-    Actions actions;
-    const auto entry = m_requests.find(end.number);
-    if (entry == m_requests.end() || entry->second.upstream.empty()) {
-        return actions;
-    }
-    Request &request = entry->second;
-    PoolState &pool = poolOf(request.pool);
-    const routing::Verdict verdict = routing::judge(routing::Attempt{end.end, request.idempotent});
-    const Lingering use{request.deadline, request.pool, request.team, request.queue, request.upstream};
-    if (end.end == routing::ExchangeEnd::RefusedNotRun) {
-        pool.upstreams.markRefused(request.upstream, now);
-    } else if (end.end != routing::ExchangeEnd::NothingSent) {
-        pool.upstreams.observe(request.upstream, verdict.blamesUpstream, now - request.attemptStart, now);
-    }
-    if (end.leaving) {
-        pool.upstreams.markLeaving(request.upstream, now);
-    }
-    if (verdict.mayStillRun && now < request.deadline) {
-        m_lingering.push_back(use);
-    } else {
-        release(use);
-    }
-    if (verdict.step == routing::Verdict::Step::Deliver) {
-        m_runTimes.observe(request.queue, now - request.attemptStart);
-        complete(entry, "delivered", now);
-        actions.emplace_back(Deliver{end.number});
-    } else {
-        retryOrRefuse(entry, verdict, now, actions);
-    }
-    pump(pool, now, actions);
-    return actions;
-}
-
-void Dispatcher::retryOrRefuse(Requests::iterator entry, const routing::Verdict &verdict, core::TimePoint now, Actions &actions)
-{
-    Request &request = entry->second;
-    if (verdict.outcome != core::Outcome::NotRun) {
-        request.outcome = verdict.outcome;
-    }
-    const bool wanted = verdict.step == routing::Verdict::Step::Retry && request.attempts < internal::maxAttempts && now < request.deadline;
-    if (wanted && stillAllowed(request) && (!verdict.costsBudget || m_budgets[request.queue].withdraw())) {
-        request.avoid = std::exchange(request.upstream, core::InstanceId{});
-        enqueue(entry->first, request, true);
-        return;
-    }
-    const int status = now >= request.deadline     ? internal::statusTimeout
-        : request.outcome == core::Outcome::NotRun ? internal::statusUnavailable
-                                                   : internal::statusBadGateway;
-    const core::Duration retry = request.outcome == core::Outcome::NotRun ? internal::refusalRetryAfter : core::Duration::zero();
-    refuse(entry, core::Refusal{status, request.outcome, "upstream_failed", retry}, now, actions);
-}
-
-void Dispatcher::release(const Lingering &use)
-{
-    PoolState &pool = poolOf(use.pool);
-    pool.queue.finish(use.team, use.queue);
-    pool.upstreams.finish(use.upstream);
-    --pool.running;
-    --m_teamRunning[use.team];
-    const auto instance = m_instanceRunning.find(use.upstream);
-    if (--instance->second == 0) {
-        m_holder.setRunning(internal::instanceUnit(use.upstream), 0);
-        m_instanceRunning.erase(instance);
-    }
-}
-
-void Dispatcher::releaseLingering(core::TimePoint now)
-{
-    const auto kept = std::stable_partition(m_lingering.begin(), m_lingering.end(), [now](const Lingering &use) {
-        return now < use.until;
-    });
-    for (auto use = kept; use != m_lingering.end(); ++use) {
-        release(*use);
-    }
-    m_lingering.erase(kept, m_lingering.end());
-}
-
 void Dispatcher::refuseExpired(PoolState &pool, core::TimePoint now, Actions &actions)
 {
     for (const admission::Waiting &waiting : pool.queue.expire(now)) {
@@ -504,9 +342,9 @@
     m_requests.erase(entry);
 }
 
-void Dispatcher::updateDemand()
+void Dispatcher::updateDemand(core::TimePoint now)
 {
-    m_holder.setDemands(demands());
+    m_holder.setDemands(demands(now));
     for (const std::pair<const core::InstanceId, std::uint32_t> &instance : m_instanceRunning) {
         m_holder.setRunning(internal::instanceUnit(instance.first), instance.second);
     }
--- a/src/oleanderwick/dispatch/dispatcher.hpp
+++ b/src/oleanderwick/dispatch/dispatcher.hpp
@@ -38,8 +38,12 @@
     /** @return True if a request waits for a right that the node lacks. */
     [[nodiscard]] bool starved() const noexcept;
 
-    /** @return What runs and waits on this node. */
-    [[nodiscard]] std::vector<allotment::TeamDemand> demands() const;
+    /**
+     * @brief Tells what runs and waits on this node.
+     * @param now Present time.
+     * @return Its demands.
+     */
+    [[nodiscard]] std::vector<allotment::TeamDemand> demands(core::TimePoint now) const;
 
     /** @return Ended requests since the last call. */
     [[nodiscard]] std::vector<Completion> takeCompletions();
@@ -98,8 +102,11 @@
      */
     [[nodiscard]] Actions tick(core::TimePoint now);
 
-    /** @brief Tells the holder what this node uses and needs. */
-    void updateDemand();
+    /**
+     * @brief Tells the holder what this node uses and needs.
+     * @param now Present time.
+     */
+    void updateDemand(core::TimePoint now);
 
 private:
     struct Request {
--- /dev/null
+++ b/src/oleanderwick/dispatch/internal/rules.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "../../allotment/allotment.hpp"
+#include "../../core/core.hpp"
+
+namespace oleanderwick::dispatch
+{
+
+namespace internal
+{
+
+inline constexpr std::uint32_t maxAttempts = 3;
+inline constexpr core::Duration shortestRetryAfter = std::chrono::seconds{1};
+inline constexpr core::Duration refusalRetryAfter = std::chrono::seconds{2};
+/** An attempt that may be repeated is cut at half the time left when runs usually need less than an eighth of it. */
+inline constexpr int usualRunsInTime = 8;
+
+inline constexpr int statusUnauthorized = 401;
+inline constexpr int statusForbidden = 403;
+inline constexpr int statusNotFound = 404;
+inline constexpr int statusTooMany = 429;
+inline constexpr int statusBadGateway = 502;
+inline constexpr int statusUnavailable = 503;
+inline constexpr int statusTimeout = 504;
+
+/** Refusal of a request that has not run. */
+[[nodiscard]] inline core::Refusal notRun(int status, std::string reason, core::Duration retryAfter = core::Duration::zero())
+{
+    return core::Refusal{status, core::Outcome::NotRun, std::move(reason), retryAfter};
+}
+
+/** Unit of a team's upper limit. */
+[[nodiscard]] inline allotment::Unit teamUnit(const core::TeamId &team)
+{
+    return allotment::Unit{allotment::Unit::Kind::Team, team.text()};
+}
+
+/** Unit of an instance's slots. */
+[[nodiscard]] inline allotment::Unit instanceUnit(const core::InstanceId &instance)
+{
+    return allotment::Unit{allotment::Unit::Kind::Instance, instance.text()};
+}
+
+/** Group of a pool's slots. */
+[[nodiscard]] inline allotment::Group poolGroup(const core::PoolId &pool)
+{
+    return allotment::Group{allotment::Group::Kind::Pool, pool.text()};
+}
+
+} // namespace internal
+
+} // namespace oleanderwick::dispatch
--- a/src/oleanderwick/node/decision_duty.cpp
+++ b/src/oleanderwick/node/decision_duty.cpp
@@ -225,7 +225,7 @@
 
 void DecisionDuty::stepHolder()
 {
-    m_dispatcher.updateDemand();
+    m_dispatcher.updateDemand(m_now);
     const core::Duration planPace = m_dispatcher.starved() ? internal::urgentPlan : internal::planPeriod;
     if (m_now - m_lastPlan >= planPace) {
         m_lastPlan = m_now;
@@ -250,7 +250,7 @@
     for (const allotment::TeamDemand &demand : elsewhere) {
         pools[demand.pool] += demand.running + demand.waiting;
     }
-    for (const allotment::TeamDemand &demand : m_dispatcher.demands()) {
+    for (const allotment::TeamDemand &demand : m_dispatcher.demands(m_now)) {
         pools[demand.pool] += demand.running + demand.waiting;
     }
     m_ports.demands.write(std::move(pools));
@@ -265,7 +265,7 @@
     digest.leaving = m_leaving;
     digest.storeAgeMs = core::milliseconds(m_roster.storeAge(m_now));
     digest.alive = m_roster.alive(m_now);
-    digest.demands = m_dispatcher.demands();
+    digest.demands = m_dispatcher.demands(m_now);
     digest.wants = m_holder.wants();
     digest.sequences = m_holder.sequences();
     m_ports.digest.write(std::move(digest));
--- a/src/oleanderwick/node/wave_duty.cpp
+++ b/src/oleanderwick/node/wave_duty.cpp
@@ -118,11 +118,6 @@
 {
 }
 
-maintenance::WaveBook WaveDuty::book() const
-{
-    return m_book.read();
-}
-
 void WaveDuty::run(const std::stop_token &stop)
 {
     while (!stop.stop_requested()) {
@@ -155,7 +150,6 @@
     }
     const std::set<core::InstanceId> before = maintenance::outOfService(m_stored.book);
     m_stored = std::move(stored);
-    m_book.write(m_stored.book);
     std::set<core::InstanceId> after = maintenance::outOfService(m_stored.book);
     if (after != before) {
         m_decisions.push(OutOfService{std::move(after)});
--- a/src/oleanderwick/node/wave_duty.hpp
+++ b/src/oleanderwick/node/wave_duty.hpp
@@ -83,9 +83,6 @@
              TelemetryRing &telemetry,
              ConfigKeeper &keeper);
 
-    /** @return The book as this node knows it; safe from any thread. */
-    [[nodiscard]] maintenance::WaveBook book() const;
-
 private:
     void run(const std::stop_token &stop);
     void refresh();
@@ -106,7 +103,6 @@
     TelemetryRing &m_telemetry;
     ConfigKeeper &m_keeper;
     StoredBook m_stored;
-    Slot<maintenance::WaveBook> m_book;
     std::jthread m_thread;
 };
 
--- a/src/oleanderwick/peer/codec.cpp
+++ b/src/oleanderwick/peer/codec.cpp
@@ -25,7 +25,7 @@
 
 nlohmann::json toJson(const allotment::TeamDemand &demand)
 {
-    return nlohmann::json::array({demand.pool.text(), demand.team.text(), demand.running, demand.waiting, demand.recent});
+    return nlohmann::json::array({demand.pool.text(), demand.team.text(), demand.running, demand.waiting, demand.recent, demand.waitedMs});
 }
 
 allotment::TeamDemand demandFromJson(const nlohmann::json &json)
@@ -36,6 +36,7 @@
     demand.running = json.at(2).get<std::uint32_t>();
     demand.waiting = json.at(3).get<std::uint32_t>();
     demand.recent = json.at(4).get<std::uint32_t>();
+    demand.waitedMs = json.at(5).get<std::uint32_t>();
     return demand;
 }
 
--- a/test/oleanderwick/allotment/plan.cpp
+++ b/test/oleanderwick/allotment/plan.cpp
@@ -15,7 +15,7 @@
 
 allotment::TeamDemand demandOf(std::uint32_t running, std::uint32_t waiting)
 {
-    return allotment::TeamDemand{core::PoolId{"p"}, core::TeamId{"t"}, running, waiting, 0};
+    return allotment::TeamDemand{core::PoolId{"p"}, core::TeamId{"t"}, running, waiting, 0, 0};
 }
 
 core::NodeId node(std::size_t index)
--- a/test/oleanderwick/dispatch/dispatcher.cpp
+++ b/test/oleanderwick/dispatch/dispatcher.cpp
@@ -39,7 +39,7 @@
 
     void askStore()
     {
-        dispatcher.updateDemand();
+        dispatcher.updateDemand(now);
         holder.plan();
         const allotment::HolderStep calls = holder.step();
         for (const allotment::LedgerRead &read : calls.reads) {
--- a/test/oleanderwick/dispatch/fleet.cpp
+++ b/test/oleanderwick/dispatch/fleet.cpp
@@ -114,6 +114,51 @@
     CHECK(sum / steps >= 97.0);
 }
 
+TEST_CASE("Dispatchers move a team's rights to where its callers go", "[dispatch]")
+{
+    const config::Document document = DocumentBuilder{}.pool("p", 20, 8).team("t", 1, 21).queue("q", "p", {"t"}).build();
+    VirtualFleet fleet{fleetSize, document, takes(40, 40)};
+    fleet.runFor(seconds{3}, [&] {
+        fleet.send(0, "q", "t");
+    });
+    std::vector<std::size_t> delivered(fleetSize, 0);
+    const std::size_t before = fleet.seen().size();
+    std::size_t turn = 0;
+    fleet.runFor(seconds{5}, [&] {
+        fleet.send(++turn % fleetSize, "q", "t");
+    });
+    for (std::size_t index = before; index < fleet.seen().size(); ++index) {
+        delivered[fleet.seen()[index].node] += fleet.seen()[index].delivered ? 1 : 0;
+    }
+    // 21 rights of 40 ms give 525 a second, 375 to each node in 5 s.
+    for (std::size_t node = 0; node < fleetSize; ++node) {
+        CAPTURE(node);
+        CHECK(delivered[node] >= 200);
+    }
+}
+
+TEST_CASE("A limit of one serves callers of every node in turn", "[dispatch]")
+{
+    const std::uint32_t limit = GENERATE(1U, 3U);
+    const config::Document document = DocumentBuilder{}.pool("p", 2, 8).team("t", 1, limit).queue("q", "p", {"t"}, 20'000).build();
+    VirtualFleet fleet{fleetSize, document, takes(20, 20)};
+    std::vector<std::size_t> delivered(fleetSize, 0);
+    std::size_t turn = 0;
+    fleet.runFor(seconds{30}, [&] {
+        if (++turn % 5 == 0) {
+            fleet.send(turn / 5 % fleetSize, "q", "t");
+        }
+    });
+    for (const Seen &seen : fleet.seen()) {
+        delivered[seen.node] += seen.delivered ? 1 : 0;
+    }
+    for (std::size_t node = 0; node < fleetSize; ++node) {
+        CAPTURE(node, limit);
+        CHECK(delivered[node] >= 20);
+    }
+    CHECK(fleet.peakRunning("t") <= limit);
+}
+
 TEST_CASE("Dispatchers share a full pool by weight", "[dispatch]")
 {
     const config::Document document =
--- a/test/support/virtual_fleet.hpp
+++ b/test/support/virtual_fleet.hpp
@@ -24,6 +24,7 @@
     core::Duration total{};
     bool delivered{false};
     core::Refusal refusal;
+    std::size_t node{0};
     bool idempotent{false};
     int runs{0}; /**< Times that an upstream ran it, as far as the exchange went. */
     routing::ExchangeEnd lastEnd{routing::ExchangeEnd::NotConnected};
@@ -127,7 +128,7 @@
             arrival.key = config::PresentedKey{core::KeyId{key}, key};
         }
         arrival.idempotent = idempotent;
-        m_requests[arrival.number] = Open{core::TeamId{key}, arrival.queue, m_now, idempotent};
+        m_requests[arrival.number] = Open{core::TeamId{key}, arrival.queue, m_now, node, idempotent};
         act(node, m_nodes[node].dispatcher->arrive(arrival, m_now));
         pace(node);
     }
@@ -163,6 +164,7 @@
         core::TeamId team;
         core::QueueId queue;
         core::TimePoint arrival;
+        std::size_t node{0};
         bool idempotent{false};
         int runs{0};
         routing::ExchangeEnd lastEnd{routing::ExchangeEnd::NotConnected};
@@ -210,7 +212,7 @@
     void askStore(std::size_t index)
     {
         Node &node = m_nodes[index];
-        node.dispatcher->updateDemand();
+        node.dispatcher->updateDemand(m_now);
         const core::Duration pace = std::chrono::milliseconds{node.dispatcher->starved() ? 50 : 250};
         if (m_now - node.lastPlan >= pace || m_steps == 0) {
             node.lastPlan = m_now;
@@ -233,11 +235,11 @@
     {
         for (std::size_t index = 0; index < m_nodes.size(); ++index) {
             Node &node = m_nodes[index];
-            node.dispatcher->updateDemand();
+            node.dispatcher->updateDemand(m_now);
             membership::Digest digest;
             digest.node = node.id;
             digest.sequence = ++m_sequence;
-            digest.demands = node.dispatcher->demands();
+            digest.demands = node.dispatcher->demands(m_now);
             digest.wants = node.holder->wants();
             digest.sequences = node.holder->sequences();
             for (std::size_t other = 0; other < m_nodes.size(); ++other) {
@@ -297,7 +299,8 @@
     void see(admission::RequestNumber number, bool delivered, const core::Refusal &refusal)
     {
         const Open &open = m_requests.at(number);
-        m_seen.push_back(Seen{open.team, open.queue, open.arrival, m_now - open.arrival, delivered, refusal, open.idempotent, open.runs, open.lastEnd});
+        m_seen.push_back(
+            Seen{open.team, open.queue, open.arrival, m_now - open.arrival, delivered, refusal, open.node, open.idempotent, open.runs, open.lastEnd});
     }
 
     config::Document m_document;
