Fuzz configuration, settings, peer messages and store answers

Change: four targets, built with libFuzzer by hand and with a replay of the corpus and 3,000 changed inputs from a fixed seed among the tests.

--- /dev/null
+++ b/fuzz/replay.cpp
@@ -0,0 +1,91 @@
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <sodium.h>
+
+#include "target.hpp"
+
+namespace
+{
+
+constexpr std::uint64_t seed = 20261203;
+constexpr int changedInputs = 3000;
+constexpr int mostChanges = 8;
+
+std::vector<std::string> readCorpus(const std::string &folder)
+{
+    std::vector<std::filesystem::path> paths;
+    for (const std::filesystem::directory_entry &entry : std::filesystem::directory_iterator{folder}) {
+        paths.push_back(entry.path());
+    }
+    // In the order of names, so that the seed gives the same inputs everywhere.
+    std::sort(paths.begin(), paths.end());
+    std::vector<std::string> inputs;
+    for (const std::filesystem::path &path : paths) {
+        std::ifstream file{path, std::ios::binary};
+        inputs.emplace_back(std::istreambuf_iterator<char>{file}, std::istreambuf_iterator<char>{});
+    }
+    return inputs;
+}
+
+void feed(const std::string &input)
+{
+    LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t *>(input.data()), input.size());
+}
+
+/** Changes, cuts, doubles and joins inputs. */
+std::string changed(const std::vector<std::string> &corpus, std::mt19937_64 &random)
+{
+    std::string input = corpus[random() % corpus.size()];
+    for (std::uint64_t left = 1 + random() % mostChanges; left > 0 && !input.empty(); --left) {
+        const std::size_t at = random() % input.size();
+        switch (random() % 5) {
+        case 0:
+            input[at] = static_cast<char>(random());
+            break;
+        case 1:
+            input.erase(at, 1 + random() % 16);
+            break;
+        case 2:
+            input.insert(at, input.substr(random() % input.size(), random() % 64));
+            break;
+        case 3:
+            input.insert(at, std::string(random() % 200, "[{\"0"[random() % 4]));
+            break;
+        default:
+            input = input.substr(0, at) + corpus[random() % corpus.size()].substr(0, random() % 400);
+            break;
+        }
+    }
+    return input;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc != 2 || sodium_init() < 0) {
+        std::cerr << "usage: replay FOLDER\n";
+        return 2;
+    }
+    const std::vector<std::string> corpus = readCorpus(argv[1]);
+    if (corpus.empty()) {
+        std::cerr << argv[1] << ": no inputs\n";
+        return 1;
+    }
+    for (const std::string &input : corpus) {
+        feed(input);
+    }
+    std::mt19937_64 random{seed};
+    for (int count = 0; count < changedInputs; ++count) {
+        feed(changed(corpus, random));
+    }
+    std::cout << corpus.size() << " inputs and " << changedInputs << " changed ones survived\n";
+    return 0;
+}
