Refuse operators that are no list in the settings

Cause: the settings' fuzz replay ended the process (YAML::InvalidNode) when operators was a map. Change: the form is checked first; a test of its own.

--- a/src/oleanderwick/settings/settings.cpp
+++ b/src/oleanderwick/settings/settings.cpp
@@ -132,6 +132,10 @@
 
 void readOperators(const YAML::Node &list, std::vector<Operator> &operators, std::vector<std::string> &errors)
 {
+    if (!list.IsSequence()) {
+        errors.push_back(absl::StrCat("line ", list.Mark().line + 1, ": settings.operators has to be a list"));
+        return;
+    }
     for (const YAML::Node &entry : list) {
         MapReader reader{entry, "operators", errors};
         Operator person;
--- a/test/oleanderwick/settings/settings.cpp
+++ b/test/oleanderwick/settings/settings.cpp
@@ -36,6 +36,12 @@
     CHECK_THAT(std::string{result.status().message()}, Catch::Contains("clusterSecret"));
 }
 
+TEST_CASE("parse refuses operators that are no list", "[settings]")
+{
+    const std::string text = GENERATE(std::string{"operators: {name: ana}"}, std::string{"operators: ana"}, std::string{"operators: [ana, [ben]]"});
+    CHECK_THAT(std::string{settings::parse("node: n1\n" + text + "\n").status().message()}, Catch::Contains("operators has to be a"));
+}
+
 TEST_CASE("parse refuses what is no map", "[settings]")
 {
     const std::string text = GENERATE(std::string{}, std::string{"[1, 2]"}, std::string{"node: ["}, std::string{"just text"});
