Run a request with an Idempotency-Key once over all nodes

Change: a claim in the store before admission, the answer recorded before it is given, repeats wait and read it; refused as not run lets the key go.

--- a/src/oleanderwick/node/caller_api.cpp
+++ b/src/oleanderwick/node/caller_api.cpp
@@ -20,7 +20,11 @@
 constexpr absl::string_view ownHeaderPrefix = "oleanderwick-";
 constexpr core::Duration fullRetryAfter = std::chrono::seconds{1};
 constexpr int statusNotFound = 404;
+constexpr int statusDifferent = 422;
 constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+constexpr core::Duration claimPause = std::chrono::milliseconds{200};
+constexpr core::Duration longestClaimWait = std::chrono::seconds{10};
 
 /** @brief Parts of `/q/{queue}/{path}`. */
 struct QueueTarget {
@@ -71,10 +75,20 @@
 
 } // namespace internal
 
-CallerApi::CallerApi(core::NodeId node, http::UpstreamLinks &links, DecisionRing &decisions, std::size_t maxRequests, std::size_t maxAnswerBytes)
+CallerApi::CallerApi(core::NodeId node,
+                     http::Loop &loop,
+                     http::UpstreamLinks &links,
+                     DecisionRing &decisions,
+                     KeyedRing &keyed,
+                     ConfigKeeper &keeper,
+                     std::size_t maxRequests,
+                     std::size_t maxAnswerBytes)
     : m_node{std::move(node)}
+    , m_loop{loop}
     , m_links{links}
     , m_decisions{decisions}
+    , m_keyed{keyed}
+    , m_keeper{keeper}
     , m_maxRequests{maxRequests}
     , m_maxAnswerBytes{maxAnswerBytes}
 {
@@ -113,14 +127,108 @@
         return;
     }
     ++m_lastNumber;
-    const dispatch::Arrival arrival = makeArrival(request, target->queue);
-    if (!m_decisions.tryPush(arrival)) {
-        respond(problem(full));
-        return;
+    Held held;
+    held.respond = std::move(respond);
+    held.id = absl::StrCat(m_node.text(), "-", m_lastNumber);
+    held.arrival = makeArrival(request, target->queue);
+    const std::string *key = http::findHeader(request.headers, "Idempotency-Key");
+    if (key != nullptr && !key->empty()) {
+        const std::optional<core::TeamId> team = held.arrival.key ? m_keeper.current()->teamOf(*held.arrival.key) : std::nullopt;
+        held.keyedName = keyedName(team.value_or(config::openTeam()), held.arrival.queue, *key);
+        held.fingerprint = fingerprintOf(request);
+        held.waitsUntil = core::BootClock::now() + internal::longestClaimWait;
     }
     request.target = std::move(target->path);
     internal::cleanHeaders(request.headers);
-    m_held.emplace(m_lastNumber, Held{std::move(request), std::move(respond), {}, absl::StrCat(m_node.text(), "-", m_lastNumber)});
+    held.request = std::move(request);
+    Held &kept = m_held.emplace(m_lastNumber, std::move(held)).first->second;
+    if (kept.keyedName.empty()) {
+        admit(kept);
+    } else {
+        claim(m_lastNumber);
+    }
+}
+
+void CallerApi::admit(Held &held)
+{
+    const admission::RequestNumber number = held.arrival.number;
+    if (!m_decisions.tryPush(held.arrival)) {
+        refuse(number, core::Refusal{internal::statusUnavailable, core::Outcome::NotRun, "node_full", internal::fullRetryAfter});
+    }
+}
+
+void CallerApi::claim(admission::RequestNumber number)
+{
+    const Held &held = m_held.at(number);
+    KeyedClaim task{held.keyedName, held.id, held.fingerprint, [this, number](const ClaimResult &result) {
+                        m_loop.post([this, number, result] {
+                            claimed(number, result);
+                        });
+                    }};
+    if (!m_keyed.tryPush(std::move(task))) {
+        claimed(number, ClaimResult{});
+    }
+}
+
+void CallerApi::claimed(admission::RequestNumber number, const ClaimResult &result)
+{
+    using Kind = ClaimResult::Kind;
+    Held &held = m_held.at(number);
+    const bool mayWait = core::BootClock::now() < held.waitsUntil;
+    if (result.kind == Kind::Claimed) {
+        admit(held);
+        return;
+    }
+    // From here on the request has no claim of its own to finish.
+    if (result.kind == Kind::Running && mayWait) {
+        m_loop.after(internal::claimPause, [this, number] {
+            claim(number);
+        });
+        return;
+    }
+    held.keyedName.clear();
+    switch (result.kind) {
+    case Kind::Answered:
+        answer(number, result.answer, false);
+        return;
+    case Kind::Different:
+        refuse(number, core::Refusal{internal::statusDifferent, core::Outcome::NotRun, "key_used_for_another_request", core::Duration::zero()});
+        return;
+    case Kind::Running:
+        refuse(number, core::Refusal{internal::statusTimeout, core::Outcome::Unknown, "first_request_without_answer", internal::fullRetryAfter});
+        return;
+    case Kind::Claimed:
+    case Kind::NotAvailable:
+        break;
+    }
+    refuse(number, core::Refusal{internal::statusUnavailable, core::Outcome::NotRun, "key_not_recorded", internal::fullRetryAfter});
+}
+
+void CallerApi::refuse(admission::RequestNumber number, const core::Refusal &refusal)
+{
+    answer(number, problem(refusal), refusal.outcome == core::Outcome::NotRun);
+}
+
+void CallerApi::answer(admission::RequestNumber number, http::Response response, bool notRun)
+{
+    const auto entry = m_held.find(number);
+    OLEANDERWICK_ASSERT(entry != m_held.end(), "an answer is for a request that is held");
+    Held held = std::move(entry->second);
+    m_held.erase(entry);
+    http::Response kept = response;
+    response.headers.push_back(http::Header{http::requestIdHeader, held.id});
+    if (held.keyedName.empty()) {
+        held.respond(std::move(response));
+        return;
+    }
+    // Answered once the record is written, so that a repeat finds it.
+    const std::function<void()> respond = [reply = held.respond, response] {
+        reply(response);
+    };
+    KeyedFinish finish{held.keyedName, held.id, held.fingerprint, notRun ? std::nullopt : std::optional{std::move(kept)}, respond};
+    if (!m_keyed.tryPush(std::move(finish))) {
+        respond();
+    }
 }
 
 void CallerApi::act(const dispatch::Actions &actions)
@@ -167,25 +275,16 @@
     OLEANDERWICK_ASSERT(pushed, "the ring has room for one event of each request");
 }
 
-void CallerApi::act(const dispatch::Refuse &refuse)
+void CallerApi::act(const dispatch::Refuse &refused)
 {
-    const auto held = m_held.find(refuse.number);
-    OLEANDERWICK_ASSERT(held != m_held.end(), "a refusal is for a request that is held");
-    http::Response response = problem(refuse.refusal);
-    response.headers.push_back(http::Header{http::requestIdHeader, held->second.id});
-    held->second.respond(std::move(response));
-    m_held.erase(held);
+    refuse(refused.number, refused.refusal);
 }
 
 void CallerApi::act(const dispatch::Deliver &deliver)
 {
-    const auto held = m_held.find(deliver.number);
-    OLEANDERWICK_ASSERT(held != m_held.end(), "an answer is for a request that is held");
-    http::Response response = std::move(held->second.answer);
+    http::Response response = std::move(m_held.at(deliver.number).answer);
     internal::cleanHeaders(response.headers);
-    response.headers.push_back(http::Header{http::requestIdHeader, held->second.id});
-    held->second.respond(std::move(response));
-    m_held.erase(held);
+    answer(deliver.number, std::move(response), false);
 }
 
 } // namespace oleanderwick::node
--- /dev/null
+++ b/src/oleanderwick/node/keyed_record.cpp
@@ -0,0 +1,79 @@
+#include "keyed_record.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "../config/config.hpp"
+#include "../store/base64.hpp"
+#include "problem.hpp"
+
+namespace oleanderwick::node
+{
+
+namespace internal
+{
+
+constexpr int statusBadGateway = 502;
+
+nlohmann::json answerToJson(const http::Response &answer)
+{
+    if (answer.body.size() > maxKeptBody) {
+        return answerToJson(problem(core::Refusal{statusBadGateway, core::Outcome::Failed, "answer_not_kept", core::Duration::zero()}));
+    }
+    nlohmann::json headers = nlohmann::json::array();
+    for (const http::Header &header : answer.headers) {
+        headers.push_back(nlohmann::json::array({store::toBase64(header.name), store::toBase64(header.value)}));
+    }
+    return {{"status", answer.status}, {"headers", std::move(headers)}, {"body", store::toBase64(answer.body)}};
+}
+
+http::Response answerFromJson(const nlohmann::json &json)
+{
+    http::Response answer;
+    answer.status = json.at("status").get<int>();
+    for (const nlohmann::json &header : json.at("headers")) {
+        const std::string name = store::fromBase64(header.at(0).get<std::string>()).value_or("");
+        answer.headers.push_back(http::Header{name, store::fromBase64(header.at(1).get<std::string>()).value_or("")});
+    }
+    answer.body = store::fromBase64(json.at("body").get<std::string>()).value_or("");
+    return answer;
+}
+
+} // namespace internal
+
+std::string keyedName(const core::TeamId &team, const core::QueueId &queue, const std::string &key)
+{
+    // The parts are digested one by one, so that no two triples give the same text.
+    return config::hashSecret(config::hashSecret(team.text()) + config::hashSecret(queue.text()) + config::hashSecret(key));
+}
+
+std::string fingerprintOf(const http::Request &request)
+{
+    return config::hashSecret(config::hashSecret(request.method) + config::hashSecret(request.target) + config::hashSecret(request.body));
+}
+
+std::string toText(const KeyedRecord &record)
+{
+    nlohmann::json json = {{"owner", record.owner}, {"fingerprint", record.fingerprint}};
+    if (record.answer) {
+        json["answer"] = internal::answerToJson(*record.answer);
+    }
+    return json.dump();
+}
+
+absl::StatusOr<KeyedRecord> keyedFromText(const std::string &text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    KeyedRecord record;
+    try {
+        record.owner = json.at("owner").get<std::string>();
+        record.fingerprint = json.at("fingerprint").get<std::string>();
+        if (json.contains("answer")) {
+            record.answer = internal::answerFromJson(json["answer"]);
+        }
+    } catch (const nlohmann::json::exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+    return record;
+}
+
+} // namespace oleanderwick::node
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -148,10 +148,11 @@
         , m_stores{m_settings.store}
         , m_decisions{std::size_t{m_settings.maxRequests} * 2 + internal::controlEvents}
         , m_tasks{internal::storeRingSize}
+        , m_keyed{internal::storeRingSize}
         , m_items{internal::telemetryRingSize}
         , m_keeper{m_decisions}
         , m_links{m_loop, internal::upstreamLinks(m_fleetSize)}
-        , m_callerApi{m_self, m_links, m_decisions, m_settings.maxRequests, m_settings.maxAnswerBytes}
+        , m_callerApi{m_self, m_loop, m_links, m_decisions, m_keyed, m_keeper, m_settings.maxRequests, m_settings.maxAnswerBytes}
         , m_operatorApi{m_settings,
                         m_keeper,
                         m_digest,
@@ -238,6 +239,7 @@
         const StoreKeys keys{m_settings.store.prefix};
         m_decision = std::make_unique<DecisionDuty>(m_self, m_settings.zone, m_fleetSize, std::random_device{}(), std::move(ports));
         m_store = std::make_unique<StoreDuty>(m_stores.make(), keys, m_tasks, m_decisions, m_keeper);
+        m_keyedDuty = std::make_unique<KeyedDuty>(m_stores.make(), keys, m_keyed);
         m_heartbeat = std::make_unique<HeartbeatDuty>(m_stores.make(), keys, m_self, m_decisions, m_keeper);
         m_watch = std::make_unique<WatchDuty>(m_stores.make(), keys, m_keeper);
         const absl::StatusOr<http::Endpoint> platform = http::parseEndpoint(m_settings.platform);
@@ -259,6 +261,8 @@
         m_heartbeat.reset();
         m_tasks.push(Quit{});
         m_store.reset();
+        m_keyed.push(Quit{});
+        m_keyedDuty.reset();
         m_decisions.push(Quit{});
         m_decision.reset();
         m_items.push(Quit{});
@@ -323,6 +327,7 @@
     internal::StoreMaker m_stores;
     DecisionRing m_decisions;
     StoreRing m_tasks;
+    KeyedRing m_keyed;
     TelemetryRing m_items;
     telemetry::Metrics m_metrics;
     DigestSlot m_digest;
@@ -340,6 +345,7 @@
     std::unique_ptr<TelemetryDuty> m_telemetry;
     std::unique_ptr<DecisionDuty> m_decision;
     std::unique_ptr<StoreDuty> m_store;
+    std::unique_ptr<KeyedDuty> m_keyedDuty;
     std::unique_ptr<HeartbeatDuty> m_heartbeat;
     std::unique_ptr<WatchDuty> m_watch;
     std::unique_ptr<WaveDuty> m_waves;
--- a/src/oleanderwick/node/store_keys.hpp
+++ b/src/oleanderwick/node/store_keys.hpp
@@ -37,6 +37,16 @@
         return m_prefix + "/waves/book";
     }
 
+    /**
+     * @brief Gives the key under which an `Idempotency-Key` is kept.
+     * @param name Digest of team, queue and key.
+     * @return The key.
+     */
+    [[nodiscard]] std::string keyed(const std::string &name) const
+    {
+        return m_prefix + "/keyed/" + name;
+    }
+
     /**
      * @brief Gives the key of a shard of the ledger.
      * @param shard Number of the shard.
--- a/test/oleanderwick/node/config_writer.cpp
+++ b/test/oleanderwick/node/config_writer.cpp
@@ -1,33 +1,19 @@
 #include <catch2/catch.hpp>
-#include <catch2/trompeloeil.hpp>
-
-#include <random>
 
 #include "oleanderwick/node/config_writer.hpp"
-#include "oleanderwick/store/memory_store.hpp"
+#include "support/lossy_store.hpp"
 
 namespace config = oleanderwick::config;
 namespace core = oleanderwick::core;
 namespace node = oleanderwick::node;
 namespace store = oleanderwick::store;
+using oleanderwick::test::LossyStore;
+using oleanderwick::test::MockStore;
 using Kind = node::PatchOutcome::Kind;
 
 namespace
 {
 
-class MockStore final : public store::Store
-{
-public:
-    MAKE_MOCK1(read, absl::StatusOr<std::optional<store::KeyValue>>(const std::string &), override);
-    MAKE_MOCK1(revision, absl::StatusOr<store::Revision>(const std::string &), override);
-    MAKE_MOCK1(keys, absl::StatusOr<std::vector<std::string>>(const std::string &), override);
-    MAKE_MOCK4(compareAndSwap, absl::StatusOr<store::SwapResult>(const std::string &, store::Revision, const std::string &, store::LeaseId), override);
-    MAKE_MOCK1(grantLease, absl::StatusOr<store::LeaseId>(core::Duration), override);
-    MAKE_MOCK1(keepAlive, absl::Status(store::LeaseId), override);
-    MAKE_MOCK1(revokeLease, absl::Status(store::LeaseId), override);
-    MAKE_MOCK3(watch, absl::Status(const std::string &, store::Revision, const OnChange &), override);
-};
-
 config::Patch patchOf(const std::string &id, config::Version base, const std::string &body = R"({"pools":{"p":{}}})")
 {
     return config::Patch{id, "ana", base, config::PatchFormat::MergePatch, body};
@@ -36,40 +22,6 @@
 const node::StoreKeys keys{"/test"};
 const core::SystemClock systemClock;
 
-/** Passes calls on to a store and loses some answers, before or after they took effect. */
-class LossyStore
-{
-public:
-    LossyStore(store::Store &real, std::uint64_t seed)
-        : m_real{real}
-        , m_random{seed}
-    {
-        m_expectations.push_back(NAMED_ALLOW_CALL(mock, read(trompeloeil::_)).RETURN(m_real.read(_1)));
-        m_expectations.push_back(
-            NAMED_ALLOW_CALL(mock, compareAndSwap(trompeloeil::_, trompeloeil::_, trompeloeil::_, trompeloeil::_)).RETURN(swap(_1, _2, _3)));
-    }
-
-    MockStore mock;
-
-private:
-    absl::StatusOr<store::SwapResult> swap(const std::string &key, store::Revision expected, const std::string &value)
-    {
-        switch (m_random() % 3) {
-        case 0:
-            return absl::DeadlineExceededError("lost before");
-        case 1:
-            (void)m_real.compareAndSwap(key, expected, value, 0);
-            return absl::DeadlineExceededError("lost after");
-        default:
-            return m_real.compareAndSwap(key, expected, value, 0);
-        }
-    }
-
-    store::Store &m_real;
-    std::mt19937_64 m_random;
-    std::vector<std::unique_ptr<trompeloeil::expectation>> m_expectations;
-};
-
 } // namespace
 
 TEST_CASE("writePatch makes exactly one of two racing operators win", "[node]")
