Say once what stood twice: listener of stand-ins, their serving, shared store

Cause: duplicates showed the thread server of the store stand-in again in the tests, the stand-ins' serving twice, and a class that only passed calls on. Change: stub/thread_server.hpp and stub/serve.hpp serve both; duties share the store's pointer, so the class that passed calls on is gone. Behaviour as before.

--- a/src/oleanderwick/node/duties.cpp
+++ b/src/oleanderwick/node/duties.cpp
@@ -20,7 +20,7 @@
 
 } // namespace internal
 
-StoreDuty::StoreDuty(std::unique_ptr<store::Store> store, StoreKeys keys, StoreRing &tasks, DecisionRing &decisions, ConfigKeeper &keeper)
+StoreDuty::StoreDuty(std::shared_ptr<store::Store> store, StoreKeys keys, StoreRing &tasks, DecisionRing &decisions, ConfigKeeper &keeper)
     : m_store{std::move(store)}
     , m_keys{std::move(keys)}
     , m_tasks{tasks}
@@ -99,7 +99,7 @@
     task.done(changeBook(*m_store, m_keys, task.change));
 }
 
-HeartbeatDuty::HeartbeatDuty(std::unique_ptr<store::Store> store, StoreKeys keys, core::NodeId self, DecisionRing &decisions, ConfigKeeper &keeper)
+HeartbeatDuty::HeartbeatDuty(std::shared_ptr<store::Store> store, StoreKeys keys, core::NodeId self, DecisionRing &decisions, ConfigKeeper &keeper)
     : m_store{std::move(store)}
     , m_keys{std::move(keys)}
     , m_self{std::move(self)}
@@ -190,7 +190,7 @@
     m_decisions.push(NodesSeen{std::move(nodes)});
 }
 
-WatchDuty::WatchDuty(std::unique_ptr<store::Store> store, StoreKeys keys, ConfigKeeper &keeper)
+WatchDuty::WatchDuty(std::shared_ptr<store::Store> store, StoreKeys keys, ConfigKeeper &keeper)
     : m_store{std::move(store)}
     , m_keys{std::move(keys)}
     , m_keeper{keeper}
--- a/src/oleanderwick/node/duties.hpp
+++ b/src/oleanderwick/node/duties.hpp
@@ -29,7 +29,7 @@
      * @param decisions Ring that gets the answers.
      * @param keeper Gets accepted configurations.
      */
-    StoreDuty(std::unique_ptr<store::Store> store, StoreKeys keys, StoreRing &tasks, DecisionRing &decisions, ConfigKeeper &keeper);
+    StoreDuty(std::shared_ptr<store::Store> store, StoreKeys keys, StoreRing &tasks, DecisionRing &decisions, ConfigKeeper &keeper);
 
 private:
     void run();
@@ -39,7 +39,7 @@
     void handle(const WaveTask &task);
     [[nodiscard]] static std::optional<allotment::StoredLedger> decode(const std::optional<store::KeyValue> &found);
 
-    std::unique_ptr<store::Store> m_store;
+    std::shared_ptr<store::Store> m_store;
     StoreKeys m_keys;
     StoreRing &m_tasks;
     DecisionRing &m_decisions;
@@ -59,7 +59,7 @@
      * @param decisions Ring that is told.
      * @param keeper Gets the configuration.
      */
-    HeartbeatDuty(std::unique_ptr<store::Store> store, StoreKeys keys, core::NodeId self, DecisionRing &decisions, ConfigKeeper &keeper);
+    HeartbeatDuty(std::shared_ptr<store::Store> store, StoreKeys keys, core::NodeId self, DecisionRing &decisions, ConfigKeeper &keeper);
 
 private:
     void run(const std::stop_token &stop);
@@ -67,7 +67,7 @@
     [[nodiscard]] bool keepRegistered();
     [[nodiscard]] bool readHead();
 
-    std::unique_ptr<store::Store> m_store;
+    std::shared_ptr<store::Store> m_store;
     StoreKeys m_keys;
     core::NodeId m_self;
     DecisionRing &m_decisions;
@@ -87,12 +87,12 @@
      * @param keys Keys in use.
      * @param keeper Gets the configuration.
      */
-    WatchDuty(std::unique_ptr<store::Store> store, StoreKeys keys, ConfigKeeper &keeper);
+    WatchDuty(std::shared_ptr<store::Store> store, StoreKeys keys, ConfigKeeper &keeper);
 
 private:
     void run(const std::stop_token &stop);
 
-    std::unique_ptr<store::Store> m_store;
+    std::shared_ptr<store::Store> m_store;
     StoreKeys m_keys;
     ConfigKeeper &m_keeper;
     std::jthread m_thread;
--- a/src/oleanderwick/node/keyed_duty.cpp
+++ b/src/oleanderwick/node/keyed_duty.cpp
@@ -90,7 +90,7 @@
     m_claimed.erase(claimed);
 }
 
-KeyedDuty::KeyedDuty(std::unique_ptr<store::Store> store, const StoreKeys &keys, KeyedRing &tasks)
+KeyedDuty::KeyedDuty(std::shared_ptr<store::Store> store, const StoreKeys &keys, KeyedRing &tasks)
     : m_store{std::move(store)}
     , m_keyed{*m_store, keys}
     , m_tasks{tasks}
--- a/src/oleanderwick/node/keyed_duty.hpp
+++ b/src/oleanderwick/node/keyed_duty.hpp
@@ -98,12 +98,12 @@
      * @param keys Keys in use.
      * @param tasks Ring that it takes from; a `Quit` ends it.
      */
-    KeyedDuty(std::unique_ptr<store::Store> store, const StoreKeys &keys, KeyedRing &tasks);
+    KeyedDuty(std::shared_ptr<store::Store> store, const StoreKeys &keys, KeyedRing &tasks);
 
 private:
     void run();
 
-    std::unique_ptr<store::Store> m_store;
+    std::shared_ptr<store::Store> m_store;
     KeyedStore m_keyed;
     KeyedRing &m_tasks;
     std::jthread m_thread;
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -37,7 +37,7 @@
     return core::NodeId{name + "." + config::makeSecret().substr(0, incarnationDigits)};
 }
 
-/** @brief Makes a connection to the store for each duty. */
+/** @brief Makes a connection to the store for each duty; the store in the process is one for all. */
 class StoreMaker
 {
 public:
@@ -47,7 +47,7 @@
     {
     }
 
-    [[nodiscard]] std::unique_ptr<store::Store> make() const;
+    [[nodiscard]] std::shared_ptr<store::Store> make() const;
 
 private:
     settings::StoreSettings m_settings;
@@ -55,63 +55,10 @@
     std::shared_ptr<store::MemoryStore> m_memory;
 };
 
-/** @brief Connection to a store that the duties share. */
-class SharedStore final : public store::Store
-{
-public:
-    explicit SharedStore(std::shared_ptr<store::Store> store)
-        : m_store{std::move(store)}
-    {
-    }
-
-    absl::StatusOr<std::optional<store::KeyValue>> read(const std::string &key) override
-    {
-        return m_store->read(key);
-    }
-
-    absl::StatusOr<store::Revision> revision(const std::string &key) override
-    {
-        return m_store->revision(key);
-    }
-
-    absl::StatusOr<std::vector<std::string>> keys(const std::string &prefix) override
-    {
-        return m_store->keys(prefix);
-    }
-
-    absl::StatusOr<store::SwapResult> compareAndSwap(const std::string &key, store::Revision expected, const std::string &value, store::LeaseId lease) override
-    {
-        return m_store->compareAndSwap(key, expected, value, lease);
-    }
-
-    absl::StatusOr<store::LeaseId> grantLease(core::Duration span) override
-    {
-        return m_store->grantLease(span);
-    }
-
-    absl::Status keepAlive(store::LeaseId lease) override
-    {
-        return m_store->keepAlive(lease);
-    }
-
-    absl::Status revokeLease(store::LeaseId lease) override
-    {
-        return m_store->revokeLease(lease);
-    }
-
-    absl::Status watch(const std::string &key, store::Revision after, const OnChange &onChange) override
-    {
-        return m_store->watch(key, after, onChange);
-    }
-
-private:
-    std::shared_ptr<store::Store> m_store;
-};
-
-std::unique_ptr<store::Store> StoreMaker::make() const
+std::shared_ptr<store::Store> StoreMaker::make() const
 {
     if (m_settings.kind == settings::StoreKind::Memory) {
-        return std::make_unique<SharedStore>(m_memory);
+        return m_memory;
     }
     std::vector<http::Endpoint> endpoints;
     for (const std::string &text : m_settings.endpoints) {
@@ -120,7 +67,7 @@
             endpoints.push_back(*endpoint);
         }
     }
-    return std::make_unique<store::PlatformStore>(std::move(endpoints), storeTimeout);
+    return std::make_shared<store::PlatformStore>(std::move(endpoints), storeTimeout);
 }
 
 http::ServerLimits serverLimits(const settings::Settings &settings)
--- a/src/oleanderwick/node/wave_duty.cpp
+++ b/src/oleanderwick/node/wave_duty.cpp
@@ -96,7 +96,7 @@
     return response->status == internal::statusOk ? absl::OkStatus() : absl::UnavailableError(absl::StrCat("the platform answered ", response->status));
 }
 
-WaveDuty::WaveDuty(std::unique_ptr<store::Store> store,
+WaveDuty::WaveDuty(std::shared_ptr<store::Store> store,
                    std::unique_ptr<maintenance::Platform> platform,
                    StoreKeys keys,
                    DigestSlot &own,
--- a/src/oleanderwick/node/wave_duty.hpp
+++ b/src/oleanderwick/node/wave_duty.hpp
@@ -74,7 +74,7 @@
      * @param telemetry Ring for events.
      * @param keeper Configuration in force.
      */
-    WaveDuty(std::unique_ptr<store::Store> store,
+    WaveDuty(std::shared_ptr<store::Store> store,
              std::unique_ptr<maintenance::Platform> platform,
              StoreKeys keys,
              DigestSlot &own,
@@ -94,7 +94,7 @@
     [[nodiscard]] std::optional<std::map<core::InstanceId, std::uint32_t>> rightsOut();
     [[nodiscard]] std::optional<maintenance::PoolView> viewOf(const maintenance::Wave &wave, const maintenance::PlatformList &list);
 
-    std::unique_ptr<store::Store> m_store;
+    std::shared_ptr<store::Store> m_store;
     std::unique_ptr<maintenance::Platform> m_platform;
     StoreKeys m_keys;
     DigestSlot &m_own;
--- a/src/stub/platform_main.cpp
+++ b/src/stub/platform_main.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "oleanderwick/http/http.hpp"
+#include "serve.hpp"
 
 namespace
 {
@@ -91,19 +92,10 @@
 {
     http::Loop loop;
     PlatformStub platform{loop, rebootTime};
-    http::Server server{loop, http::ServerLimits{}, [&platform](const http::Request &request, const http::Responder &respond) {
-                            platform.handle(request, respond);
-                        }};
-    const absl::StatusOr<std::uint16_t> port = server.listen(listen);
-    if (!port.ok()) {
-        std::cerr << "oleanderwick-platformstub: " << port.status().message() << '\n';
-        return 1;
-    }
-    loop.onStopSignal([&loop] {
-        loop.stop();
-    });
-    loop.run();
-    return 0;
+    return oleanderwick::stub::serve(
+        loop, "oleanderwick-platformstub", listen, core::Duration::zero(), [&platform](const http::Request &request, const http::Responder &respond) {
+            platform.handle(request, respond);
+        });
 }
 
 } // namespace
--- a/src/stub/store_stub.cpp
+++ b/src/stub/store_stub.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http.hpp>
 
 #include "oleanderwick/store/base64.hpp"
+#include "thread_server.hpp"
 
 namespace oleanderwick::stub
 {
@@ -205,81 +206,40 @@
     return nlohmann::json{{"result", {{"header", header()}, {"events", nlohmann::json::array({event})}}}};
 }
 
-/** @brief Listener and connections of a server. */
-class StoreServer::State : public std::enable_shared_from_this<State>
+/** @brief Serves the gateway's calls on a connection's thread. */
+class StoreServer::State
 {
 public:
     State(StoreStub &stub, std::uint16_t port)
         : m_stub{stub}
-        , m_acceptor{m_context, internal::asio::ip::tcp::endpoint{internal::asio::ip::address_v4::loopback(), port}}
+        , m_server{port, [this](Socket &socket) {
+                       serve(socket);
+                   }}
     {
     }
 
     [[nodiscard]] std::uint16_t port() const
     {
-        return m_acceptor.local_endpoint().port();
-    }
-
-    void start()
-    {
-        m_listener = std::thread{[this] {
-            accept();
-        }};
-    }
-
-    void stop()
-    {
-        m_stopping = true;
-        ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
-        m_listener.join();
-        {
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            for (const int socket : m_sockets) {
-                ::shutdown(socket, SHUT_RDWR);
-            }
-        }
-        for (std::thread &connection : m_connections) {
-            connection.join();
-        }
+        return m_server.port();
     }
 
 private:
-    using Socket = internal::asio::ip::tcp::socket;
+    using Socket = ThreadServer::Socket;
     using Request = internal::beast::http::request<internal::beast::http::string_body>;
 
-    void accept()
-    {
-        while (!m_stopping) {
-            boost::system::error_code error;
-            Socket socket{m_context};
-            m_acceptor.accept(socket, error);
-            if (error) {
-                continue;
-            }
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            m_sockets.push_back(socket.native_handle());
-            m_connections.emplace_back([this, connection = std::move(socket)]() mutable {
-                serve(connection);
-            });
-        }
-    }
-
     void serve(Socket &socket)
     {
         boost::system::error_code error;
         socket.set_option(internal::asio::ip::tcp::no_delay{true}, error);
         internal::beast::flat_buffer buffer;
-        while (!m_stopping) {
+        while (!m_server.stopping()) {
             internal::beast::http::request_parser<internal::beast::http::string_body> parser;
             parser.body_limit(8U << 20U);
             internal::beast::http::read(socket, buffer, parser, error);
             if (error || !answer(socket, parser.release())) {
-                break;
+                return;
             }
         }
-        const std::lock_guard<std::mutex> lock{m_mutex};
-        std::erase(m_sockets, socket.native_handle());
-        socket.close(error);
     }
 
     [[nodiscard]] bool answer(Socket &socket, const Request &request)
@@ -358,7 +318,7 @@
         internal::beast::http::write_header(socket, serializer, error);
         const nlohmann::json created = {{"result", {{"created", true}}}};
         bool open = !error && sendChunk(socket, created);
-        while (open && !m_stopping && !m_stub.faults().away) {
+        while (open && !m_server.stopping() && !m_stub.faults().away) {
             const std::optional<nlohmann::json> change = m_stub.nextChange(key, after);
             open = change ? sendChunk(socket, *change) : isOpen(socket);
         }
@@ -380,25 +340,15 @@
     }
 
     StoreStub &m_stub;
-    internal::asio::io_context m_context;
-    internal::asio::ip::tcp::acceptor m_acceptor;
-    std::atomic<bool> m_stopping{false};
-    std::mutex m_mutex;
-    std::vector<int> m_sockets;
-    std::vector<std::thread> m_connections;
-    std::thread m_listener;
+    ThreadServer m_server;
 };
 
 StoreServer::StoreServer(StoreStub &stub, std::uint16_t port)
-    : m_state{std::make_shared<State>(stub, port)}
+    : m_state{std::make_unique<State>(stub, port)}
 {
-    m_state->start();
 }
 
-StoreServer::~StoreServer()
-{
-    m_state->stop();
-}
+StoreServer::~StoreServer() = default;
 
 std::uint16_t StoreServer::port() const noexcept
 {
--- a/src/stub/store_stub.hpp
+++ b/src/stub/store_stub.hpp
@@ -4,7 +4,6 @@
  * @brief Stand-in for the platform's key-value service: the etcd v3 JSON gateway on loopback, with faults on demand.
  */
 
-#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -128,7 +127,7 @@
 
 private:
     class State;
-    std::shared_ptr<State> m_state;
+    std::unique_ptr<State> m_state;
 };
 
 } // namespace oleanderwick::stub
--- a/src/stub/upstream_main.cpp
+++ b/src/stub/upstream_main.cpp
@@ -6,6 +6,7 @@
 #include <cxxopts.hpp>
 
 #include "oleanderwick/http/http.hpp"
+#include "serve.hpp"
 
 namespace
 {
@@ -72,22 +73,10 @@
 {
     http::Loop loop;
     Upstream upstream{loop, name, delay};
-    http::Server server{loop, http::ServerLimits{}, [&upstream](const http::Request &request, const http::Responder &respond) {
-                            upstream.handle(request, respond);
-                        }};
-    const absl::StatusOr<std::uint16_t> port = server.listen(listen);
-    if (!port.ok()) {
-        std::cerr << "oleanderwick-upstreamstub: " << port.status().message() << '\n';
-        return 1;
-    }
-    loop.onStopSignal([&] {
-        server.close();
-        loop.after(drainTime, [&loop] {
-            loop.stop();
+    return oleanderwick::stub::serve(
+        loop, "oleanderwick-upstreamstub", listen, drainTime, [&upstream](const http::Request &request, const http::Responder &respond) {
+            upstream.handle(request, respond);
         });
-    });
-    loop.run();
-    return 0;
 }
 
 } // namespace
--- a/test/support/raw_upstream.hpp
+++ b/test/support/raw_upstream.hpp
@@ -1,18 +1,15 @@
 #pragma once
 
 #include <atomic>
-#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
-#include <thread>
-#include <vector>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include "stub/thread_server.hpp"
+
 namespace oleanderwick::test
 {
 
@@ -38,27 +35,10 @@
     };
 
     RawUpstream()
-        : m_acceptor{m_context, {boost::asio::ip::address_v4::loopback(), 0}}
-        , m_listener{[this] {
-            accept();
-        }}
-    {
-    }
-
-    ~RawUpstream()
+        : m_server{0, [this](Socket &socket) {
+                       serve(socket);
+                   }}
     {
-        m_stopping = true;
-        ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
-        m_listener.join();
-        {
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            for (const int socket : m_sockets) {
-                ::shutdown(socket, SHUT_RDWR);
-            }
-        }
-        for (std::thread &connection : m_connections) {
-            connection.join();
-        }
     }
 
     RawUpstream(const RawUpstream &) = delete;
@@ -66,7 +46,7 @@
 
     [[nodiscard]] std::string address() const
     {
-        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        return "127.0.0.1:" + std::to_string(m_server.port());
     }
 
     [[nodiscard]] int mostRuns() const
@@ -81,8 +61,7 @@
 
     [[nodiscard]] int connections() const
     {
-        const std::lock_guard<std::mutex> lock{m_mutex};
-        return static_cast<int>(m_connections.size());
+        return static_cast<int>(m_server.connections());
     }
 
     void setManner(Manner manner)
@@ -91,24 +70,7 @@
     }
 
 private:
-    using Socket = boost::asio::ip::tcp::socket;
-
-    void accept()
-    {
-        while (!m_stopping) {
-            boost::system::error_code error;
-            Socket socket{m_context};
-            m_acceptor.accept(socket, error);
-            if (error) {
-                continue;
-            }
-            const std::lock_guard<std::mutex> lock{m_mutex};
-            m_sockets.push_back(socket.native_handle());
-            m_connections.emplace_back([this, connection = std::move(socket)]() mutable {
-                serve(connection);
-            });
-        }
-    }
+    using Socket = stub::ThreadServer::Socket;
 
     void serve(Socket &socket)
     {
@@ -121,9 +83,6 @@
             }
             buffer.erase(0, length);
         }
-        const std::lock_guard<std::mutex> lock{m_mutex};
-        std::erase(m_sockets, socket.native_handle());
-        socket.close(error);
     }
 
     [[nodiscard]] static std::string idOf(const std::string &request)
@@ -184,15 +143,10 @@
         return !error;
     }
 
-    boost::asio::io_context m_context;
-    boost::asio::ip::tcp::acceptor m_acceptor;
-    std::atomic<bool> m_stopping{false};
     std::atomic<Manner> m_manner{Manner::Answer};
     mutable std::mutex m_mutex;
-    std::vector<int> m_sockets;
-    std::vector<std::thread> m_connections;
     std::map<std::string, int> m_runs;
-    std::thread m_listener;
+    stub::ThreadServer m_server;
 };
 
 } // namespace oleanderwick::test
