Keep the decision ring's room for requests

Cause: read as a newcomer: ticks and peers' digests could fill the room that an ended attempt counts on, if the decision thread stood still for 40 s.

--- a/src/oleanderwick/core/ring.hpp
+++ b/src/oleanderwick/core/ring.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <utility>
 
@@ -20,6 +21,7 @@
 public:
     using value_type = Type;
     using size_type = std::size_t;
+    using queue_type = tbb::concurrent_bounded_queue<value_type>;
 
     /**
      * @brief Makes an empty ring.
@@ -30,6 +32,24 @@
         m_queue.set_capacity(static_cast<typename queue_type::size_type>(capacity));
     }
 
+    /** @return Elements held at some moment of late. */
+    [[nodiscard]] size_type size() const
+    {
+        // Negative while takers wait.
+        return static_cast<size_type>(std::max<typename queue_type::size_type>(0, m_queue.size()));
+    }
+
+    /**
+     * @brief Adds an element without waiting, if there is room to spare for more important ones.
+     * @param value Element to add.
+     * @param most Elements that may be held before it.
+     * @return False if the ring holds more; the element is then dropped.
+     */
+    [[nodiscard]] bool tryPushBelow(value_type value, size_type most)
+    {
+        return size() < most && tryPush(std::move(value));
+    }
+
     /**
      * @brief Adds an element without waiting.
      * @param value Element to add.
@@ -71,7 +91,6 @@
     }
 
 private:
-    using queue_type = tbb::concurrent_bounded_queue<value_type>;
     queue_type m_queue;
 };
 
--- a/src/oleanderwick/node/messages.hpp
+++ b/src/oleanderwick/node/messages.hpp
@@ -126,6 +126,8 @@
 
 /** @brief Ring of the decision duty. */
 using DecisionRing = core::BoundedRing<DecisionEvent>;
+/** @brief Events that come by themselves are dropped while the decision ring holds this many; the room is the requests'. */
+inline constexpr std::size_t mostBeforeDrops = 1024;
 /** @brief Ring of the store duty. */
 using StoreRing = core::BoundedRing<StoreTask>;
 /** @brief Ring of the telemetry duty. */
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -135,7 +135,7 @@
         m_loop.every(internal::tickPeriod, [this] {
             // Nothing waits on an idle node: there it is enough to look up now and then.
             if (m_callerApi.size() > 0 || ++m_idleTicks % internal::idleTicks == 0) {
-                (void)m_decisions.tryPush(Tick{});
+                (void)m_decisions.tryPushBelow(Tick{}, mostBeforeDrops);
             }
         });
         m_loop.onStopSignal([this] {
--- a/src/oleanderwick/node/operator_api.cpp
+++ b/src/oleanderwick/node/operator_api.cpp
@@ -353,7 +353,7 @@
 
 membership::Digest OperatorApi::exchange(const membership::Digest &digest)
 {
-    (void)m_decisions.tryPush(PeerHeard{digest});
+    (void)m_decisions.tryPushBelow(PeerHeard{digest}, mostBeforeDrops);
     return m_digest.read();
 }
 
