Keep an upstream's connections within what its instance allows

Change: what stays open without a request is the instance's connections less its slots, divided by the nodes; requests use at most the slots.

--- a/src/oleanderwick/dispatch/dispatcher.cpp
+++ b/src/oleanderwick/dispatch/dispatcher.cpp
@@ -101,7 +101,9 @@
     for (const std::pair<const core::InstanceId, config::Instance> &entry : m_snapshot->document().instances) {
         const config::Instance &instance = entry.second;
         const bool leaving = instance.leaving || m_outOfService.contains(entry.first);
-        upstreams[instance.pool].push_back(routing::UpstreamInfo{entry.first, instance.address, instance.zone, leaving});
+        // Requests use up to as many connections as there are slots; only the rest may stay open between them.
+        const std::uint32_t idle = instance.connections > instance.slots ? instance.connections - instance.slots : 0;
+        upstreams[instance.pool].push_back(routing::UpstreamInfo{entry.first, instance.address, instance.zone, leaving, idle});
     }
     for (std::pair<const core::PoolId, PoolState> &pool : m_pools) {
         pool.second.upstreams.assign(upstreams[pool.first], now);
--- a/src/oleanderwick/dispatch/dispatcher_attempts.cpp
+++ b/src/oleanderwick/dispatch/dispatcher_attempts.cpp
@@ -33,9 +33,10 @@
         m_budgets[request.queue].deposit();
     }
     const bool fresh = !request.idempotent || request.attempts > 1;
-    const std::string &address = pool.upstreams.find(upstream)->address;
+    const routing::UpstreamInfo &info = *pool.upstreams.find(upstream);
     const core::Duration timeout = attemptTimeout(request, now);
-    actions.emplace_back(StartAttempt{entry->first, upstream, address, request.attempts, timeout, request.deadline - now, fresh, m_freshUntil});
+    actions.emplace_back(
+        StartAttempt{entry->first, upstream, info.address, request.attempts, timeout, request.deadline - now, fresh, info.idleConnections, m_freshUntil});
 }
 
 Actions Dispatcher::attemptEnded(const AttemptEnd &end, core::TimePoint now)
--- a/src/oleanderwick/dispatch/messages.hpp
+++ b/src/oleanderwick/dispatch/messages.hpp
@@ -44,6 +44,7 @@
     core::Duration timeout{}; /**< Longest time until the whole answer. */
     core::Duration remaining{}; /**< Time until the request's deadline, told to the upstream. */
     bool freshConnection{false}; /**< Only a connection that is new or was used just now. */
+    std::uint32_t idleConnections{}; /**< Most connections that all nodes together may keep open to it without a request. */
     core::TimePoint validUntil; /**< Not sent from this time on: the node may have been counted out. */
 
     [[nodiscard]] bool operator==(const StartAttempt &) const = default;
--- a/src/oleanderwick/http/upstream_links.cpp
+++ b/src/oleanderwick/http/upstream_links.cpp
@@ -58,9 +58,8 @@
 class LinksState : public std::enable_shared_from_this<LinksState>
 {
 public:
-    LinksState(LoopState &loop, std::size_t maxPerUpstream)
+    explicit LinksState(LoopState &loop)
         : m_loop{loop}
-        , m_maxPerUpstream{maxPerUpstream}
     {
     }
 
@@ -89,11 +88,11 @@
         return nullptr;
     }
 
-    void keep(const std::string &address, std::unique_ptr<asio::ip::tcp::socket> stream)
+    void keep(const std::string &address, std::unique_ptr<asio::ip::tcp::socket> stream, std::size_t most)
     {
         std::deque<IdleLink> &links = m_idle[address];
         links.push_back(IdleLink{std::move(stream), core::BootClock::now()});
-        if (links.size() > m_maxPerUpstream) {
+        while (links.size() > most) {
             links.pop_front();
         }
     }
@@ -115,7 +114,6 @@
 
 private:
     LoopState &m_loop;
-    std::size_t m_maxPerUpstream;
     std::map<std::string, std::deque<IdleLink>> m_idle;
 };
 
@@ -241,7 +239,7 @@
         }
         const bool refused = message.result_int() == serviceUnavailable && message[outcomeHeader] == "not-run";
         if (message.keep_alive() && m_buffer.size() == 0) {
-            m_links->keep(m_exchange.address, std::move(m_stream));
+            m_links->keep(m_exchange.address, std::move(m_stream), m_exchange.idleConnections);
         }
         finish(refused ? ExchangeEnd::RefusedNotRun : ExchangeEnd::Whole);
     }
@@ -290,8 +288,8 @@
 
 } // namespace internal
 
-UpstreamLinks::UpstreamLinks(Loop &loop, std::size_t maxPerUpstream)
-    : m_state{std::make_shared<internal::LinksState>(loop.state(), maxPerUpstream)}
+UpstreamLinks::UpstreamLinks(Loop &loop)
+    : m_state{std::make_shared<internal::LinksState>(loop.state())}
 {
     const std::weak_ptr<internal::LinksState> weak = m_state;
     loop.every(std::chrono::seconds{1}, [weak] {
--- a/src/oleanderwick/http/upstream_links.hpp
+++ b/src/oleanderwick/http/upstream_links.hpp
@@ -26,6 +26,7 @@
     core::Duration timeout{}; /**< Longest time until the whole answer. */
     bool freshConnection{false}; /**< Only a connection that is new or was used just now. */
     std::size_t maxAnswerBytes{8U << 20U};
+    std::size_t idleConnections{8}; /**< Most connections that this node keeps open to the upstream afterwards. */
 
     [[nodiscard]] bool operator==(const Exchange &) const = default;
 };
@@ -49,9 +50,8 @@
     /**
      * @brief Starts without connections.
      * @param loop Loop to run on; has to outlive the links.
-     * @param maxPerUpstream Most connections kept to one upstream while they are idle.
      */
-    UpstreamLinks(Loop &loop, std::size_t maxPerUpstream);
+    explicit UpstreamLinks(Loop &loop);
     ~UpstreamLinks();
     UpstreamLinks(const UpstreamLinks &) = delete;
     UpstreamLinks &operator=(const UpstreamLinks &) = delete;
--- a/src/oleanderwick/node/caller_api.cpp
+++ b/src/oleanderwick/node/caller_api.cpp
@@ -81,6 +81,7 @@
                      DecisionRing &decisions,
                      KeyedRing &keyed,
                      ConfigKeeper &keeper,
+                     std::size_t fleetSize,
                      std::size_t maxRequests,
                      std::size_t maxAnswerBytes)
     : m_node{std::move(node)}
@@ -89,6 +90,7 @@
     , m_decisions{decisions}
     , m_keyed{keyed}
     , m_keeper{keeper}
+    , m_fleetSize{fleetSize}
     , m_maxRequests{maxRequests}
     , m_maxAnswerBytes{maxAnswerBytes}
 {
@@ -260,6 +262,7 @@
     exchange.timeout = start.timeout;
     exchange.freshConnection = start.freshConnection;
     exchange.maxAnswerBytes = m_maxAnswerBytes;
+    exchange.idleConnections = start.idleConnections / m_fleetSize;
     const admission::RequestNumber number = start.number;
     m_links.start(std::move(exchange), [this, number](http::ExchangeResult result) {
         ended(number, std::move(result));
--- a/src/oleanderwick/node/caller_api.hpp
+++ b/src/oleanderwick/node/caller_api.hpp
@@ -24,6 +24,7 @@
      * @param decisions Ring of the decision duty.
      * @param keyed Ring of the duty for `Idempotency-Key`.
      * @param keeper Configuration in force.
+     * @param fleetSize Nodes that share an upstream's connections.
      * @param maxRequests Most requests held at once; the ring has room for one event of each.
      * @param maxAnswerBytes Longest answer that is passed on.
      */
@@ -33,6 +34,7 @@
               DecisionRing &decisions,
               KeyedRing &keyed,
               ConfigKeeper &keeper,
+              std::size_t fleetSize,
               std::size_t maxRequests,
               std::size_t maxAnswerBytes);
 
@@ -81,6 +83,7 @@
     DecisionRing &m_decisions;
     KeyedRing &m_keyed;
     ConfigKeeper &m_keeper;
+    std::size_t m_fleetSize;
     std::size_t m_maxRequests;
     std::size_t m_maxAnswerBytes;
     admission::RequestNumber m_lastNumber{0};
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -29,7 +29,6 @@
 constexpr std::size_t storeRingSize = 1024;
 constexpr std::size_t telemetryRingSize = 65'536;
 constexpr std::size_t controlEvents = 4096;
-constexpr std::size_t linksPerUpstream = 64;
 constexpr std::size_t incarnationDigits = 12;
 
 core::NodeId makeNodeId(const std::string &name)
@@ -77,11 +76,6 @@
     return limits;
 }
 
-std::size_t upstreamLinks(std::size_t fleetSize)
-{
-    return std::max<std::size_t>(1, linksPerUpstream / fleetSize);
-}
-
 } // namespace internal
 
 /** @brief Everything that a running node consists of, in the order of its making. */
@@ -98,8 +92,8 @@
         , m_keyed{internal::storeRingSize}
         , m_items{internal::telemetryRingSize}
         , m_keeper{m_decisions}
-        , m_links{m_loop, internal::upstreamLinks(m_fleetSize)}
-        , m_callerApi{m_self, m_loop, m_links, m_decisions, m_keyed, m_keeper, m_settings.maxRequests, m_settings.maxAnswerBytes}
+        , m_links{m_loop}
+        , m_callerApi{m_self, m_loop, m_links, m_decisions, m_keyed, m_keeper, m_fleetSize, m_settings.maxRequests, m_settings.maxAnswerBytes}
         , m_operatorApi{m_settings,
                         m_keeper,
                         m_digest,
--- a/src/oleanderwick/routing/upstream_table.hpp
+++ b/src/oleanderwick/routing/upstream_table.hpp
@@ -24,6 +24,7 @@
     std::string address;
     std::string zone;
     bool leaving{false};
+    std::uint32_t idleConnections{0}; /**< Most connections that all nodes together may keep open without a request. */
 
     [[nodiscard]] bool operator==(const UpstreamInfo &) const = default;
 };
--- a/test/oleanderwick/dispatch/dispatcher.cpp
+++ b/test/oleanderwick/dispatch/dispatcher.cpp
@@ -280,3 +280,12 @@
     }
     CHECK(used.size() == 2);
 }
+
+TEST_CASE("Dispatcher leaves the upstream's slots out of the connections that may stay open", "[dispatch]")
+{
+    config::Document document = DocumentBuilder{}.pool("p", 1, 8).team("t", 1, 16).queue("q", "p", {"t"}).build();
+    document.instances.begin()->second.connections = GENERATE(64U, 8U, 4U);
+    const std::uint32_t connections = document.instances.begin()->second.connections;
+    One one{document};
+    CHECK(startOf(one.arrive("q", "t"))->idleConnections == (connections > 8 ? connections - 8 : 0));
+}
--- a/test/oleanderwick/http/upstream_links.cpp
+++ b/test/oleanderwick/http/upstream_links.cpp
@@ -19,14 +19,14 @@
 class Sender
 {
 public:
-    http::ExchangeResult send(const std::string &address, core::Duration timeout = std::chrono::seconds{20}, bool fresh = false)
+    http::ExchangeResult send(const std::string &address, core::Duration timeout = std::chrono::seconds{20}, std::size_t idle = 8)
     {
         http::Exchange exchange;
         exchange.address = address;
         exchange.request = http::Request{"GET", "/work", {}, ""};
         exchange.requestId = "r" + std::to_string(++m_number);
         exchange.timeout = timeout;
-        exchange.freshConnection = fresh;
+        exchange.idleConnections = idle;
         exchange.maxAnswerBytes = 1000;
         std::optional<http::ExchangeResult> result;
         m_links.start(std::move(exchange), [&](http::ExchangeResult ended) {
@@ -41,7 +41,7 @@
 
 private:
     http::Loop m_loop;
-    http::UpstreamLinks m_links{m_loop, 8};
+    http::UpstreamLinks m_links{m_loop};
     int m_number{0};
 };
 
@@ -107,3 +107,13 @@
     CHECK(upstream.connections() == 1);
     CHECK(upstream.mostRuns() == 1);
 }
+
+TEST_CASE("UpstreamLinks keeps no more connections than it may", "[http]")
+{
+    RawUpstream upstream;
+    Sender sender;
+    for (int count = 0; count < 3; ++count) {
+        CHECK(sender.send(upstream.address(), std::chrono::seconds{20}, 0).end == ExchangeEnd::Whole);
+    }
+    CHECK(upstream.connections() == 3);
+}
