Work out the even part in one place, and drop a field nobody read

Cause: reading the whole change: the holder worked out a node's even part as the plan does, and a response told of HEAD without anybody reading it. Change: evenPart of the plan serves both; the field is gone.

--- a/src/oleanderwick/allotment/holder.cpp
+++ b/src/oleanderwick/allotment/holder.cpp
@@ -115,8 +115,7 @@
 
 std::uint32_t Holder::asked(const Group &group) const
 {
-    const auto available = m_input.available.find(group);
-    const std::uint32_t even = available == m_input.available.end() ? 0 : available->second / static_cast<std::uint32_t>(m_input.fleetSize);
+    const std::uint32_t even = evenPart(m_input, group);
     std::uint32_t sum = 0;
     for (const TeamDemand &demand : m_demands.at(m_self)) {
         const std::string &name = group.kind == Group::Kind::Team ? demand.team.text() : demand.pool.text();
--- a/src/oleanderwick/allotment/plan.cpp
+++ b/src/oleanderwick/allotment/plan.cpp
@@ -59,7 +59,7 @@
     return std::max(recent, running + std::min(waiting, step));
 }
 
-std::uint32_t Plan::evenPart(const PlanInput &input, const Group &group)
+std::uint32_t evenPart(const PlanInput &input, const Group &group)
 {
     const auto available = input.available.find(group);
     return available == input.available.end() ? 0 : available->second / static_cast<std::uint32_t>(std::max<std::size_t>(1, input.fleetSize));
--- a/src/oleanderwick/allotment/plan.hpp
+++ b/src/oleanderwick/allotment/plan.hpp
@@ -73,6 +73,14 @@
     std::size_t fleetSize{1}; /**< Nodes that the fleet should have. */
 };
 
+/**
+ * @brief Tells a node's even part of a group.
+ * @param input What is to be divided.
+ * @param group Group asked for.
+ * @return Its part, rounded down; zero for unknown groups.
+ */
+[[nodiscard]] std::uint32_t evenPart(const PlanInput &input, const Group &group);
+
 /** @brief Rights that each node should have of each group. */
 class Plan
 {
@@ -101,9 +109,6 @@
 private:
     using Targets = std::map<core::NodeId, double>;
 
-    /** @return A node's even part of a group. */
-    [[nodiscard]] static std::uint32_t evenPart(const PlanInput &input, const Group &group);
-
     void divideTeams(const PlanInput &input, const NodeDemands &demands);
     void dividePools(const PlanInput &input, const NodeDemands &demands);
     void noteWaits(const NodeDemands &demands);
--- a/src/oleanderwick/http/message.hpp
+++ b/src/oleanderwick/http/message.hpp
@@ -35,7 +35,6 @@
     int status{200};
     std::vector<Header> headers;
     std::string body;
-    bool headOnly{false}; /**< Answer to HEAD: the headers speak of a body that is not sent. */
 
     [[nodiscard]] bool operator==(const Response &) const = default;
 };
--- a/src/oleanderwick/http/upstream_links.cpp
+++ b/src/oleanderwick/http/upstream_links.cpp
@@ -268,7 +268,6 @@
                 result.response.headers.push_back(Header{std::string{field.name_string()}, std::string{field.value()}});
             }
             result.response.body = std::move(message.body());
-            result.response.headOnly = m_message.method() == beast::http::verb::head;
         }
         m_stream.reset();
         m_onEnd(std::move(result));
