--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -5,7 +5,7 @@
 import sys
 
 LAYERS = ["core", "settings", "config", "admission", "routing", "allotment", "dispatch", "membership",
-          "maintenance", "http", "store", "peer", "telemetry", "node"]
+          "maintenance", "jobs", "http", "store", "peer", "telemetry", "jobnode", "node"]
 # Modules that a module may use, beyond itself.
 ALLOWED = {
     "core": set(),
@@ -21,6 +21,8 @@
     "store": {"core", "http"},
     "peer": {"core", "config", "http", "membership"},
     "telemetry": {"core", "dispatch"},
+    "jobs": {"core"},
+    "jobnode": {"core", "jobs", "http", "telemetry"},
     "node": set(LAYERS) - {"node"},
 }
 MOST_LINES = 500
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,11 +1,15 @@
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 
 #include <cxxopts.hpp>
 
 #include "oleanderwick/node/node.hpp"
+#include "oleanderwick/settings/job_settings.hpp"
 #include "oleanderwick/settings/settings.hpp"
 #include "oleanderwick/telemetry/telemetry.hpp"
+#include "platform/run.hpp"
 
 namespace
 {
@@ -13,8 +17,38 @@
 constexpr const char *version = "0.1.0";
 constexpr int exitUsage = 2;
 
+std::string readFile(const std::string &path)
+{
+    std::ifstream file{path};
+    return std::string{std::istreambuf_iterator<char>{file}, std::istreambuf_iterator<char>{}};
+}
+
+/** Runs a node that schedules jobs for a platform. */
+int startScheduler(const std::string &path, const std::string &text, bool checkOnly)
+{
+    const absl::StatusOr<oleanderwick::settings::JobSettings> settings = oleanderwick::settings::parseJobSettings(text);
+    if (!settings.ok()) {
+        std::cerr << path << ":\n" << settings.status().message() << '\n';
+        return exitUsage;
+    }
+    if (checkOnly) {
+        std::cout << path << ": ok\n";
+        return EXIT_SUCCESS;
+    }
+    const absl::Status ended = oleanderwick::platform::run(*settings);
+    if (!ended.ok()) {
+        std::cerr << ended.message() << '\n';
+        return EXIT_FAILURE;
+    }
+    return EXIT_SUCCESS;
+}
+
 int start(const std::string &path, bool checkOnly)
 {
+    const std::string text = readFile(path);
+    if (oleanderwick::settings::isJobSettings(text)) {
+        return startScheduler(path, text, checkOnly);
+    }
     const absl::StatusOr<oleanderwick::settings::Settings> settings = oleanderwick::settings::load(path);
     if (!settings.ok()) {
         std::cerr << path << ":\n" << settings.status().message() << '\n';
--- a/src/oleanderwick/http/upstream_links.cpp
+++ b/src/oleanderwick/http/upstream_links.cpp
@@ -97,6 +97,12 @@
         }
     }
 
+    /** Closes the idle connections to an address: one that went silent makes the others suspect. */
+    void drop(const std::string &address)
+    {
+        m_idle.erase(address);
+    }
+
     /** Closes connections that were idle for too long, and forgets upstreams without any. */
     void expire()
     {
@@ -179,7 +185,9 @@
             m_message.insert(header.name, header.value);
         }
         m_message.set(beast::http::field::host, m_exchange.address);
-        m_message.set(requestIdHeader, m_exchange.requestId);
+        if (!m_exchange.requestId.empty()) {
+            m_message.set(requestIdHeader, m_exchange.requestId);
+        }
         m_message.body() = std::move(m_exchange.request.body);
         m_message.prepare_payload();
         m_timer.arm(m_deadline);
@@ -233,7 +241,7 @@
         }
         const beast::http::response<beast::http::string_body> &message = m_parser->get();
         const auto echoed = message.find(requestIdHeader);
-        if (echoed != message.end() && echoed->value() != m_exchange.requestId) {
+        if (!m_exchange.requestId.empty() && echoed != message.end() && echoed->value() != m_exchange.requestId) {
             finish(ExchangeEnd::WrongAnswer);
             return;
         }
@@ -270,6 +278,9 @@
             result.response.body = std::move(message.body());
         }
         m_stream.reset();
+        if (end == ExchangeEnd::TimedOut) {
+            m_links->drop(m_exchange.address);
+        }
         m_onEnd(std::move(result));
     }
 
--- a/src/oleanderwick/http/upstream_links.hpp
+++ b/src/oleanderwick/http/upstream_links.hpp
@@ -22,7 +22,7 @@
 struct Exchange {
     std::string address; /**< IP number and port of the upstream. */
     Request request; /**< Without hop-by-hop headers. */
-    std::string requestId; /**< Sent along; an answer that echoes another one is refused. */
+    std::string requestId; /**< Sent along; an answer that echoes another one is refused. Empty for none. */
     core::Duration timeout{}; /**< Longest time until the whole answer. */
     bool freshConnection{false}; /**< Only a connection that is new or was used just now. */
     std::size_t maxAnswerBytes{8U << 20U};
--- /dev/null
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -0,0 +1,327 @@
+#include "tenure_state.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include "keys.hpp"
+
+namespace oleanderwick::jobnode
+{
+
+namespace internal
+{
+
+constexpr core::Duration pumpEvery = std::chrono::milliseconds{50};
+constexpr core::Duration retryLoad = std::chrono::milliseconds{100};
+constexpr core::Duration watchWait = std::chrono::milliseconds{2000};
+
+} // namespace internal
+
+Tenure::State::State(http::Loop &itsLoop, const Ports &itsPorts, Ownership &itsOwnership, std::int64_t itsToken, const TenureLimits &itsLimits, LogSink &itsLog)
+    : loop{itsLoop}
+    , ports{itsPorts}
+    , ownership{itsOwnership}
+    , token{itsToken}
+    , limits{itsLimits}
+    , log{itsLog}
+    , scheduler{itsLimits.scheduler, core::BootClock::now()}
+    , upkeep{core::BootClock::now() + itsLimits.orderPause}
+    , startedAt{core::BootClock::now()}
+{
+}
+
+bool Tenure::State::active() const
+{
+    return !stopped && ownership.token() == token;
+}
+
+std::int64_t Tenure::State::wallMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+void Tenure::State::begin()
+{
+    loadUsedWorkers();
+}
+
+void Tenure::State::loadUsedWorkers()
+{
+    ports.store.read(keys::usedWorkers, [self = shared_from_this()](const jobs::StoreAnswer &answer) {
+        if (!self->active()) {
+            return;
+        }
+        if (answer.outcome != jobs::StoreOutcome::Done && answer.outcome != jobs::StoreOutcome::NotFound) {
+            self->loop.after(internal::retryLoad, [self] {
+                self->loadUsedWorkers();
+            });
+            return;
+        }
+        if (!answer.items.empty()) {
+            self->revisions[keys::usedWorkers] = answer.items.front().revision;
+            const nlohmann::json value = nlohmann::json::parse(answer.items.front().value, nullptr, false);
+            for (const nlohmann::json &id : value.is_array() ? value : nlohmann::json::array()) {
+                if (id.is_string()) {
+                    self->scheduler.expectWorker(id.get<std::string>());
+                    self->savedUsedWorkers.insert(id.get<std::string>());
+                }
+            }
+        }
+        self->loadWaves("");
+    });
+}
+
+void Tenure::State::loadWaves(const std::string &after)
+{
+    ports.store.list(keys::waves, after, [self = shared_from_this(), after](const jobs::StoreAnswer &answer) {
+        if (!self->active()) {
+            return;
+        }
+        if (answer.outcome != jobs::StoreOutcome::Done) {
+            self->loop.after(internal::retryLoad, [self, after] {
+                self->loadWaves(after);
+            });
+            return;
+        }
+        for (const jobs::StoreItem &item : answer.items) {
+            self->revisions[item.key] = item.revision;
+            const nlohmann::json value = nlohmann::json::parse(item.value, nullptr, false);
+            const std::int64_t number = std::strtoll(item.key.c_str() + keys::waves.size(), nullptr, 10);
+            if (value.is_object()) {
+                jobs::WaveProgress &progress = self->storedWaves[number];
+                progress.completed = value.value("completed", false);
+                progress.begun = value.value("begun", std::set<std::string>{});
+            }
+        }
+        if (answer.more && !answer.items.empty()) {
+            self->loadWaves(answer.items.back().key);
+        } else {
+            self->loadStates("");
+        }
+    });
+}
+
+void Tenure::State::loadStates(const std::string &after)
+{
+    ports.store.list(keys::states, after, [self = shared_from_this(), after](const jobs::StoreAnswer &answer) {
+        if (!self->active()) {
+            return;
+        }
+        if (answer.outcome != jobs::StoreOutcome::Done) {
+            self->loop.after(internal::retryLoad, [self, after] {
+                self->loadStates(after);
+            });
+            return;
+        }
+        for (const jobs::StoreItem &item : answer.items) {
+            const std::string id = item.key.substr(keys::states.size());
+            self->revisions[item.key] = item.revision;
+            absl::StatusOr<jobs::JobRecord> record = jobs::progressFromRecord(item.value);
+            if (record.ok()) {
+                self->storedStates[id] = *std::move(record);
+            } else {
+                self->log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("job", id).with("error", std::string{record.status().message()}));
+            }
+        }
+        if (answer.more && !answer.items.empty()) {
+            self->loadStates(answer.items.back().key);
+        } else {
+            self->follow();
+        }
+    });
+}
+
+void Tenure::State::follow()
+{
+    // The watchers are owned by this state, and end before it does.
+    Watcher::Callbacks intake;
+    intake.onItem = [this](const jobs::StoreItem &item) {
+        takeIntake(item);
+    };
+    intake.onRemoved = [](const std::string &) {
+        // Only this owner removes records, of jobs that have ended.
+    };
+    intake.onListed = [this] {
+        intakeListed = true;
+        restored();
+    };
+    Watcher::Callbacks workers;
+    workers.onItem = [this](const jobs::StoreItem &item) {
+        takeWorker(item);
+    };
+    workers.onRemoved = [this](const std::string &key) {
+        takeWorkerRemoval(key);
+    };
+    workers.onListed = [this] {
+        workersListed = true;
+        restored();
+    };
+    intakeWatcher = std::make_unique<Watcher>(loop, ports.store, keys::intake, internal::watchWait, std::move(intake));
+    workerWatcher = std::make_unique<Watcher>(loop, ports.store, ports.translator.workerPrefix(), internal::watchWait, std::move(workers));
+}
+
+void Tenure::State::restored()
+{
+    if (ready || !intakeListed || !workersListed) {
+        return;
+    }
+    ready = true;
+    for (const std::pair<const std::string, std::pair<jobs::Job, std::int64_t>> &item : storedJobs) {
+        restoreJob(item.first);
+    }
+    for (const std::string &id : storedCancels) {
+        scheduler.cancelJob(id, wallMs(), core::BootClock::now());
+    }
+    for (const std::pair<const std::int64_t, jobs::MaintenanceWave> &wave : waves) {
+        const auto progress = storedWaves.find(wave.first);
+        upkeep.addWave(wave.second, progress == storedWaves.end() ? std::nullopt : std::optional<jobs::WaveProgress>{progress->second});
+    }
+    telemetry::Event event{"tenure_ready"};
+    event.with("token", token).with("jobs", static_cast<std::int64_t>(storedJobs.size())).with("states", static_cast<std::int64_t>(storedStates.size()));
+    event.with("workers", static_cast<std::int64_t>(scheduler.workers().size())).with("took_ms", core::milliseconds(core::BootClock::now() - startedAt));
+    log.add("tenure_ready", event);
+    storedJobs.clear();
+    storedStates.clear();
+    storedCancels.clear();
+    tick();
+}
+
+void Tenure::State::tick()
+{
+    if (!active()) {
+        return;
+    }
+    pump();
+    loop.after(internal::pumpEvery, [self = shared_from_this()] {
+        self->tick();
+    });
+}
+
+void Tenure::State::restoreJob(const std::string &id)
+{
+    const std::pair<jobs::Job, std::int64_t> &stored = storedJobs[id];
+    const auto state = storedStates.find(id);
+    if (state == storedStates.end()) {
+        scheduler.addJob(stored.first, std::nullopt, stored.second < token);
+        return;
+    }
+    if (jobs::isFinal(state->second.state)) {
+        endedJobs[id] = state->second.endedMs;
+    }
+    scheduler.addJob(stored.first, state->second, stored.second < token);
+}
+
+void Tenure::State::takeIntake(const jobs::StoreItem &item)
+{
+    if (item.key.starts_with(keys::cancels)) {
+        const std::string id = item.key.substr(keys::cancels.size());
+        if (ready) {
+            scheduler.cancelJob(id, wallMs(), core::BootClock::now());
+            schedulePump();
+        } else {
+            storedCancels.insert(id);
+        }
+        return;
+    }
+    if (!item.key.starts_with(keys::jobs)) {
+        return;
+    }
+    absl::StatusOr<jobs::Job> job = jobs::jobFromRecord(item.value);
+    if (!job.ok()) {
+        log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("key", item.key).with("error", std::string{job.status().message()}));
+        return;
+    }
+    if (!ready) {
+        storedJobs.insert_or_assign(job->id, std::pair{*job, item.revision});
+        return;
+    }
+    if (!endedJobs.contains(job->id) && scheduler.findJob(job->id) == nullptr) {
+        scheduler.addJob(*std::move(job), std::nullopt, item.revision < token);
+        schedulePump();
+    }
+}
+
+void Tenure::State::takeWorker(const jobs::StoreItem &item)
+{
+    const std::optional<jobs::WorkerEntry> entry = ports.translator.readWorker(item);
+    if (!entry.has_value()) {
+        log.add("worker_unreadable", telemetry::Event{"worker_unreadable"}.with("key", item.key));
+        return;
+    }
+    scheduler.listWorker(*entry, core::BootClock::now());
+    schedulePump();
+}
+
+void Tenure::State::takeWorkerRemoval(const std::string &key)
+{
+    scheduler.unlistWorker(key.substr(ports.translator.workerPrefix().size()));
+}
+
+void Tenure::State::schedulePump()
+{
+    if (pumpPosted || !ready || stopped) {
+        return;
+    }
+    pumpPosted = true;
+    loop.post([self = shared_from_this()] {
+        self->pumpPosted = false;
+        self->pump();
+    });
+}
+
+void Tenure::State::logDecisions()
+{
+    for (const jobs::Decision &decision : scheduler.takeDecisions()) {
+        telemetry::Event event{decision.event};
+        if (!decision.job.empty()) {
+            event.with("job", decision.job);
+        }
+        if (!decision.worker.empty()) {
+            event.with("worker", decision.worker);
+        }
+        event.append(decision.detail);
+        log.add(decision.event, event);
+    }
+}
+
+Tenure::Tenure(http::Loop &loop, const Ports &ports, Ownership &ownership, std::int64_t token, const TenureLimits &limits, LogSink &log)
+    : m_state{std::make_shared<State>(loop, ports, ownership, token, limits, log)}
+{
+    m_state->begin();
+}
+
+Tenure::~Tenure()
+{
+    m_state->stopped = true;
+    m_state->intakeWatcher.reset();
+    m_state->workerWatcher.reset();
+}
+
+void Tenure::take(const OperatorNews &news)
+{
+    if (news.config.has_value()) {
+        m_state->scheduler.configure(*news.config);
+        m_state->schedulePump();
+    }
+    if (news.wave.has_value()) {
+        m_state->waves[news.wave->number] = *news.wave;
+        if (m_state->ready) {
+            const auto progress = m_state->storedWaves.find(news.wave->number);
+            m_state->upkeep.addWave(*news.wave, progress == m_state->storedWaves.end() ? std::nullopt : std::optional<jobs::WaveProgress>{progress->second});
+        }
+    }
+}
+
+void Tenure::wind()
+{
+    m_state->winding = true;
+    m_state->schedulePump();
+}
+
+bool Tenure::isWound() const
+{
+    return !m_state->ready || (!m_state->scheduler.hasUnsaved() && !m_state->saving);
+}
+
+} // namespace oleanderwick::jobnode
--- /dev/null
+++ b/src/oleanderwick/jobnode/tenure.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "log_sink.hpp"
+#include "ownership.hpp"
+#include "translator.hpp"
+#include "watcher.hpp"
+
+namespace oleanderwick::jobnode
+{
+
+/** @brief Bounds of an owner's work. */
+struct TenureLimits {
+    jobs::SchedulerLimits scheduler;
+    core::Duration orderPause{std::chrono::seconds{3}}; /**< Before the first order for an instance: the last owner's may be under way. */
+    core::Duration keepEnded{std::chrono::seconds{180}}; /**< How long the state of an ended job can be read. */
+};
+
+/** @brief Work of the owner while it is the owner: drives the scheduler with what the store and the workers say. */
+class Tenure
+{
+public:
+    /**
+     * @brief Starts the owner's work.
+     * @param loop Loop to run on.
+     * @param ports Everything outside.
+     * @param ownership Says whether orders may be given.
+     * @param token Fencing token of this tenure.
+     * @param limits Bounds to keep to.
+     * @param log Takes the log lines.
+     */
+    Tenure(http::Loop &loop, const Ports &ports, Ownership &ownership, std::int64_t token, const TenureLimits &limits, LogSink &log);
+    ~Tenure();
+    Tenure(const Tenure &) = delete;
+    Tenure &operator=(const Tenure &) = delete;
+
+    /**
+     * @brief Takes in a configuration or a wave.
+     * @param news What operators wrote.
+     */
+    void take(const OperatorNews &news);
+
+    /** @brief Gives no new starts any more, and stores what is not stored. */
+    void wind();
+
+    /** @return True once nothing is left to be stored. */
+    [[nodiscard]] bool isWound() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace oleanderwick::jobnode
--- /dev/null
+++ b/src/oleanderwick/jobnode/tenure_orders.cpp
@@ -0,0 +1,189 @@
+#include "tenure_state.hpp"
+
+#include <algorithm>
+
+namespace oleanderwick::jobnode
+{
+
+namespace internal
+{
+
+constexpr core::Duration instancesEvery = std::chrono::milliseconds{400};
+
+} // namespace internal
+
+void Tenure::State::pump()
+{
+    const core::TimePoint now = core::BootClock::now();
+    if (!active() || !ready) {
+        return;
+    }
+    if (ownership.holds(now)) {
+        for (const std::pair<const std::string, jobs::Worker> &worker : scheduler.workers()) {
+            if (worker.second.entry.draining && !worker.second.runs.empty()) {
+                scheduler.evacuate(worker.first, now);
+            }
+        }
+        if (!winding) {
+            scheduler.advance(now, wallMs());
+            upkeep.advance(scheduler, now);
+        }
+        sendOrders();
+    }
+    save();
+    saveWaves();
+    savePending();
+    removeExpired();
+    listInstances();
+    logDecisions();
+}
+
+void Tenure::State::sendOrders()
+{
+    saveUsedWorkers();
+    jobs::Orders orders = scheduler.takeOrders();
+    for (const jobs::StopOrder &order : orders.stops) {
+        sendStop(order);
+    }
+    for (const jobs::StartOrder &order : orders.starts) {
+        sendStart(order);
+    }
+    for (const jobs::PaceOrder &order : orders.paces) {
+        ports.workers.pace(order, token);
+    }
+    questions.insert(questions.end(), orders.questions.begin(), orders.questions.end());
+    askAdvice();
+    for (const jobs::HoldOrder &order : scheduler.takeHolds(core::BootClock::now())) {
+        sendHold(order);
+    }
+    for (const jobs::MaintainOrder &order : upkeep.takeOrders()) {
+        sendMaintenance(order);
+    }
+}
+
+void Tenure::State::fenced(const std::string &worker)
+{
+    log.add("fenced", telemetry::Event{"fenced"}.with("worker", worker).with("token", token));
+    ownership.lose();
+}
+
+void Tenure::State::sendStart(const jobs::StartOrder &order)
+{
+    if (!ownership.holds(core::BootClock::now())) {
+        scheduler.takeStartAnswer(order, jobs::StartAnswer::NotSent, 0, core::BootClock::now());
+        return;
+    }
+    ports.workers.start(order, token, [self = shared_from_this(), order](const jobs::StartReply &reply) {
+        if (!self->active()) {
+            return;
+        }
+        self->scheduler.takeStartAnswer(order, reply.answer, reply.clockMs, core::BootClock::now());
+        if (reply.answer == jobs::StartAnswer::Fenced) {
+            self->fenced(order.worker);
+            return;
+        }
+        self->schedulePump();
+    });
+}
+
+void Tenure::State::sendStop(const jobs::StopOrder &order)
+{
+    ports.workers.stop(order, token, [self = shared_from_this(), order](bool acknowledged) {
+        if (self->active()) {
+            self->scheduler.takeStopAnswer(order, acknowledged, core::BootClock::now());
+            self->schedulePump();
+        }
+    });
+}
+
+void Tenure::State::sendHold(const jobs::HoldOrder &order)
+{
+    const core::TimePoint sentAt = core::BootClock::now();
+    ports.workers.hold(order, token, [self = shared_from_this(), order, sentAt](const jobs::HoldReply &reply) {
+        if (!self->active()) {
+            return;
+        }
+        const core::TimePoint now = core::BootClock::now();
+        if (reply.kind == jobs::HoldReply::Kind::Fenced) {
+            self->fenced(order.worker);
+            return;
+        }
+        if (reply.kind == jobs::HoldReply::Kind::Listed) {
+            self->scheduler.takeReport(order.worker, reply.report, sentAt, now, wallMs());
+        } else {
+            self->scheduler.takeHoldFailure(order.worker, reply.kind == jobs::HoldReply::Kind::Gone, now);
+        }
+        self->schedulePump();
+    });
+}
+
+void Tenure::State::askAdvice()
+{
+    // The service answers one call of a node after the other.
+    if (asking || questions.empty()) {
+        return;
+    }
+    asking = true;
+    const jobs::AdviceOrder order = questions.front();
+    questions.erase(questions.begin());
+    ports.advice.ask(order, [self = shared_from_this(), order](const std::optional<jobs::AdviceReply> &reply) {
+        self->asking = false;
+        if (!self->active()) {
+            return;
+        }
+        const core::TimePoint now = core::BootClock::now();
+        if (reply.has_value()) {
+            self->scheduler.takeAdvice(order, reply->tickets, reply->validFor, now);
+        } else {
+            self->log.add("advice_failed", telemetry::Event{"advice_failed"}.with("job", order.step.job));
+            self->scheduler.takeAdvice(order, std::nullopt, {}, now);
+        }
+        self->schedulePump();
+    });
+}
+
+void Tenure::State::listInstances()
+{
+    const core::TimePoint now = core::BootClock::now();
+    if (listingInstances || !upkeep.isBusy() || now - instancesListedAt < internal::instancesEvery) {
+        return;
+    }
+    listingInstances = true;
+    ports.instances.list([self = shared_from_this(), now](std::optional<jobs::InstancePort::Instances> instances) {
+        self->listingInstances = false;
+        self->instancesListedAt = core::BootClock::now();
+        if (!self->active()) {
+            return;
+        }
+        if (instances.has_value()) {
+            self->upkeep.takeInstances(*std::move(instances), now);
+            self->schedulePump();
+        } else {
+            self->log.add("instances_unavailable", telemetry::Event{"instances_unavailable"});
+        }
+    });
+}
+
+void Tenure::State::sendMaintenance(const jobs::MaintainOrder &order)
+{
+    if (!ownership.holds(core::BootClock::now())) {
+        upkeep.takeAnswer(order, jobs::InstanceAnswer::Refused, core::BootClock::now());
+        return;
+    }
+    ports.instances.maintain(order, token, [self = shared_from_this(), order](jobs::InstanceAnswer answer) {
+        telemetry::Event event{"maintenance_ordered"};
+        event.with("instance", order.instance).with("wave", order.wave).with("answer", static_cast<std::int64_t>(answer));
+        self->log.add("maintenance_ordered", event);
+        if (!self->active()) {
+            return;
+        }
+        self->upkeep.takeAnswer(order, answer, core::BootClock::now());
+        if (answer == jobs::InstanceAnswer::Fenced) {
+            self->ownership.lose();
+            return;
+        }
+        self->schedulePump();
+    });
+}
+
+} // namespace oleanderwick::jobnode
--- /dev/null
+++ b/src/oleanderwick/jobnode/tenure_state.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "tenure.hpp"
+
+namespace oleanderwick::jobnode
+{
+
+/** @brief Inner state of a tenure; outlives it for as long as calls are under way. */
+struct Tenure::State : std::enable_shared_from_this<Tenure::State> {
+    State(http::Loop &itsLoop, const Ports &itsPorts, Ownership &itsOwnership, std::int64_t itsToken, const TenureLimits &itsLimits, LogSink &itsLog);
+
+    /** @name Taking over */
+    /** @{ */
+    void begin();
+    void loadStates(const std::string &after);
+    void loadWaves(const std::string &after);
+    void loadUsedWorkers();
+    void follow();
+    void restored();
+    void restoreJob(const std::string &id);
+    /** @} */
+
+    /** @name What the store says */
+    /** @{ */
+    void takeIntake(const jobs::StoreItem &item);
+    void takeWorker(const jobs::StoreItem &item);
+    void takeWorkerRemoval(const std::string &key);
+    /** @} */
+
+    /** @name Orders */
+    /** @{ */
+    void schedulePump();
+    void tick();
+    void pump();
+    void sendOrders();
+    void sendStart(const jobs::StartOrder &order);
+    void sendStop(const jobs::StopOrder &order);
+    void sendHold(const jobs::HoldOrder &order);
+    void askAdvice();
+    void listInstances();
+    void sendMaintenance(const jobs::MaintainOrder &order);
+    void fenced(const std::string &worker);
+    /** @} */
+
+    /** @name Storing */
+    /** @{ */
+    void save();
+    void takeSaved(const std::vector<jobs::SaveOrder> &saves, const jobs::StoreAnswer &answer);
+    void saveWaves();
+    void saveUsedWorkers();
+    void savePending();
+    void removeExpired();
+    void write(const std::string &key, const std::string &value, std::function<void(bool)> onDone);
+    void learnRevisions(const jobs::StoreAnswer &answer);
+    /** @} */
+
+    void logDecisions();
+    [[nodiscard]] bool active() const;
+    [[nodiscard]] static std::int64_t wallMs();
+
+    http::Loop &loop;
+    Ports ports;
+    Ownership &ownership;
+    std::int64_t token;
+    TenureLimits limits;
+    LogSink &log;
+    jobs::Scheduler scheduler;
+    jobs::Upkeep upkeep;
+    core::TimePoint startedAt;
+
+    bool stopped{false};
+    bool ready{false}; /**< All that is stored was taken in. */
+    bool winding{false};
+    bool pumpPosted{false};
+
+    std::map<std::string, jobs::JobRecord> storedStates; /**< Only while taking over. */
+    std::map<std::string, std::pair<jobs::Job, std::int64_t>> storedJobs; /**< Only while taking over. */
+    std::set<std::string> storedCancels; /**< Only while taking over. */
+    std::map<std::int64_t, jobs::WaveProgress> storedWaves;
+    std::map<std::int64_t, jobs::MaintenanceWave> waves;
+    std::map<std::string, std::int64_t> revisions; /**< Of the keys that the owner writes. */
+    std::map<std::string, std::int64_t> endedJobs; /**< Unix time of the end by job, until their records are removed. */
+
+    bool saving{false};
+    core::TimePoint savedAt;
+    core::TimePoint saveRetryAt;
+    bool usedWorkersSaving{false};
+    std::set<std::string> savedUsedWorkers;
+    bool pendingSaving{false};
+    core::TimePoint pendingSavedAt;
+    std::map<std::string, std::int64_t> savedPending;
+    bool removing{false};
+    core::TimePoint removedAt;
+    bool wavesSaving{false};
+    bool listingInstances{false};
+    core::TimePoint instancesListedAt;
+    std::vector<jobs::AdviceOrder> questions;
+    bool asking{false};
+
+    std::unique_ptr<Watcher> intakeWatcher;
+    std::unique_ptr<Watcher> workerWatcher;
+    bool intakeListed{false};
+    bool workersListed{false};
+};
+
+} // namespace oleanderwick::jobnode
--- /dev/null
+++ b/src/oleanderwick/jobs/codec.cpp
@@ -0,0 +1,181 @@
+#include "codec.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace oleanderwick::jobs
+{
+
+namespace internal
+{
+
+using nlohmann::json;
+
+/** Bounds what one record can make the scheduler hold. */
+constexpr std::int64_t maxTasksOfStep = 100'000;
+
+json toJson(const Step &step)
+{
+    return json::array({step.count,
+                        step.each.cpu,
+                        step.each.memory,
+                        step.each.gpu,
+                        step.estimateMs,
+                        step.after,
+                        step.savesProgress,
+                        step.gang,
+                        step.sameRack,
+                        step.speculative,
+                        step.continuous,
+                        step.fills,
+                        step.requiredLabel,
+                        step.affinityRack,
+                        step.maxPerWorker,
+                        step.image,
+                        step.targetMs,
+                        step.maxUnavailable});
+}
+
+Step toStep(const json &row)
+{
+    Step step;
+    std::size_t column = 0;
+    const auto next = [&row, &column](auto &field) {
+        row.at(column).get_to(field);
+        ++column;
+    };
+    next(step.count);
+    next(step.each.cpu);
+    next(step.each.memory);
+    next(step.each.gpu);
+    next(step.estimateMs);
+    next(step.after);
+    next(step.savesProgress);
+    next(step.gang);
+    next(step.sameRack);
+    next(step.speculative);
+    next(step.continuous);
+    next(step.fills);
+    next(step.requiredLabel);
+    next(step.affinityRack);
+    next(step.maxPerWorker);
+    next(step.image);
+    next(step.targetMs);
+    next(step.maxUnavailable);
+    if (step.count < 0 || step.count > maxTasksOfStep) {
+        throw std::out_of_range("number of tasks");
+    }
+    return step;
+}
+
+/** A task that has not begun is written as 0, one that ended well at its first run as 1: most tasks are either. */
+json toJson(const TaskRecord &task)
+{
+    if (task == TaskRecord{}) {
+        return 0;
+    }
+    if (task == TaskRecord{true, 0, 1, {}}) {
+        return 1;
+    }
+    return json::array({task.done, task.failures, task.lastRun, task.checkpoint});
+}
+
+TaskRecord toTask(const json &value)
+{
+    if (value.is_number_integer()) {
+        return value.get<int>() == 0 ? TaskRecord{} : TaskRecord{true, 0, 1, {}};
+    }
+    return TaskRecord{value.at(0).get<bool>(), value.at(1).get<std::int64_t>(), value.at(2).get<std::int64_t>(), value.at(3).get<std::string>()};
+}
+
+} // namespace internal
+
+using internal::json;
+
+std::string toRecord(const Job &job)
+{
+    json steps = json::array();
+    for (const Step &step : job.steps) {
+        steps.push_back(internal::toJson(step));
+    }
+    const json value{{"id", job.id},
+                     {"queue", job.queue},
+                     {"pool", job.pool},
+                     {"team", job.team},
+                     {"spec", job.spec},
+                     {"submitted", job.submittedMs},
+                     {"repeat", job.repeatCount},
+                     {"first", job.firstRunMs},
+                     {"interval", job.intervalMs},
+                     {"steps", std::move(steps)}};
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+absl::StatusOr<Job> jobFromRecord(const std::string &text)
+{
+    try {
+        const json value = json::parse(text);
+        Job job;
+        value.at("id").get_to(job.id);
+        value.at("queue").get_to(job.queue);
+        value.at("pool").get_to(job.pool);
+        value.at("team").get_to(job.team);
+        value.at("spec").get_to(job.spec);
+        value.at("submitted").get_to(job.submittedMs);
+        value.at("repeat").get_to(job.repeatCount);
+        value.at("first").get_to(job.firstRunMs);
+        value.at("interval").get_to(job.intervalMs);
+        for (const json &row : value.at("steps")) {
+            job.steps.push_back(internal::toStep(row));
+        }
+        return job;
+    } catch (const std::exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+std::string toRecord(const JobRecord &record)
+{
+    json occurrences = json::array();
+    for (const std::pair<const std::int64_t, std::vector<std::vector<TaskRecord>>> &entry : record.occurrences) {
+        json steps = json::array();
+        for (const std::vector<TaskRecord> &tasks : entry.second) {
+            json rows = json::array();
+            for (const TaskRecord &task : tasks) {
+                rows.push_back(internal::toJson(task));
+            }
+            steps.push_back(std::move(rows));
+        }
+        occurrences.push_back(json::array({entry.first, std::move(steps)}));
+    }
+    return json{{"state", static_cast<int>(record.state)}, {"ended", record.endedMs}, {"next", record.nextOccurrence}, {"runs", std::move(occurrences)}}.dump(
+        -1, ' ', false, json::error_handler_t::replace);
+}
+
+absl::StatusOr<JobRecord> progressFromRecord(const std::string &text)
+{
+    try {
+        const json value = json::parse(text);
+        JobRecord record;
+        const int state = value.at("state").get<int>();
+        if (state < 0 || state > static_cast<int>(JobState::Cancelled)) {
+            return absl::InvalidArgumentError("unknown state of a job");
+        }
+        record.state = static_cast<JobState>(state);
+        value.at("ended").get_to(record.endedMs);
+        value.at("next").get_to(record.nextOccurrence);
+        for (const json &entry : value.at("runs")) {
+            std::vector<std::vector<TaskRecord>> &steps = record.occurrences[entry.at(0).get<std::int64_t>()];
+            for (const json &rows : entry.at(1)) {
+                std::vector<TaskRecord> &tasks = steps.emplace_back();
+                std::transform(rows.begin(), rows.end(), std::back_inserter(tasks), internal::toTask);
+            }
+        }
+        return record;
+    } catch (const std::exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/fwd.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+
+namespace oleanderwick::jobs
+{
+
+enum class JobState : std::uint8_t;
+enum class EndKind : std::uint8_t;
+struct Resources;
+struct Step;
+struct Job;
+struct TaskName;
+struct TaskRecord;
+struct JobRecord;
+struct Worker;
+struct WorkerReport;
+struct FleetConfig;
+class JobTable;
+class WorkerTable;
+class Scheduler;
+class Upkeep;
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/jobs.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+/** @file
+ * @brief Jobs on workers: their records, placement, leases on workers, and maintenance of instances; without I/O.
+ */
+
+#include "codec.hpp"
+#include "fwd.hpp"
+#include "model.hpp"
+#include "orders.hpp"
+#include "scheduler.hpp"
+#include "table.hpp"
+#include "upkeep.hpp"
--- /dev/null
+++ b/src/oleanderwick/jobs/leases.cpp
@@ -0,0 +1,262 @@
+#include "scheduler.hpp"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+namespace oleanderwick::jobs
+{
+
+namespace internal
+{
+
+/** A worker's clock may run this much slower than ours; from the platform's pages. */
+constexpr double slowestClock = 0.98;
+/** Left between the lease asked for and the longest one granted, so that rounding never shortens it. */
+constexpr core::Duration leaseMargin = std::chrono::milliseconds{50};
+/** Added to the computed end of a lease before its tasks count as ended. */
+constexpr core::Duration expiryMargin = std::chrono::milliseconds{100};
+/** Longest wait of a look; the platform allows 2 s. */
+constexpr std::int64_t longWaitMs = 2000;
+/** Wait of a look where filling tasks disturb serving ones, so that their tail is seen in time. */
+constexpr std::int64_t watchfulWaitMs = 500;
+/** Ends that are listed and not durable yet make a look return at once: look again no sooner than this. */
+constexpr core::Duration unstoredPause = std::chrono::milliseconds{1000};
+/** An idle worker is told late that its ends are stored, so that several share one look. */
+constexpr core::Duration idleAckPause = std::chrono::milliseconds{500};
+/** A run whose progress does not change for this long hangs. */
+constexpr core::Duration stallTimeout = std::chrono::seconds{4};
+
+bool isServing(const Step &step)
+{
+    return step.targetMs > 0;
+}
+
+} // namespace internal
+
+void Scheduler::learnClock(Worker &worker, std::int64_t clockMs, core::TimePoint now) const
+{
+    if (clockMs > 0) {
+        worker.clockMs = clockMs;
+        worker.clockAt = now;
+    }
+}
+
+std::int64_t Scheduler::leaseFor(Worker &worker, core::TimePoint now)
+{
+    if (worker.clockMs == 0) {
+        return 0;
+    }
+    const std::int64_t clockNow = worker.clockMs + core::milliseconds(now - worker.clockAt);
+    const std::int64_t deadlineMs = clockNow + core::milliseconds(m_limits.longestLease - internal::leaseMargin);
+    const double longestMs = static_cast<double>(deadlineMs - worker.clockMs) / internal::slowestClock;
+    const core::Duration longest = std::chrono::milliseconds{static_cast<std::int64_t>(longestMs)};
+    worker.leaseBound = std::max(worker.leaseBound, worker.clockAt + longest + internal::expiryMargin);
+    return deadlineMs;
+}
+
+std::vector<HoldOrder> Scheduler::takeHolds(core::TimePoint now)
+{
+    std::vector<HoldOrder> holds;
+    for (std::pair<const std::string, Worker> &item : m_workers) {
+        Worker &worker = item.second;
+        if (worker.holdOut || worker.nextHold > now || worker.entry.address.empty()) {
+            continue;
+        }
+        const bool unstored = !worker.pendingEnds.empty() && worker.reported && now - worker.seenAt < internal::unstoredPause;
+        const bool unacknowledged = worker.ackedEnd > worker.sentAck && now - worker.seenAt >= internal::idleAckPause;
+        const bool needed = !worker.reported || worker.silent || !worker.runs.empty() || unacknowledged || !worker.pendingEnds.empty();
+        if (unstored || !needed || (!worker.listed && worker.runs.empty() && worker.silent)) {
+            continue;
+        }
+        HoldOrder order;
+        order.worker = item.first;
+        order.address = worker.entry.address;
+        // A worker that does not answer gets no longer lease: its tasks are started elsewhere once it is over.
+        order.deadlineMs = worker.silent || worker.runs.empty() ? 0 : leaseFor(worker, now);
+        order.ackedEnd = worker.ackedEnd;
+        bool serving = false;
+        bool filling = false;
+        bool uncertain = false;
+        for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
+            const Step *step = findStep(run.first);
+            const Task *task = findTask(run.first);
+            serving = serving || (step != nullptr && internal::isServing(*step));
+            filling = filling || (step != nullptr && step->fills);
+            uncertain = uncertain || (task != nullptr && task->phase == TaskPhase::Uncertain);
+        }
+        const bool atOnce = !worker.reported || worker.silent || worker.runs.empty() || uncertain || !worker.pendingEnds.empty();
+        order.waitMs = atOnce ? 0 : serving && filling ? internal::watchfulWaitMs : internal::longWaitMs;
+        worker.sentAck = worker.ackedEnd;
+        worker.holdOut = true;
+        holds.push_back(std::move(order));
+    }
+    return holds;
+}
+
+void Scheduler::moveAcks(Worker &worker)
+{
+    while (!worker.pendingEnds.empty()) {
+        const PendingEnd &first = worker.pendingEnds.front();
+        const JobEntry *entry = first.job.empty() ? nullptr : findJob(first.job);
+        // A job is forgotten only once its last state is stored.
+        if (entry != nullptr && entry->savedVersion < first.version) {
+            return;
+        }
+        worker.ackedEnd = first.number;
+        worker.pendingEnds.pop_front();
+    }
+}
+
+void Scheduler::sweepWorkers(core::TimePoint now)
+{
+    constexpr core::Duration forgetAfter = std::chrono::seconds{20};
+    const core::TimePoint unknownBound =
+        m_tenureStart + std::chrono::duration_cast<core::Duration>(m_limits.longestLease / internal::slowestClock) + internal::expiryMargin;
+    for (auto item = m_workers.begin(); item != m_workers.end();) {
+        Worker &worker = item->second;
+        const core::TimePoint bound = worker.reported ? worker.leaseBound : std::max(worker.leaseBound, unknownBound);
+        if (!worker.runs.empty() && now > bound) {
+            dropRuns(worker, "lease_over", now);
+        }
+        const bool useless = !worker.listed && worker.runs.empty() && !worker.holdOut && now > bound;
+        if (useless && now - std::max(worker.seenAt, m_tenureStart) > forgetAfter) {
+            m_usedWorkers.erase(item->first);
+            item = m_workers.erase(item);
+            continue;
+        }
+        if (useless) {
+            m_usedWorkers.erase(item->first);
+        }
+        ++item;
+    }
+}
+
+bool Scheduler::settled(const std::string &pool, core::TimePoint now) const
+{
+    const core::TimePoint unknownBound =
+        m_tenureStart + std::chrono::duration_cast<core::Duration>(m_limits.longestLease / internal::slowestClock) + internal::expiryMargin;
+    if (now > unknownBound) {
+        return true;
+    }
+    return std::all_of(m_workers.begin(), m_workers.end(), [&pool](const std::pair<const std::string, Worker> &item) {
+        const bool concerned = item.second.entry.pool.empty() || item.second.entry.pool == pool;
+        return item.second.reported || !concerned;
+    });
+}
+
+void Scheduler::advance(core::TimePoint now, std::int64_t wallMs)
+{
+    sweepWorkers(now);
+    sweepTasks(now);
+    for (std::pair<const std::string, JobEntry> &item : m_jobs) {
+        const std::int64_t before = item.second.nextOccurrence;
+        if (!isFinal(item.second.state)) {
+            openDueOccurrences(item.second, wallMs);
+        }
+        if (before != item.second.nextOccurrence) {
+            m_placementDue = true;
+            if (item.second.job.repeatCount > 0) {
+                touch(item.second);
+            }
+        }
+    }
+    forgetEnded();
+    constexpr core::Duration placeAtLeastEvery = std::chrono::milliseconds{100};
+    if (m_placementDue || now - m_lastPlacement >= placeAtLeastEvery) {
+        m_placementDue = false;
+        m_lastPlacement = now;
+        place(now, wallMs);
+    }
+}
+
+std::int64_t Scheduler::othersAway(const TaskName &name) const
+{
+    const JobEntry *entry = findJob(name.job);
+    const auto occurrence = entry->occurrences.find(name.occurrence);
+    const std::vector<Task> &tasks = occurrence->second.steps[name.step].tasks;
+    std::int64_t away = 0;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        away += index != name.index && !tasks[index].isAtWork() ? 1 : 0;
+    }
+    return away;
+}
+
+void Scheduler::evacuate(const std::string &id, core::TimePoint now)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end()) {
+        return;
+    }
+    const std::map<TaskName, std::int64_t> runs = found->second.runs;
+    for (const std::pair<const TaskName, std::int64_t> &run : runs) {
+        const Step *step = findStep(run.first);
+        Task *task = findTask(run.first);
+        if (step == nullptr || task == nullptr || !step->continuous || task->phase != TaskPhase::Running) {
+            continue;
+        }
+        const bool budgeted = step->maxUnavailable > 0 && !found->second.entry.draining;
+        const std::int64_t away = budgeted ? othersAway(run.first) : 0;
+        if (budgeted && away >= step->maxUnavailable) {
+            continue;
+        }
+        decide("run_evacuated", toText(run.first), id, absl::StrCat("run=", run.second, " away=", away, " allowed=", step->maxUnavailable));
+        stopTask(run.first, *task, now);
+    }
+}
+
+void Scheduler::closeWorker(const std::string &id, bool closed, bool pending)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end()) {
+        return;
+    }
+    m_placementDue = m_placementDue || (found->second.closed && !closed);
+    found->second.closed = closed;
+    found->second.maintenancePending = pending;
+}
+
+void Scheduler::paceFillers(Worker &worker, core::TimePoint now)
+{
+    constexpr double tooHigh = 0.9;
+    constexpr double lowEnough = 0.6;
+    constexpr core::Duration raiseEvery = std::chrono::milliseconds{1500};
+    constexpr core::Duration lowerEvery = std::chrono::milliseconds{450};
+    constexpr std::int64_t raiseBy = 15;
+    constexpr std::int64_t least = 10;
+    double worst = 0.0;
+    std::vector<TaskName> fillers;
+    for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
+        const Step *step = findStep(run.first);
+        const Task *task = findTask(run.first);
+        if (step == nullptr || task == nullptr || task->phase != TaskPhase::Running) {
+            continue;
+        }
+        if (internal::isServing(*step)) {
+            worst = std::max(worst, static_cast<double>(task->figure) / static_cast<double>(step->targetMs));
+        }
+        if (step->fills) {
+            fillers.push_back(run.first);
+        }
+    }
+    for (const TaskName &name : fillers) {
+        Task &task = *findTask(name);
+        std::int64_t pace = task.pace;
+        if (worst > tooHigh && now - task.pacedAt >= lowerEvery) {
+            pace = pace / 2 < least ? 0 : pace / 2;
+        } else if (worst < lowEnough && pace < 100 && now - task.pacedAt >= raiseEvery) {
+            pace = std::min<std::int64_t>(100, pace + raiseBy);
+        }
+        if (pace != task.pace) {
+            decide("run_paced",
+                   toText(name),
+                   worker.entry.id,
+                   absl::StrCat("run=", task.run, " percent=", pace, " before=", task.pace, " load_of_target=", worst));
+            task.pace = pace;
+            task.pacedAt = now;
+            m_orders.paces.push_back(PaceOrder{worker.entry.id, worker.entry.address, name, task.run, pace});
+        }
+    }
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/orders.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "table.hpp"
+
+namespace oleanderwick::jobs
+{
+
+/** @brief Start of a run. */
+struct StartOrder {
+    std::string worker;
+    std::string address;
+    TaskName task;
+    std::int64_t run{0};
+    std::string spec;
+    std::int64_t deadlineMs{0}; /**< End of the lease on the worker's clock. */
+    std::string checkpoint;
+    std::string ticket;
+};
+
+/** @brief Stop of a run. */
+struct StopOrder {
+    std::string worker;
+    std::string address;
+    TaskName task;
+    std::int64_t run{0};
+};
+
+/** @brief Change of the share of time for which a run may work. */
+struct PaceOrder {
+    std::string worker;
+    std::string address;
+    TaskName task;
+    std::int64_t run{0};
+    std::int64_t percent{100};
+};
+
+/** @brief Look at a worker that may lengthen its lease. */
+struct HoldOrder {
+    std::string worker;
+    std::string address;
+    std::int64_t deadlineMs{0}; /**< End of the lease on the worker's clock; 0 to leave it. */
+    std::int64_t ackedEnd{0};
+    std::int64_t waitMs{0}; /**< How long the worker may wait for an end. */
+};
+
+/** @brief Question to the advice service. */
+struct AdviceOrder {
+    StepName step;
+    std::vector<std::string> workers;
+};
+
+/** @brief Orders that came up since they were last taken. */
+struct Orders {
+    std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
+    std::vector<PaceOrder> paces;
+    std::vector<AdviceOrder> questions;
+};
+
+/** @brief State of a job that is to be stored. */
+struct SaveOrder {
+    std::string job;
+    std::uint64_t version{0};
+    JobRecord record;
+};
+
+/** @brief Line for the log about a decision. */
+struct Decision {
+    std::string event;
+    std::string job; /**< Job or task that it is about; may be empty. */
+    std::string worker; /**< Worker that it is about; may be empty. */
+    std::string detail; /**< Inputs, as key=value pairs. */
+};
+
+/** @brief How a worker answered the start of a run. */
+enum class StartAnswer : std::uint8_t {
+    Started,
+    NoRoom,
+    Fenced, /**< The worker has seen a newer owner. */
+    Outdated, /**< The worker has seen this run, or a newer one, end. */
+    TooLate, /**< The lease was over when the order arrived. */
+    NoTicket, /**< The ticket is missing or has run out. */
+    Unhealthy, /**< The worker refused and did nothing. */
+    OtherIncarnation,
+    Invalid, /**< The worker cannot read the order. */
+    NotSent, /**< Nothing reached the worker. */
+    Unknown, /**< No answer; it may have been done, or may be done later. */
+};
+
+/**
+ * @brief Gives the name of an answer.
+ * @param answer Answer to name.
+ * @return Name in snake case.
+ */
+[[nodiscard]] std::string_view toText(StartAnswer answer) noexcept;
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/placement.cpp
@@ -0,0 +1,343 @@
+#include "scheduler.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <tuple>
+
+#include <absl/strings/str_cat.h>
+
+namespace oleanderwick::jobs
+{
+
+namespace internal
+{
+
+/** Costs of a placement that add to the load of the worker, which is 0 to 1. */
+constexpr double otherRackCost = 10.0;
+constexpr double scatteredCost = 5.0;
+constexpr double interferenceCost = 2.0;
+constexpr double maintenanceCost = 3.0;
+constexpr double strikeCost = 1.0;
+/** With this many failures in a row a worker is probed with one task at a time. */
+constexpr std::int64_t strikesForProbe = 3;
+/** Workers named in one question to the advice service; the answer takes time for each. */
+constexpr std::size_t workersAtOnce = 30;
+
+} // namespace internal
+
+bool Scheduler::stepReady(const JobEntry &entry, const Occurrence &occurrence, std::size_t step) const
+{
+    const std::vector<std::size_t> &after = entry.job.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&occurrence](std::size_t before) {
+        return before < occurrence.steps.size() && occurrence.steps[before].remaining == 0;
+    });
+}
+
+double Scheduler::remainingChainMs(const JobEntry &entry, const Occurrence &occurrence) const
+{
+    std::vector<double> ends(entry.job.steps.size(), 0.0);
+    double longest = 0.0;
+    for (std::size_t index = 0; index < entry.job.steps.size(); ++index) {
+        double start = 0.0;
+        for (const std::size_t before : entry.job.steps[index].after) {
+            start = std::max(start, before < index ? ends[before] : 0.0);
+        }
+        const bool done = occurrence.steps[index].remaining == 0;
+        ends[index] = done ? 0.0 : start + static_cast<double>(entry.job.steps[index].estimateMs);
+        longest = std::max(longest, ends[index]);
+    }
+    return longest;
+}
+
+void Scheduler::addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found)
+{
+    const auto queue = m_config.queues.find(entry.job.queue);
+    const QueuePolicy policy = queue == m_config.queues.end() ? QueuePolicy{} : queue->second;
+    for (std::pair<const std::int64_t, Occurrence> &item : entry.occurrences) {
+        Occurrence &occurrence = item.second;
+        const std::int64_t bornMs = occurrence.dueMs > 0 ? occurrence.dueMs : entry.job.submittedMs;
+        const double objective = policy.stretch * entry.chainMs + static_cast<double>(policy.objectiveMs);
+        const double slack = static_cast<double>(bornMs - wallMs) + objective - remainingChainMs(entry, occurrence);
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const std::vector<Task> &tasks = occurrence.steps[step].tasks;
+            const bool waiting = occurrence.steps[step].remaining > 0 && std::any_of(tasks.begin(), tasks.end(), [now](const Task &task) {
+                                     return task.phase == TaskPhase::Waiting && !task.record.done && task.notBefore <= now;
+                                 });
+            if (waiting && stepReady(entry, occurrence, step)) {
+                const bool continuous = entry.job.steps[step].continuous;
+                const bool hopeless = !continuous && slack < 0;
+                found.push_back(Candidate{&entry, item.first, step, continuous ? -1 : policy.priority, hopeless, slack});
+            }
+        }
+    }
+}
+
+std::vector<Scheduler::Candidate> Scheduler::candidates(core::TimePoint now, std::int64_t wallMs)
+{
+    std::vector<Candidate> found;
+    std::map<std::string, bool> settledPools;
+    for (std::pair<const std::string, JobEntry> &item : m_jobs) {
+        JobEntry &entry = item.second;
+        if (isFinal(entry.state)) {
+            continue;
+        }
+        if (entry.predatesTenure) {
+            const auto known = settledPools.try_emplace(entry.job.pool, false);
+            if (known.second) {
+                known.first->second = settled(entry.job.pool, now);
+            }
+            if (!known.first->second) {
+                continue;
+            }
+        }
+        addCandidates(entry, now, wallMs, found);
+    }
+    std::sort(found.begin(), found.end(), [](const Candidate &left, const Candidate &right) {
+        return std::tuple{left.priority, left.hopeless, left.slackMs} < std::tuple{right.priority, right.hopeless, right.slackMs};
+    });
+    return found;
+}
+
+void Scheduler::place(core::TimePoint now, std::int64_t wallMs)
+{
+    for (const Candidate &candidate : candidates(now, wallMs)) {
+        const auto queue = m_config.queues.find(candidate.entry->job.queue);
+        if (queue != m_config.queues.end() && queue->second.advised) {
+            askAdvice(candidate, now);
+        }
+        if (candidate.entry->job.steps[candidate.step].gang) {
+            placeGang(candidate, now);
+        } else {
+            placeStep(candidate, now);
+        }
+    }
+}
+
+void Scheduler::placeStep(const Candidate &candidate, core::TimePoint now)
+{
+    const Step &step = candidate.entry->job.steps[candidate.step];
+    std::vector<Task> &tasks = candidate.entry->occurrences[candidate.occurrence].steps[candidate.step].tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        Task &task = tasks[index];
+        if (task.phase != TaskPhase::Waiting || task.record.done || task.notBefore > now) {
+            continue;
+        }
+        if (!teamHasRoom(*candidate.entry, step.each)) {
+            return;
+        }
+        Worker *worker = chooseWorker(candidate, step, now);
+        if (worker == nullptr) {
+            return;
+        }
+        startTask(candidate, index, *worker, task.record.lastRun + 1, now);
+    }
+}
+
+void Scheduler::placeGang(const Candidate &candidate, core::TimePoint now)
+{
+    const Step &step = candidate.entry->job.steps[candidate.step];
+    std::vector<Task> &tasks = candidate.entry->occurrences[candidate.occurrence].steps[candidate.step].tasks;
+    const bool allWait = std::all_of(tasks.begin(), tasks.end(), [now](const Task &task) {
+        return task.phase == TaskPhase::Waiting && task.notBefore <= now;
+    });
+    const std::int64_t count = static_cast<std::int64_t>(tasks.size());
+    const Resources whole{step.each.cpu * count, step.each.memory * count, step.each.gpu * count};
+    if (!allWait || !teamHasRoom(*candidate.entry, whole)) {
+        return;
+    }
+    std::int64_t run = 0;
+    std::string checkpoint;
+    for (const Task &task : tasks) {
+        run = std::max(run, task.record.lastRun + 1);
+        checkpoint = std::max(checkpoint, task.record.checkpoint);
+    }
+    // Takes room task by task, and gives all of it back if one does not fit.
+    const std::size_t before = m_orders.starts.size();
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        Worker *worker = chooseWorker(candidate, step, now);
+        if (worker == nullptr) {
+            m_orders.starts.resize(before);
+            for (std::size_t placed = 0; placed < index; ++placed) {
+                detach(*candidate.entry, TaskName{candidate.entry->job.id, candidate.occurrence, candidate.step, placed}, tasks[placed]);
+                tasks[placed].record.lastRun = run - 1;
+            }
+            return;
+        }
+        tasks[index].record.checkpoint = checkpoint;
+        startTask(candidate, index, *worker, run, now);
+    }
+}
+
+bool Scheduler::teamHasRoom(const JobEntry &entry, const Resources &demand) const
+{
+    const auto team = m_config.teams.find(entry.job.team);
+    const auto use = m_teamUse.find(entry.job.team);
+    if (team == m_config.teams.end() || use == m_teamUse.end()) {
+        return true;
+    }
+    const Resources after = use->second + demand;
+    const auto within = [](std::int64_t limit, std::int64_t used, std::int64_t wanted) {
+        return limit == 0 || used == 0 || wanted <= limit;
+    };
+    const Resources &limit = team->second.limit;
+    return within(limit.cpu, use->second.cpu, after.cpu) && within(limit.memory, use->second.memory, after.memory)
+        && within(limit.gpu, use->second.gpu, after.gpu);
+}
+
+std::int64_t Scheduler::countOnWorker(const Worker &worker, const Candidate &candidate) const
+{
+    const TaskName first{candidate.entry->job.id, candidate.occurrence, candidate.step, 0};
+    std::int64_t count = 0;
+    for (auto run = worker.runs.lower_bound(first); run != worker.runs.end(); ++run) {
+        if (run->first.job != first.job || run->first.occurrence != first.occurrence || run->first.step != first.step) {
+            break;
+        }
+        ++count;
+    }
+    return count;
+}
+
+bool Scheduler::mayTake(const Worker &worker, const Candidate &candidate, const Step &step, core::TimePoint now)
+{
+    const bool usable = worker.listed && worker.reported && !worker.silent && !worker.closed && !worker.entry.draining && worker.clockMs > 0;
+    if (!usable || worker.entry.pool != candidate.entry->job.pool || worker.quarantinedUntil > now) {
+        return false;
+    }
+    if (worker.strikes >= internal::strikesForProbe && !worker.runs.empty()) {
+        return false;
+    }
+    if (!fits(demandOf(step), worker.entry.capacity - worker.used)) {
+        return false;
+    }
+    const std::vector<std::string> &labels = worker.entry.labels;
+    if (!step.requiredLabel.empty() && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end()) {
+        return false;
+    }
+    if (step.maxPerWorker > 0 && countOnWorker(worker, candidate) >= step.maxPerWorker) {
+        return false;
+    }
+    const auto queue = m_config.queues.find(candidate.entry->job.queue);
+    const bool advised = queue != m_config.queues.end() && queue->second.advised;
+    return !advised || ticketFor(StepName{candidate.entry->job.id, candidate.occurrence, candidate.step}, worker.entry.id, now) != nullptr;
+}
+
+double Scheduler::placementCost(const Worker &worker, const Candidate &candidate, const Step &step) const
+{
+    const double capacity = static_cast<double>(std::max<std::int64_t>(worker.entry.capacity.cpu, 1));
+    double cost = static_cast<double>(worker.used.cpu) / capacity;
+    if (!step.affinityRack.empty() && worker.entry.rack != step.affinityRack) {
+        cost += internal::otherRackCost;
+    }
+    if (step.sameRack) {
+        const std::vector<Task> &tasks = candidate.entry->occurrences.at(candidate.occurrence).steps[candidate.step].tasks;
+        for (const Task &task : tasks) {
+            const auto other = m_workers.find(task.worker);
+            if (task.isOut() && other != m_workers.end() && other->second.entry.rack != worker.entry.rack) {
+                cost += internal::scatteredCost;
+                break;
+            }
+        }
+    }
+    if (step.continuous && worker.maintenancePending) {
+        cost += internal::maintenanceCost;
+    }
+    if (step.fills || step.targetMs > 0) {
+        for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
+            const Step *other = findStep(run.first);
+            const bool disturbs = other != nullptr && ((step.fills && other->targetMs > 0) || (step.targetMs > 0 && other->fills));
+            cost += disturbs ? internal::interferenceCost : 0.0;
+        }
+    }
+    return cost + internal::strikeCost * static_cast<double>(worker.strikes);
+}
+
+Worker *Scheduler::chooseWorker(const Candidate &candidate, const Step &step, core::TimePoint now)
+{
+    Worker *best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (std::pair<const std::string, Worker> &item : m_workers) {
+        if (!mayTake(item.second, candidate, step, now)) {
+            continue;
+        }
+        const double cost = placementCost(item.second, candidate, step);
+        if (cost < bestCost) {
+            best = &item.second;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void Scheduler::startTask(const Candidate &candidate, std::size_t index, Worker &worker, std::int64_t run, core::TimePoint now)
+{
+    JobEntry &entry = *candidate.entry;
+    Task &task = entry.occurrences[candidate.occurrence].steps[candidate.step].tasks[index];
+    const TaskName name{entry.job.id, candidate.occurrence, candidate.step, index};
+    const bool idle = worker.runs.empty();
+    attach(entry, name, task, worker, run, TaskPhase::Starting, now);
+    StartOrder order{worker.entry.id, worker.entry.address, name, run, entry.job.spec, leaseFor(worker, now), task.record.checkpoint, {}};
+    const std::string *ticket = ticketFor(StepName{name.job, name.occurrence, name.step}, worker.entry.id, now);
+    if (ticket != nullptr) {
+        order.ticket = *ticket;
+    }
+    if (idle) {
+        worker.nextHold = now + std::chrono::milliseconds{50};
+    }
+    decide("run_ordered",
+           toText(name),
+           worker.entry.id,
+           absl::StrCat("run=", run, " slack_ms=", std::llround(candidate.slackMs), " free_cpu=", worker.entry.capacity.cpu - worker.used.cpu));
+    m_orders.starts.push_back(std::move(order));
+    markStarted(entry);
+}
+
+const std::string *Scheduler::ticketFor(const StepName &step, const std::string &worker, core::TimePoint now) const
+{
+    const auto advice = m_advice.find(step);
+    if (advice == m_advice.end()) {
+        return nullptr;
+    }
+    const auto asked = advice->second.askedFor.find(worker);
+    const auto ticket = advice->second.tickets.find(worker);
+    const bool valid = asked != advice->second.askedFor.end() && ticket != advice->second.tickets.end() && now < asked->second;
+    return valid ? &ticket->second : nullptr;
+}
+
+void Scheduler::askAdvice(const Candidate &candidate, core::TimePoint now)
+{
+    const StepName name{candidate.entry->job.id, candidate.occurrence, candidate.step};
+    Advice &advice = m_advice[name];
+    if (advice.asking) {
+        return;
+    }
+    AdviceOrder order{name, {}};
+    for (const std::pair<const std::string, Worker> &item : m_workers) {
+        const Worker &worker = item.second;
+        const auto asked = advice.askedFor.find(item.first);
+        const bool known = asked != advice.askedFor.end() && asked->second > now;
+        const bool usable = worker.listed && !worker.silent && !worker.closed && !worker.entry.draining && worker.entry.pool == candidate.entry->job.pool;
+        if (usable && !known && order.workers.size() < internal::workersAtOnce) {
+            order.workers.push_back(item.first);
+        }
+    }
+    if (!order.workers.empty()) {
+        advice.asking = true;
+        m_orders.questions.push_back(std::move(order));
+    }
+}
+
+double Scheduler::pressure(const std::string &pool) const
+{
+    double capacity = 0.0;
+    double used = 0.0;
+    for (const std::pair<const std::string, Worker> &item : m_workers) {
+        if (item.second.entry.pool == pool && item.second.listed && !item.second.closed) {
+            capacity += static_cast<double>(item.second.entry.capacity.cpu);
+            used += static_cast<double>(item.second.used.cpu);
+        }
+    }
+    return capacity > 0.0 ? used / capacity : 0.0;
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/runs.cpp
@@ -0,0 +1,356 @@
+#include "scheduler.hpp"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+namespace oleanderwick::jobs
+{
+
+namespace internal
+{
+
+/** Failures in a row after which a worker gets no more than one task at a time. */
+constexpr std::int64_t strikesForQuarantine = 3;
+constexpr core::Duration quarantine = std::chrono::seconds{3};
+/** A run that has no successor after an end is started again no sooner, so that a sick worker is not asked at once. */
+constexpr core::Duration restartPause = std::chrono::milliseconds{20};
+constexpr core::Duration stopAgainAfter = std::chrono::milliseconds{700};
+
+} // namespace internal
+
+Resources Scheduler::demandOf(const Step &step) const noexcept
+{
+    // A filling task's processor time is not counted against the worker.
+    return step.fills ? Resources{0, step.each.memory, step.each.gpu} : step.each;
+}
+
+void Scheduler::attach(JobEntry &entry, const TaskName &name, Task &task, Worker &worker, std::int64_t run, TaskPhase phase, core::TimePoint now)
+{
+    const Step &step = entry.job.steps[name.step];
+    task.phase = phase;
+    task.worker = worker.entry.id;
+    task.run = run;
+    task.since = now;
+    task.startedAt = now;
+    task.progressAt = now;
+    task.percent = 0;
+    task.figure = 0;
+    task.pace = 100;
+    task.overTargetSince = {};
+    task.stopAcknowledged = false;
+    task.orderedAt = {};
+    task.record.lastRun = std::max(task.record.lastRun, run);
+    worker.runs[name] = run;
+    worker.used = worker.used + demandOf(step);
+    m_teamUse[entry.job.team] = m_teamUse[entry.job.team] + step.each;
+    ++entry.outCount;
+    m_usedWorkers.insert(worker.entry.id);
+}
+
+void Scheduler::detach(JobEntry &entry, const TaskName &name, Task &task)
+{
+    if (!task.isOut()) {
+        return;
+    }
+    const Step &step = entry.job.steps[name.step];
+    const auto worker = m_workers.find(task.worker);
+    if (worker != m_workers.end()) {
+        worker->second.runs.erase(name);
+        worker->second.used = worker->second.used - demandOf(step);
+    }
+    m_teamUse[entry.job.team] = m_teamUse[entry.job.team] - step.each;
+    --entry.outCount;
+    task.phase = task.record.done ? TaskPhase::Done : TaskPhase::Waiting;
+    task.worker.clear();
+    task.percent = 0;
+    m_placementDue = true;
+    if (isFinal(entry.state) && entry.outCount == 0) {
+        m_ended.insert(entry.job.id);
+    }
+}
+
+void Scheduler::dropRuns(Worker &worker, std::string_view reason, core::TimePoint now)
+{
+    const std::map<TaskName, std::int64_t> runs = worker.runs;
+    for (const std::pair<const TaskName, std::int64_t> &run : runs) {
+        JobEntry *entry = findEntry(run.first.job);
+        Task *task = findTask(run.first);
+        if (entry == nullptr || task == nullptr) {
+            continue;
+        }
+        decide("run_lost", toText(run.first), worker.entry.id, absl::StrCat("run=", run.second, " reason=", std::string{reason}));
+        detach(*entry, run.first, *task);
+        task->notBefore = now;
+        touch(*entry);
+    }
+    worker.runs.clear();
+    worker.used = {};
+}
+
+void Scheduler::resetIncarnation(Worker &worker, std::int64_t incarnation, core::TimePoint now)
+{
+    decide("worker_reborn", "", worker.entry.id, absl::StrCat("born=", incarnation, " before=", worker.incarnation, " runs=", worker.runs.size()));
+    dropRuns(worker, "worker_reborn", now);
+    worker.incarnation = incarnation;
+    worker.lastEnd = 0;
+    worker.ackedEnd = 0;
+    worker.pendingEnds.clear();
+    worker.clockMs = 0;
+    worker.leaseBound = now;
+    worker.strikes = 0;
+    worker.entry.draining = false;
+}
+
+void Scheduler::takeEnd(Worker &worker, const ListedEnd &end, core::TimePoint now, std::int64_t wallMs)
+{
+    JobEntry *entry = findEntry(end.task.job);
+    Task *task = findTask(end.task);
+    if (entry == nullptr || task == nullptr) {
+        worker.pendingEnds.push_back(PendingEnd{end.number, {}, 0});
+        return;
+    }
+    decide("run_ended", toText(end.task), worker.entry.id, absl::StrCat("run=", end.run, " kind=", static_cast<int>(end.kind), " number=", end.number));
+    task->record.lastRun = std::max(task->record.lastRun, end.run);
+    const bool current = task->isOut() && task->worker == worker.entry.id && task->run == end.run;
+    if (current) {
+        detach(*entry, end.task, *task);
+        task->notBefore = now + internal::restartPause;
+    }
+    if (!end.checkpoint.empty()) {
+        task->record.checkpoint = end.checkpoint;
+    }
+    judgeWorker(worker, end.kind, now);
+    if (!isFinal(entry->state)) {
+        if (end.kind == EndKind::Done) {
+            takeDone(*entry, end.task, wallMs, now);
+        } else if (end.kind == EndKind::Failed) {
+            takeFailed(*entry, end.task, *task, wallMs, now);
+        }
+    }
+    touch(*entry);
+    worker.pendingEnds.push_back(PendingEnd{end.number, entry->job.id, entry->version});
+}
+
+void Scheduler::takeDone(JobEntry &entry, const TaskName &name, std::int64_t wallMs, core::TimePoint now)
+{
+    const Step &step = entry.job.steps[name.step];
+    if (step.continuous) {
+        return;
+    }
+    Occurrence &occurrence = entry.occurrences.at(name.occurrence);
+    StepState &state = occurrence.steps[name.step];
+    // One end of a gang stands for all its members.
+    const std::size_t first = step.gang ? 0 : name.index;
+    const std::size_t last = step.gang ? state.tasks.size() : name.index + 1;
+    for (std::size_t index = first; index < last; ++index) {
+        Task &member = state.tasks[index];
+        if (member.record.done) {
+            continue;
+        }
+        member.record.done = true;
+        member.record.checkpoint.clear();
+        --state.remaining;
+        if (member.phase == TaskPhase::Waiting) {
+            member.phase = TaskPhase::Done;
+        } else if (!step.gang) {
+            // Another run of the task is still out; the members of a gang end by themselves.
+            stopTask(TaskName{name.job, name.occurrence, name.step, index}, member, now);
+        }
+    }
+    if (state.remaining > 0) {
+        return;
+    }
+    --occurrence.remainingSteps;
+    const bool allOpened = entry.nextOccurrence >= std::max<std::int64_t>(entry.job.repeatCount, 1);
+    const bool allDone = std::all_of(entry.occurrences.begin(), entry.occurrences.end(), [](const std::pair<const std::int64_t, Occurrence> &other) {
+        return other.second.remainingSteps == 0;
+    });
+    if (allOpened && allDone) {
+        endJob(entry, JobState::Completed, wallMs, now);
+    }
+}
+
+void Scheduler::takeFailed(JobEntry &entry, const TaskName &name, Task &task, std::int64_t wallMs, core::TimePoint now)
+{
+    const Step &step = entry.job.steps[name.step];
+    if (step.continuous || task.record.done) {
+        return;
+    }
+    ++task.record.failures;
+    std::int64_t failures = task.record.failures;
+    if (step.gang) {
+        failures = 0;
+        for (const Task &member : entry.occurrences[name.occurrence].steps[name.step].tasks) {
+            failures += member.record.failures;
+        }
+    }
+    if (failures >= maxAttempts(entry)) {
+        decide("job_failed", entry.job.id, "", absl::StrCat("task=", toText(name), " failures=", failures, " allowed=", maxAttempts(entry)));
+        endJob(entry, JobState::Failed, wallMs, now);
+    }
+}
+
+void Scheduler::judgeWorker(Worker &worker, EndKind kind, core::TimePoint now)
+{
+    if (kind == EndKind::Done) {
+        worker.strikes = 0;
+    } else if (kind == EndKind::Failed) {
+        ++worker.strikes;
+        if (worker.strikes >= internal::strikesForQuarantine) {
+            worker.quarantinedUntil = now + internal::quarantine;
+            decide("worker_quarantined", "", worker.entry.id, absl::StrCat("failures=", worker.strikes));
+        }
+    }
+}
+
+void Scheduler::endJob(JobEntry &entry, JobState state, std::int64_t wallMs, core::TimePoint now)
+{
+    entry.state = state;
+    entry.endedMs = wallMs;
+    decide("job_ended", entry.job.id, "", absl::StrCat("state=", std::string{toText(state)}, " age_ms=", wallMs - entry.job.submittedMs, " out=", entry.outCount));
+    for (std::pair<const std::int64_t, Occurrence> &occurrence : entry.occurrences) {
+        for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
+            std::vector<Task> &tasks = occurrence.second.steps[step].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].isOut()) {
+                    stopTask(TaskName{entry.job.id, occurrence.first, step, index}, tasks[index], now);
+                }
+            }
+        }
+    }
+    touch(entry);
+    if (entry.outCount == 0) {
+        m_ended.insert(entry.job.id);
+    }
+}
+
+void Scheduler::forgetEnded()
+{
+    for (auto id = m_ended.begin(); id != m_ended.end();) {
+        const JobEntry *entry = findEntry(*id);
+        if (entry == nullptr) {
+            id = m_ended.erase(id);
+        } else if (entry->outCount == 0 && entry->savedVersion == entry->version) {
+            m_advice.erase(m_advice.lower_bound(StepName{*id, 0, 0}), m_advice.upper_bound(StepName{*id, INT64_MAX, SIZE_MAX}));
+            m_jobs.erase(*id);
+            id = m_ended.erase(id);
+        } else {
+            ++id;
+        }
+    }
+}
+
+void Scheduler::orderStop(Worker &worker, const TaskName &name, std::int64_t run)
+{
+    m_orders.stops.push_back(StopOrder{worker.entry.id, worker.entry.address, name, run});
+}
+
+void Scheduler::stopTask(const TaskName &name, Task &task, core::TimePoint now)
+{
+    const auto worker = m_workers.find(task.worker);
+    if (worker == m_workers.end()) {
+        return;
+    }
+    if (task.phase != TaskPhase::Stopping) {
+        task.phase = TaskPhase::Stopping;
+        task.since = now;
+        task.stopAcknowledged = false;
+    }
+    task.orderedAt = now;
+    orderStop(worker->second, name, task.run);
+}
+
+void Scheduler::takeRunning(Worker &worker, const ListedRun &listed, core::TimePoint now)
+{
+    JobEntry *entry = findEntry(listed.task.job);
+    Task *task = findTask(listed.task);
+    if (entry == nullptr || task == nullptr || isFinal(entry->state) || task->record.done) {
+        const bool asked = task != nullptr && task->phase == TaskPhase::Stopping && now - task->orderedAt < internal::stopAgainAfter;
+        if (!asked) {
+            if (task != nullptr && task->isOut() && task->worker == worker.entry.id && task->run == listed.run) {
+                stopTask(listed.task, *task, now);
+            } else {
+                orderStop(worker, listed.task, listed.run);
+            }
+        }
+        return;
+    }
+    if (!task->isOut() && (entry->predatesTenure || listed.run >= task->record.lastRun)) {
+        attach(*entry, listed.task, *task, worker, listed.run, TaskPhase::Running, now);
+        decide("run_adopted", toText(listed.task), worker.entry.id, absl::StrCat("run=", listed.run, " percent=", listed.percent));
+        markStarted(*entry);
+    }
+    if (!task->isOut() || task->worker != worker.entry.id || task->run != listed.run) {
+        orderStop(worker, listed.task, listed.run);
+        return;
+    }
+    if (task->phase == TaskPhase::Starting || task->phase == TaskPhase::Uncertain) {
+        task->phase = TaskPhase::Running;
+        task->since = now;
+    }
+    if (listed.percent != task->percent) {
+        task->progressAt = now;
+    }
+    if (listed.percent >= 100 && task->percent < 100) {
+        task->atWorkAt = now;
+    }
+    task->percent = listed.percent;
+    task->figure = listed.figure;
+    if (!listed.checkpoint.empty() && listed.checkpoint != task->record.checkpoint) {
+        // Stored with the job's next change: a lost checkpoint costs work, not truth.
+        task->record.checkpoint = listed.checkpoint;
+    }
+}
+
+void Scheduler::takeMissing(Worker &worker, const WorkerReport &report, core::TimePoint sentAt, core::TimePoint now)
+{
+    constexpr std::size_t listedAtMost = 500;
+    std::set<std::pair<TaskName, std::int64_t>> listed;
+    for (const ListedRun &run : report.running) {
+        listed.emplace(run.task, run.run);
+    }
+    const std::map<TaskName, std::int64_t> runs = worker.runs;
+    for (const std::pair<const TaskName, std::int64_t> &run : runs) {
+        Task *task = findTask(run.first);
+        JobEntry *entry = findEntry(run.first.job);
+        if (task == nullptr || entry == nullptr || listed.contains(run) || task->since >= sentAt || report.ended.size() >= listedAtMost) {
+            continue;
+        }
+        const bool stopped = task->phase == TaskPhase::Stopping && task->stopAcknowledged;
+        if (task->phase == TaskPhase::Running || stopped) {
+            decide("run_missing", toText(run.first), worker.entry.id, absl::StrCat("run=", run.second));
+            detach(*entry, run.first, *task);
+            touch(*entry);
+        } else if (task->phase == TaskPhase::Uncertain) {
+            // Not there yet; a stop keeps the order from being carried out later.
+            stopTask(run.first, *task, now);
+        }
+    }
+}
+
+void Scheduler::markStarted(JobEntry &entry)
+{
+    if (entry.state == JobState::Queued) {
+        entry.state = JobState::Running;
+        touch(entry);
+    }
+}
+
+void Scheduler::sweepTasks(core::TimePoint now)
+{
+    for (std::pair<const std::string, Worker> &item : m_workers) {
+        for (const std::pair<const TaskName, std::int64_t> &run : item.second.runs) {
+            Task *task = findTask(run.first);
+            if (task == nullptr) {
+                continue;
+            }
+            const bool again = task->phase == TaskPhase::Stopping && now - task->orderedAt >= internal::stopAgainAfter && !item.second.silent;
+            if (again && !task->stopAcknowledged) {
+                stopTask(run.first, *task, now);
+            }
+        }
+    }
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -0,0 +1,465 @@
+#include "scheduler.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <absl/strings/str_cat.h>
+
+namespace oleanderwick::jobs
+{
+
+namespace internal
+{
+
+/** Runs that a former owner may have ordered and not recorded; numbers start above them. */
+constexpr std::int64_t unseenRuns = 8;
+/** Most decisions kept between two calls; the rest is counted by the log. */
+constexpr std::size_t maxDecisions = 4096;
+
+double longestChainMs(const Job &job)
+{
+    std::vector<double> ends(job.steps.size(), 0.0);
+    double longest = 0.0;
+    for (std::size_t index = 0; index < job.steps.size(); ++index) {
+        double start = 0.0;
+        for (const std::size_t before : job.steps[index].after) {
+            start = std::max(start, before < index ? ends[before] : 0.0);
+        }
+        ends[index] = start + static_cast<double>(job.steps[index].estimateMs);
+        longest = std::max(longest, ends[index]);
+    }
+    return longest;
+}
+
+} // namespace internal
+
+std::string_view toText(StartAnswer answer) noexcept
+{
+    constexpr std::array<std::string_view, 11> names{
+        "started", "no_room", "fenced", "outdated", "too_late", "no_ticket", "unhealthy", "other_incarnation", "invalid", "not_sent", "unknown"};
+    return names.at(static_cast<std::size_t>(answer));
+}
+
+Scheduler::Scheduler(const SchedulerLimits &limits, core::TimePoint now)
+    : m_limits{limits}
+    , m_tenureStart{now}
+{
+}
+
+void Scheduler::configure(FleetConfig config)
+{
+    m_config = std::move(config);
+    m_placementDue = true;
+}
+
+void Scheduler::listWorker(const WorkerEntry &entry, core::TimePoint now)
+{
+    Worker &worker = m_workers[entry.id];
+    if (entry.incarnation != 0 && worker.incarnation != 0 && entry.incarnation < worker.incarnation) {
+        return;
+    }
+    const bool fresh = worker.entry.id.empty() || (entry.incarnation != 0 && entry.incarnation != worker.incarnation);
+    if (worker.entry.pool != entry.pool || worker.entry.draining != entry.draining || fresh) {
+        decide("worker_listed", "", entry.id, absl::StrCat("pool=", entry.pool, " draining=", entry.draining ? 1 : 0, " born=", entry.incarnation));
+    }
+    if (entry.incarnation != 0 && worker.incarnation != 0 && entry.incarnation > worker.incarnation) {
+        resetIncarnation(worker, entry.incarnation, now);
+    }
+    if (entry.incarnation != 0) {
+        worker.incarnation = entry.incarnation;
+    }
+    // A draining sign that a worker gave itself is newer than an entry that does not show it yet.
+    const bool draining = entry.draining || (worker.entry.draining && !fresh);
+    worker.entry = entry;
+    worker.entry.draining = draining;
+    worker.listed = true;
+    m_placementDue = true;
+}
+
+void Scheduler::unlistWorker(const std::string &id)
+{
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end() && found->second.listed) {
+        found->second.listed = false;
+        decide("worker_unlisted", "", id, absl::StrCat("runs=", found->second.runs.size()));
+    }
+}
+
+void Scheduler::expectWorker(const std::string &id)
+{
+    m_workers[id].entry.id = id;
+    m_usedWorkers.insert(id);
+}
+
+void Scheduler::addJob(Job job, const std::optional<JobRecord> &record, bool predatesTenure)
+{
+    if (m_jobs.contains(job.id) || (record.has_value() && isFinal(record->state))) {
+        return;
+    }
+    JobEntry &entry = m_jobs[job.id];
+    entry.job = std::move(job);
+    entry.predatesTenure = predatesTenure;
+    entry.chainMs = internal::longestChainMs(entry.job);
+    if (record.has_value()) {
+        entry.state = record->state;
+        entry.nextOccurrence = record->nextOccurrence;
+        for (const std::pair<const std::int64_t, std::vector<std::vector<TaskRecord>>> &saved : record->occurrences) {
+            openOccurrence(entry, saved.first, &saved.second);
+        }
+    }
+    m_placementDue = true;
+}
+
+void Scheduler::openOccurrence(JobEntry &entry, std::int64_t number, const std::vector<std::vector<TaskRecord>> *records)
+{
+    Occurrence &occurrence = entry.occurrences[number];
+    occurrence.dueMs = entry.job.repeatCount > 0 ? entry.job.firstRunMs + number * entry.job.intervalMs : 0;
+    for (std::size_t index = 0; index < entry.job.steps.size(); ++index) {
+        const Step &step = entry.job.steps[index];
+        StepState &state = occurrence.steps.emplace_back();
+        state.tasks.resize(static_cast<std::size_t>(step.count));
+        for (std::size_t task = 0; task < state.tasks.size(); ++task) {
+            if (records != nullptr && index < records->size() && task < (*records)[index].size()) {
+                state.tasks[task].record = (*records)[index][task];
+            }
+            if (entry.predatesTenure) {
+                state.tasks[task].record.lastRun += state.tasks[task].record.done ? 0 : internal::unseenRuns;
+            }
+            if (state.tasks[task].record.done) {
+                state.tasks[task].phase = TaskPhase::Done;
+            } else {
+                ++state.remaining;
+            }
+        }
+        occurrence.remainingSteps += state.remaining > 0 ? 1 : 0;
+    }
+}
+
+void Scheduler::openDueOccurrences(JobEntry &entry, std::int64_t wallMs)
+{
+    const std::int64_t count = std::max<std::int64_t>(entry.job.repeatCount, 1);
+    while (entry.nextOccurrence < count) {
+        const std::int64_t dueMs = entry.job.repeatCount > 0 ? entry.job.firstRunMs + entry.nextOccurrence * entry.job.intervalMs : 0;
+        if (dueMs > wallMs) {
+            return;
+        }
+        openOccurrence(entry, entry.nextOccurrence, nullptr);
+        ++entry.nextOccurrence;
+    }
+}
+
+void Scheduler::cancelJob(const std::string &id, std::int64_t wallMs, core::TimePoint now)
+{
+    JobEntry *entry = findEntry(id);
+    if (entry == nullptr || isFinal(entry->state)) {
+        return;
+    }
+    endJob(*entry, JobState::Cancelled, wallMs, now);
+}
+
+void Scheduler::takeReport(const std::string &id, const WorkerReport &report, core::TimePoint sentAt, core::TimePoint now, std::int64_t wallMs)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end()) {
+        return;
+    }
+    Worker &worker = found->second;
+    worker.holdOut = false;
+    if (report.incarnation != 0 && worker.incarnation != 0 && report.incarnation < worker.incarnation) {
+        return;
+    }
+    if (report.incarnation != 0 && report.incarnation != worker.incarnation) {
+        resetIncarnation(worker, report.incarnation, now);
+    }
+    if (!worker.reported) {
+        decide("worker_held", "", id, absl::StrCat("running=", report.running.size(), " ended=", report.ended.size(), " clock_ms=", report.clockMs));
+    }
+    learnClock(worker, report.clockMs, now);
+    worker.silent = false;
+    worker.seenAt = now;
+    for (const ListedEnd &end : report.ended) {
+        if (end.number > worker.lastEnd) {
+            takeEnd(worker, end, now, wallMs);
+            worker.lastEnd = end.number;
+        }
+    }
+    for (const ListedRun &listed : report.running) {
+        takeRunning(worker, listed, now);
+    }
+    takeMissing(worker, report, sentAt, now);
+    worker.reported = true;
+    moveAcks(worker);
+    paceFillers(worker, now);
+    worker.nextHold = now;
+    m_placementDue = true;
+}
+
+void Scheduler::takeHoldFailure(const std::string &id, bool gone, core::TimePoint now)
+{
+    constexpr core::Duration retryAfter = std::chrono::milliseconds{400};
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end()) {
+        return;
+    }
+    Worker &worker = found->second;
+    worker.holdOut = false;
+    worker.nextHold = now + retryAfter;
+    if (!worker.silent) {
+        decide("worker_silent",
+               "",
+               id,
+               absl::StrCat("gone=", gone ? 1 : 0, " runs=", worker.runs.size(), " seen_ms_ago=", core::milliseconds(now - worker.seenAt)));
+    }
+    worker.silent = true;
+    if (gone) {
+        // The process that ran the tasks is no more: its address refuses, or belongs to another worker.
+        dropRuns(worker, "worker_gone", now);
+        worker.reported = true;
+        worker.leaseBound = now;
+    }
+}
+
+void Scheduler::takeStartAnswer(const StartOrder &order, StartAnswer answer, std::int64_t clockMs, core::TimePoint now)
+{
+    constexpr core::Duration unhealthyPause = std::chrono::milliseconds{1500};
+    constexpr core::Duration roomPause = std::chrono::milliseconds{150};
+    const auto found = m_workers.find(order.worker);
+    JobEntry *entry = findEntry(order.task.job);
+    Task *task = findTask(order.task);
+    if (found == m_workers.end() || entry == nullptr || task == nullptr) {
+        return;
+    }
+    Worker &worker = found->second;
+    if (clockMs > 0) {
+        learnClock(worker, clockMs, now);
+        worker.seenAt = now;
+    }
+    if (answer != StartAnswer::Started) {
+        decide("start_refused", toText(order.task), order.worker, absl::StrCat("run=", order.run, " answer=", std::string{toText(answer)}));
+    }
+    if (!task->isOut() || task->run != order.run || task->worker != order.worker) {
+        return;
+    }
+    m_placementDue = true;
+    if (answer == StartAnswer::Started) {
+        if (task->phase == TaskPhase::Starting) {
+            task->phase = TaskPhase::Running;
+            task->since = now;
+            task->progressAt = now;
+        }
+        worker.nextHold = std::min(worker.nextHold, now);
+        return;
+    }
+    if (answer == StartAnswer::Unknown) {
+        if (task->phase == TaskPhase::Starting) {
+            task->phase = TaskPhase::Uncertain;
+            task->since = now;
+        }
+        worker.nextHold = now;
+        return;
+    }
+    detach(*entry, order.task, *task);
+    task->notBefore = now;
+    if (answer == StartAnswer::Unhealthy || answer == StartAnswer::NotSent || answer == StartAnswer::OtherIncarnation) {
+        worker.quarantinedUntil = now + unhealthyPause;
+    }
+    if (answer == StartAnswer::NoRoom || answer == StartAnswer::TooLate) {
+        worker.quarantinedUntil = now + roomPause;
+        worker.nextHold = now;
+    }
+    if (answer == StartAnswer::NoTicket) {
+        m_advice.erase(StepName{order.task.job, order.task.occurrence, order.task.step});
+    }
+    if (answer == StartAnswer::Invalid) {
+        task->notBefore = now + unhealthyPause;
+    }
+}
+
+void Scheduler::takeStopAnswer(const StopOrder &order, bool acknowledged, core::TimePoint now)
+{
+    Task *task = findTask(order.task);
+    if (task == nullptr || !task->isOut() || task->run != order.run || task->worker != order.worker || !acknowledged) {
+        return;
+    }
+    task->stopAcknowledged = true;
+    task->since = now;
+    const auto found = m_workers.find(order.worker);
+    if (found != m_workers.end()) {
+        found->second.nextHold = now;
+    }
+}
+
+void Scheduler::takeAdvice(const AdviceOrder &order,
+                           const std::optional<std::map<std::string, std::string>> &tickets,
+                           core::Duration validFor,
+                           core::TimePoint now)
+{
+    Advice &advice = m_advice[order.step];
+    advice.asking = false;
+    if (!tickets.has_value()) {
+        return;
+    }
+    for (const std::string &worker : order.workers) {
+        const auto ticket = tickets->find(worker);
+        if (ticket != tickets->end()) {
+            advice.tickets[worker] = ticket->second;
+        }
+        // A worker that may not run the step never may: the step does not change.
+        advice.askedFor[worker] = ticket != tickets->end() ? now + validFor : core::TimePoint::max();
+    }
+    m_placementDue = true;
+}
+
+void Scheduler::takeSaved(const std::string &id, std::uint64_t version, bool stored)
+{
+    JobEntry *entry = findEntry(id);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->savingVersion = 0;
+    if (stored) {
+        entry->savedVersion = std::max(entry->savedVersion, version);
+    }
+    if (entry->savedVersion < entry->version) {
+        m_unsaved.insert(id);
+        if (isFinal(entry->state)) {
+            m_unsavedEnds.insert(id);
+        }
+    }
+    for (std::pair<const std::string, Worker> &worker : m_workers) {
+        moveAcks(worker.second);
+    }
+}
+
+Orders Scheduler::takeOrders()
+{
+    Orders orders;
+    std::swap(orders, m_orders);
+    return orders;
+}
+
+std::vector<Decision> Scheduler::takeDecisions()
+{
+    std::vector<Decision> decisions;
+    std::swap(decisions, m_decisions);
+    return decisions;
+}
+
+std::vector<SaveOrder> Scheduler::takeSaves(std::size_t most)
+{
+    std::vector<SaveOrder> saves;
+    while (saves.size() < most && !m_unsaved.empty()) {
+        std::set<std::string> &first = m_unsavedEnds.empty() ? m_unsaved : m_unsavedEnds;
+        const std::string id = *first.begin();
+        m_unsavedEnds.erase(id);
+        m_unsaved.erase(id);
+        JobEntry *entry = findEntry(id);
+        if (entry == nullptr || entry->savingVersion != 0) {
+            continue;
+        }
+        entry->savingVersion = entry->version;
+        SaveOrder save{id, entry->version, JobRecord{entry->state, entry->endedMs, {}, entry->nextOccurrence}};
+        if (!isFinal(entry->state)) {
+            for (const std::pair<const std::int64_t, Occurrence> &occurrence : entry->occurrences) {
+                std::vector<std::vector<TaskRecord>> &steps = save.record.occurrences[occurrence.first];
+                for (const StepState &step : occurrence.second.steps) {
+                    std::vector<TaskRecord> &tasks = steps.emplace_back();
+                    for (const Task &task : step.tasks) {
+                        tasks.push_back(task.record);
+                    }
+                }
+            }
+        }
+        saves.push_back(std::move(save));
+    }
+    return saves;
+}
+
+std::map<std::string, std::int64_t> Scheduler::pendingByQueue() const
+{
+    std::map<std::string, std::int64_t> pending;
+    for (const std::pair<const std::string, JobEntry> &entry : m_jobs) {
+        if (entry.second.state == JobState::Queued) {
+            ++pending[entry.second.job.queue];
+        }
+    }
+    return pending;
+}
+
+bool Scheduler::hasUnsaved() const noexcept
+{
+    return !m_unsaved.empty();
+}
+
+bool Scheduler::hasUnsavedEnd() const noexcept
+{
+    return !m_unsavedEnds.empty();
+}
+
+const std::map<std::string, Worker> &Scheduler::workers() const noexcept
+{
+    return m_workers;
+}
+
+const JobEntry *Scheduler::findJob(const std::string &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const std::set<std::string> &Scheduler::usedWorkers() const noexcept
+{
+    return m_usedWorkers;
+}
+
+JobEntry *Scheduler::findEntry(const std::string &id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+Task *Scheduler::findTask(const TaskName &name)
+{
+    JobEntry *entry = findEntry(name.job);
+    if (entry == nullptr) {
+        return nullptr;
+    }
+    const auto occurrence = entry->occurrences.find(name.occurrence);
+    if (occurrence == entry->occurrences.end() || name.step >= occurrence->second.steps.size()) {
+        return nullptr;
+    }
+    std::vector<Task> &tasks = occurrence->second.steps[name.step].tasks;
+    return name.index < tasks.size() ? &tasks[name.index] : nullptr;
+}
+
+const Step *Scheduler::findStep(const TaskName &name) const
+{
+    const JobEntry *entry = findJob(name.job);
+    return entry == nullptr || name.step >= entry->job.steps.size() ? nullptr : &entry->job.steps[name.step];
+}
+
+std::int64_t Scheduler::maxAttempts(const JobEntry &entry) const
+{
+    const auto queue = m_config.queues.find(entry.job.queue);
+    return queue == m_config.queues.end() ? 1 : std::max<std::int64_t>(queue->second.maxAttempts, 1);
+}
+
+void Scheduler::touch(JobEntry &entry)
+{
+    ++entry.version;
+    if (entry.savingVersion == 0) {
+        m_unsaved.insert(entry.job.id);
+        if (isFinal(entry.state)) {
+            m_unsavedEnds.insert(entry.job.id);
+        }
+    }
+}
+
+void Scheduler::decide(std::string event, std::string job, std::string worker, std::string detail)
+{
+    if (m_decisions.size() < internal::maxDecisions) {
+        m_decisions.push_back(Decision{std::move(event), std::move(job), std::move(worker), std::move(detail)});
+    }
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/upkeep.cpp
@@ -0,0 +1,245 @@
+#include "upkeep.hpp"
+
+#include <algorithm>
+
+namespace oleanderwick::jobs
+{
+
+namespace internal
+{
+
+/** Instances that are drained ahead of those that are down, so that the next one is empty in time. */
+constexpr std::size_t drainAhead = 1;
+/** Share of a pool that a wave may keep closed at once. */
+constexpr double mostOfPoolClosed = 0.35;
+constexpr core::Duration orderAgainAfter = std::chrono::milliseconds{700};
+
+} // namespace internal
+
+Upkeep::Upkeep(core::TimePoint firstOrderAt)
+    : m_firstOrderAt{firstOrderAt}
+{
+}
+
+void Upkeep::addWave(const MaintenanceWave &wave, const std::optional<WaveProgress> &progress)
+{
+    WaveState &state = m_waves[wave.number];
+    if (state.wave == wave) {
+        return;
+    }
+    state.wave = wave;
+    if (progress.has_value()) {
+        state.progress = *progress;
+    }
+    for (const std::string &instance : wave.instances) {
+        Member &member = state.members[instance];
+        if (state.progress.begun.contains(instance)) {
+            // It may still be down: counted until the list shows it up.
+            member.phase = state.progress.completed ? Phase::Finished : Phase::Down;
+        }
+    }
+    if (!state.progress.completed) {
+        m_unsaved.insert(wave.number);
+    }
+}
+
+void Upkeep::takeInstances(std::map<std::string, InstanceEntry> instances, core::TimePoint askedAt)
+{
+    m_instances = std::move(instances);
+    m_listedAt = askedAt;
+}
+
+void Upkeep::takeAnswer(const MaintainOrder &order, InstanceAnswer answer, core::TimePoint now)
+{
+    const auto found = m_waves.find(order.wave);
+    if (found == m_waves.end()) {
+        return;
+    }
+    WaveState &state = found->second;
+    Member &member = state.members[order.instance];
+    member.orderOut = false;
+    member.since = now;
+    if (answer == InstanceAnswer::Done) {
+        member.phase = Phase::Down;
+        state.progress.begun.insert(order.instance);
+        m_unsaved.insert(order.wave);
+    } else if (answer == InstanceAnswer::NoSuchInstance || answer == InstanceAnswer::NotInWave) {
+        member.phase = Phase::Finished;
+    } else if (answer == InstanceAnswer::Busy || answer == InstanceAnswer::Refused) {
+        // Nothing was done. An order whose answer was lost before may have been, and then the list shows it.
+        member.phase = Phase::Draining;
+    }
+}
+
+std::vector<MaintainOrder> Upkeep::takeOrders()
+{
+    std::vector<MaintainOrder> orders;
+    std::swap(orders, m_orders);
+    return orders;
+}
+
+std::map<std::int64_t, WaveProgress> Upkeep::takeSaves()
+{
+    std::map<std::int64_t, WaveProgress> saves;
+    for (const std::int64_t number : m_unsaved) {
+        saves[number] = m_waves[number].progress;
+    }
+    m_unsaved.clear();
+    return saves;
+}
+
+void Upkeep::saveAgain(std::int64_t number)
+{
+    if (m_waves.contains(number)) {
+        m_unsaved.insert(number);
+    }
+}
+
+bool Upkeep::isBusy() const noexcept
+{
+    return std::any_of(m_waves.begin(), m_waves.end(), [](const std::pair<const std::int64_t, WaveState> &item) {
+        return !item.second.progress.completed;
+    });
+}
+
+const InstanceEntry *Upkeep::findInstance(const std::string &id) const
+{
+    const auto found = m_instances.find(id);
+    return found == m_instances.end() ? nullptr : &found->second;
+}
+
+std::size_t Upkeep::countPhase(const WaveState &state, Phase phase) const
+{
+    return static_cast<std::size_t>(std::count_if(state.members.begin(), state.members.end(), [phase](const std::pair<const std::string, Member> &item) {
+        return item.second.phase == phase;
+    }));
+}
+
+void Upkeep::advance(Scheduler &scheduler, core::TimePoint now)
+{
+    if (m_instances.empty()) {
+        return;
+    }
+    for (std::pair<const std::int64_t, WaveState> &item : m_waves) {
+        if (!item.second.progress.completed) {
+            advanceWave(item.second, scheduler, now);
+        }
+    }
+}
+
+void Upkeep::advanceWave(WaveState &state, Scheduler &scheduler, core::TimePoint now)
+{
+    for (std::pair<const std::string, Member> &member : state.members) {
+        advanceMember(state, member.first, member.second, scheduler, now);
+    }
+    startDrains(state, scheduler, now);
+    finishIfComplete(state);
+}
+
+void Upkeep::advanceMember(WaveState &state, const std::string &instance, Member &member, Scheduler &scheduler, core::TimePoint now)
+{
+    const InstanceEntry *entry = findInstance(instance);
+    if (member.phase == Phase::Finished || member.orderOut) {
+        return;
+    }
+    if (member.phase == Phase::Down) {
+        const bool back = entry == nullptr || (entry->state == InstanceState::Up && entry->worker != member.drainedWorker);
+        if (back && m_listedAt > member.since) {
+            member.phase = Phase::Finished;
+        }
+        return;
+    }
+    if (entry == nullptr) {
+        if (m_listedAt > member.since) {
+            // The instance is gone for good.
+            member.phase = Phase::Finished;
+            scheduler.closeWorker(member.drainedWorker, false, false);
+        }
+        return;
+    }
+    if (member.phase == Phase::Pending) {
+        scheduler.closeWorker(entry->worker, false, true);
+        return;
+    }
+    if (member.phase == Phase::Draining && entry->worker != member.drainedWorker && !entry->worker.empty()) {
+        member.drainedWorker = entry->worker;
+    }
+    scheduler.closeWorker(entry->worker, true, false);
+    scheduler.evacuate(entry->worker, now);
+    const auto worker = scheduler.workers().find(entry->worker);
+    const bool empty = worker == scheduler.workers().end() || (worker->second.runs.empty() && worker->second.pendingEnds.empty());
+    const std::size_t down = countPhase(state, Phase::Down) + countPhase(state, Phase::Ordered) - (member.phase == Phase::Ordered ? 1 : 0);
+    const bool room = static_cast<std::int64_t>(down) < state.wave.mostAtOnce;
+    const bool due = now >= m_firstOrderAt && now - member.since >= (member.phase == Phase::Ordered ? internal::orderAgainAfter : core::Duration::zero());
+    if (empty && room && due && (entry->state == InstanceState::Up || member.phase == Phase::Ordered)) {
+        member.phase = Phase::Ordered;
+        member.orderOut = true;
+        member.since = now;
+        m_orders.push_back(MaintainOrder{state.wave.number, instance});
+    }
+}
+
+double Upkeep::drainCost(const InstanceEntry &instance, const Scheduler &scheduler) const
+{
+    constexpr double closedWeight = 10.0;
+    constexpr double pressureWeight = 5.0;
+    double closed = 0.0;
+    double size = 0.0;
+    for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
+        if (item.second.pool != instance.pool) {
+            continue;
+        }
+        size += 1.0;
+        const auto worker = scheduler.workers().find(item.second.worker);
+        const bool open = worker != scheduler.workers().end() && worker->second.listed && !worker->second.closed && !worker->second.entry.draining;
+        closed += open ? 0.0 : 1.0;
+    }
+    const auto worker = scheduler.workers().find(instance.worker);
+    const double runs = worker == scheduler.workers().end() ? 0.0 : static_cast<double>(worker->second.runs.size());
+    const double share = size > 0.0 ? closed / size : 0.0;
+    if (closed > 0.0 && (closed + 1.0) / size > internal::mostOfPoolClosed) {
+        return -1.0;
+    }
+    return closedWeight * share + pressureWeight * scheduler.pressure(instance.pool) + runs;
+}
+
+void Upkeep::startDrains(WaveState &state, Scheduler &scheduler, core::TimePoint now)
+{
+    const std::size_t most = static_cast<std::size_t>(std::max<std::int64_t>(state.wave.mostAtOnce, 1)) + internal::drainAhead;
+    while (countPhase(state, Phase::Draining) + countPhase(state, Phase::Ordered) + countPhase(state, Phase::Down) < most) {
+        std::string best;
+        double bestCost = 0.0;
+        for (const std::pair<const std::string, Member> &member : state.members) {
+            const InstanceEntry *entry = findInstance(member.first);
+            if (member.second.phase != Phase::Pending || entry == nullptr || entry->state != InstanceState::Up) {
+                continue;
+            }
+            const double cost = drainCost(*entry, scheduler);
+            if (cost >= 0.0 && (best.empty() || cost < bestCost)) {
+                best = member.first;
+                bestCost = cost;
+            }
+        }
+        if (best.empty()) {
+            return;
+        }
+        Member &member = state.members[best];
+        member.phase = Phase::Draining;
+        member.since = now;
+        member.drainedWorker = findInstance(best)->worker;
+        scheduler.closeWorker(member.drainedWorker, true, false);
+    }
+}
+
+void Upkeep::finishIfComplete(WaveState &state)
+{
+    const bool all = std::all_of(state.members.begin(), state.members.end(), [](const std::pair<const std::string, Member> &item) {
+        return item.second.phase == Phase::Finished || (item.second.phase == Phase::Down);
+    });
+    if (all && !state.progress.completed) {
+        state.progress.completed = true;
+        m_unsaved.insert(state.wave.number);
+    }
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -0,0 +1,135 @@
+#include "job_settings.hpp"
+
+#include <functional>
+#include <map>
+
+#include <absl/strings/str_cat.h>
+#include <yaml-cpp/yaml.h>
+
+namespace oleanderwick::settings
+{
+
+namespace internal
+{
+
+using Reader = std::function<void(const YAML::Node &, JobSettings &)>;
+
+Reader text(std::string JobSettings::*field)
+{
+    return [field](const YAML::Node &node, JobSettings &settings) {
+        settings.*field = node.as<std::string>();
+    };
+}
+
+Reader milliseconds(core::Duration JobSettings::*field)
+{
+    return [field](const YAML::Node &node, JobSettings &settings) {
+        const double value = node.as<double>();
+        if (value < 0) {
+            throw YAML::Exception(node.Mark(), "must not be negative");
+        }
+        settings.*field = std::chrono::microseconds{static_cast<std::int64_t>(value * 1000)};
+    };
+}
+
+Reader seconds(core::Duration JobSettings::*field)
+{
+    return [field](const YAML::Node &node, JobSettings &settings) {
+        const double value = node.as<double>();
+        if (value < 0) {
+            throw YAML::Exception(node.Mark(), "must not be negative");
+        }
+        settings.*field = std::chrono::microseconds{static_cast<std::int64_t>(value * 1'000'000)};
+    };
+}
+
+void readPeers(const YAML::Node &node, JobSettings &settings)
+{
+    for (const YAML::Node &peer : node) {
+        settings.peers.push_back(peer.as<std::string>());
+    }
+}
+
+const std::map<std::string, Reader> &readers()
+{
+    static const std::map<std::string, Reader> table{
+        {"node", text(&JobSettings::node)},
+        {"zone", text(&JobSettings::zone)},
+        {"callers", text(&JobSettings::callers)},
+        {"readiness", text(&JobSettings::readiness)},
+        {"internal", text(&JobSettings::internal)},
+        {"peers", readPeers},
+        {"store", text(&JobSettings::store)},
+        {"instances", text(&JobSettings::instances)},
+        {"advice", text(&JobSettings::advice)},
+        {"longestLeaseMs", milliseconds(&JobSettings::longestLease)},
+        {"orderPauseMs", milliseconds(&JobSettings::orderPause)},
+        {"gangWaitMs", milliseconds(&JobSettings::gangWait)},
+        {"atWorkNoticeMs", milliseconds(&JobSettings::atWorkNotice)},
+        {"keepEndedS", seconds(&JobSettings::keepEnded)},
+        {"stopTimeoutS", seconds(&JobSettings::stopTimeout)},
+    };
+    return table;
+}
+
+/** Settings without which a node cannot work. */
+const std::vector<std::pair<const char *, std::string JobSettings::*>> &required()
+{
+    static const std::vector<std::pair<const char *, std::string JobSettings::*>> list{{"node", &JobSettings::node},
+                                                                                       {"callers", &JobSettings::callers},
+                                                                                       {"readiness", &JobSettings::readiness},
+                                                                                       {"internal", &JobSettings::internal},
+                                                                                       {"store", &JobSettings::store}};
+    return list;
+}
+
+} // namespace internal
+
+bool isJobSettings(const std::string &text)
+{
+    try {
+        return YAML::Load(text)["scheduler"].IsDefined();
+    } catch (const YAML::Exception &) {
+        return false;
+    }
+}
+
+absl::StatusOr<JobSettings> parseJobSettings(const std::string &text)
+{
+    JobSettings settings;
+    std::string errors;
+    try {
+        const YAML::Node root = YAML::Load(text)["scheduler"];
+        if (!root.IsMap()) {
+            return absl::InvalidArgumentError("scheduler: must be a map");
+        }
+        for (auto entry = root.begin(); entry != root.end(); ++entry) {
+            const std::string name = entry->first.as<std::string>();
+            const auto reader = internal::readers().find(name);
+            if (reader == internal::readers().end()) {
+                absl::StrAppend(&errors, "line ", entry->first.Mark().line + 1, ": unknown setting ", name, "\n");
+                continue;
+            }
+            try {
+                if (!entry->second.IsNull()) {
+                    reader->second(entry->second, settings);
+                }
+            } catch (const YAML::Exception &error) {
+                absl::StrAppend(&errors, "line ", entry->second.Mark().line + 1, ": ", name, ": ", error.msg, "\n");
+            }
+        }
+    } catch (const YAML::Exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+    for (const std::pair<const char *, std::string JobSettings::*> &item : internal::required()) {
+        if ((settings.*item.second).empty()) {
+            absl::StrAppend(&errors, "missing setting ", item.first, "\n");
+        }
+    }
+    if (!errors.empty()) {
+        return absl::InvalidArgumentError(errors);
+    }
+    return settings;
+}
+
+} // namespace oleanderwick::settings
--- a/src/oleanderwick/telemetry/event_log.cpp
+++ b/src/oleanderwick/telemetry/event_log.cpp
@@ -41,6 +41,15 @@
     return with(key, std::string_view{std::to_string(value)});
 }
 
+Event &Event::append(std::string_view pairs)
+{
+    if (!pairs.empty()) {
+        m_line += ' ';
+        m_line += pairs;
+    }
+    return *this;
+}
+
 const std::string &Event::line() const noexcept
 {
     return m_line;
--- a/src/oleanderwick/telemetry/event_log.hpp
+++ b/src/oleanderwick/telemetry/event_log.hpp
@@ -30,6 +30,13 @@
     /** @copydoc with */
     Event &with(std::string_view key, std::int64_t value);
 
+    /**
+     * @brief Adds pairs that are written already.
+     * @param pairs `key=value` pairs with blanks between them; may be empty.
+     * @return The event itself.
+     */
+    Event &append(std::string_view pairs);
+
     /** @return The line. */
     [[nodiscard]] const std::string &line() const noexcept;
 
--- /dev/null
+++ b/src/platform/ingress.cpp
@@ -0,0 +1,229 @@
+#include "ingress.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include <absl/strings/str_cat.h>
+
+#include "wire.hpp"
+
+namespace oleanderwick::platform
+{
+
+namespace internal
+{
+
+constexpr std::int64_t defaultDeadlineMs = 3000;
+constexpr std::int64_t longestDeadlineMs = 60'000;
+constexpr std::size_t idLength = 16;
+constexpr std::size_t longestSpec = 4000;
+constexpr std::size_t mostSteps = 256;
+constexpr std::int64_t mostTasks = 10'000;
+
+http::Response respondJson(int status, const json &body)
+{
+    return http::Response{status, {{"Content-Type", "application/json"}}, body.is_null() ? std::string{} : body.dump()};
+}
+
+http::Response unavailable(int status)
+{
+    http::Response response = respondJson(status, json{{"error", status == 504 ? "unknown" : "not run"}});
+    if (status != 504) {
+        response.headers.push_back({"Retry-After", "1"});
+    }
+    return response;
+}
+
+std::int64_t deadlineOf(const http::Request &request)
+{
+    const std::string *text = http::findHeader(request.headers, deadlineHeader);
+    std::int64_t value = 0;
+    if (text == nullptr || std::from_chars(text->data(), text->data() + text->size(), value).ec != std::errc{} || value <= 0) {
+        return defaultDeadlineMs;
+    }
+    return std::min(value, longestDeadlineMs);
+}
+
+bool isId(std::string_view text)
+{
+    return text.size() == idLength && std::all_of(text.begin(), text.end(), [](char letter) {
+               return std::isxdigit(static_cast<unsigned char>(letter)) != 0;
+           });
+}
+
+jobs::Step readStep(const json &row, std::size_t position)
+{
+    jobs::Step step;
+    step.count = numberIn(row, "count", 1);
+    step.each = resourcesIn(row);
+    step.estimateMs = numberIn(row, "estimate_ms");
+    step.savesProgress = flagIn(row, "saves_progress");
+    step.gang = flagIn(row, "gang");
+    step.sameRack = flagIn(row, "same_rack");
+    step.speculative = flagIn(row, "speculative");
+    step.continuous = flagIn(row, "long_running");
+    step.fills = flagIn(row, "fills");
+    step.requiredLabel = textIn(row, "requires");
+    step.affinityRack = textIn(row, "affinity");
+    step.maxPerWorker = numberIn(row, "max_per_server");
+    step.image = textIn(row, "image");
+    step.targetMs = numberIn(row, "target_ms");
+    step.maxUnavailable = numberIn(row, "max_unavailable");
+    if (row.contains("after")) {
+        row["after"].get_to(step.after);
+    }
+    const bool forward = std::any_of(step.after.begin(), step.after.end(), [position](std::size_t before) {
+        return before >= position;
+    });
+    if (forward || step.count < 1 || step.count > mostTasks || step.each.cpu < 0 || step.each.memory < 0 || step.each.gpu < 0) {
+        throw std::out_of_range("step");
+    }
+    return step;
+}
+
+} // namespace internal
+
+absl::StatusOr<jobs::Job> readSubmission(const std::string &text)
+{
+    const json body = parseObject(text);
+    if (!body.is_object() || !body.contains("spec") || !body["spec"].is_string() || !body.contains("steps") || !body["steps"].is_array()) {
+        return absl::InvalidArgumentError("a job has a spec and steps");
+    }
+    jobs::Job job;
+    job.spec = textIn(body, "spec");
+    job.repeatCount = numberIn(body, "repeat_count");
+    job.firstRunMs = numberIn(body, "first_run_ms");
+    job.intervalMs = numberIn(body, "interval_ms");
+    if (job.spec.size() > internal::longestSpec || body["steps"].empty() || body["steps"].size() > internal::mostSteps) {
+        return absl::InvalidArgumentError("the spec is too long, or the number of steps is out of bounds");
+    }
+    try {
+        for (const json &row : body["steps"]) {
+            job.steps.push_back(internal::readStep(row, job.steps.size()));
+        }
+    } catch (const std::exception &error) {
+        return absl::InvalidArgumentError(absl::StrCat("step ", job.steps.size(), ": ", error.what()));
+    }
+    return job;
+}
+
+Ingress::Ingress(jobnode::JobNode &node, const StoreTranslator &translator, jobnode::LogSink &log)
+    : m_node{node}
+    , m_translator{translator}
+    , m_log{log}
+{
+}
+
+void Ingress::refuse(const http::Request &request, int status, const char *reason, const http::Responder &respond)
+{
+    m_log.add("refused",
+              telemetry::Event{"refused"}
+                  .with("method", request.method)
+                  .with("target", request.target)
+                  .with("status", status)
+                  .with("reason", reason)
+                  .with("config", m_node.configVersion()));
+    respond(status == 503 ? internal::unavailable(status) : internal::respondJson(status, json{{"error", reason}}));
+}
+
+void Ingress::handle(http::Request request, http::Responder respond)
+{
+    const core::TimePoint deadline = core::BootClock::now() + std::chrono::milliseconds{internal::deadlineOf(request)};
+    if (m_node.configVersion() == 0) {
+        refuse(request, 503, "no_configuration", respond);
+        return;
+    }
+    const std::string *host = http::findHeader(request.headers, "Host");
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    const Route *route = m_translator.routes().find(host == nullptr ? std::string{} : *host, path);
+    if (route == nullptr) {
+        refuse(request, 404, "no_queue", respond);
+        return;
+    }
+    const std::string *key = http::findHeader(request.headers, keyHeader);
+    const std::string *team = key == nullptr ? nullptr : m_translator.routes().teamOf(*key);
+    if (team == nullptr && !route->open) {
+        refuse(request, 401, key == nullptr ? "no_key" : "unknown_key", respond);
+        return;
+    }
+    const std::string id = path.substr(route->prefix.size());
+    if (id.empty() && request.method == "GET") {
+        pending(route->queue, deadline, respond);
+    } else if (!internal::isId(id)) {
+        refuse(request, 404, "no_such_path", respond);
+    } else if (request.method == "POST") {
+        submit(request, *route, route->open ? std::string{} : *team, id, deadline, std::move(respond));
+    } else if (request.method == "GET") {
+        status(id, deadline, respond);
+    } else if (request.method == "DELETE") {
+        cancel(id, deadline, respond);
+    } else {
+        refuse(request, 405, "method", respond);
+    }
+}
+
+void Ingress::submit(const http::Request &request,
+                     const Route &route,
+                     const std::string &team,
+                     const std::string &id,
+                     core::TimePoint deadline,
+                     http::Responder respond)
+{
+    absl::StatusOr<jobs::Job> job = readSubmission(request.body);
+    if (!job.ok()) {
+        m_log.add("bad_job", telemetry::Event{"bad_job"}.with("job", id).with("queue", route.queue).with("error", std::string{job.status().message()}));
+        respond(internal::respondJson(400, json{{"error", std::string{job.status().message()}}}));
+        return;
+    }
+    job->id = id;
+    job->queue = route.queue;
+    job->pool = m_translator.routes().poolOf(route.queue);
+    job->team = team;
+    job->submittedMs = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    m_node.desk().submit(*job, deadline, [answer = std::move(respond)](const jobnode::DeskAnswer &result) {
+        if (result.outcome == jobnode::DeskOutcome::Done) {
+            answer(internal::respondJson(200, json::object()));
+        } else {
+            answer(internal::unavailable(result.outcome == jobnode::DeskOutcome::NotRun ? 503 : 504));
+        }
+    });
+}
+
+void Ingress::status(const std::string &id, core::TimePoint deadline, const http::Responder &respond)
+{
+    m_node.desk().status(id, deadline, [respond](const jobnode::DeskAnswer &result) {
+        if (result.outcome == jobnode::DeskOutcome::Done) {
+            respond(internal::respondJson(200, json{{"state", jobs::toText(result.state)}}));
+        } else if (result.outcome == jobnode::DeskOutcome::NotFound) {
+            respond(internal::respondJson(410, {}));
+        } else {
+            respond(internal::unavailable(504));
+        }
+    });
+}
+
+void Ingress::cancel(const std::string &id, core::TimePoint deadline, const http::Responder &respond)
+{
+    m_node.desk().cancel(id, deadline, [respond](const jobnode::DeskAnswer &result) {
+        if (result.outcome == jobnode::DeskOutcome::Done) {
+            respond(internal::respondJson(200, json::object()));
+        } else if (result.outcome == jobnode::DeskOutcome::NotFound) {
+            respond(internal::respondJson(410, {}));
+        } else {
+            respond(internal::unavailable(504));
+        }
+    });
+}
+
+void Ingress::pending(const std::string &queue, core::TimePoint deadline, const http::Responder &respond)
+{
+    m_node.desk().pending(queue, deadline, [respond](const jobnode::DeskAnswer &result) {
+        if (result.outcome == jobnode::DeskOutcome::Done) {
+            respond(internal::respondJson(200, json{{"pending", result.pending}}));
+        } else {
+            respond(internal::unavailable(504));
+        }
+    });
+}
+
+} // namespace oleanderwick::platform
--- /dev/null
+++ b/src/platform/routes.cpp
@@ -0,0 +1,94 @@
+#include "routes.hpp"
+
+#include "wire.hpp"
+
+namespace oleanderwick::platform
+{
+
+namespace internal
+{
+
+const json &rowsIn(const json &object, const char *name)
+{
+    static const json none = json::array();
+    const auto field = object.find(name);
+    return field != object.end() && field->is_array() ? *field : none;
+}
+
+jobs::QueuePolicy toQueue(const json &route)
+{
+    jobs::QueuePolicy queue;
+    queue.pool = textIn(route, "service");
+    queue.priority = numberIn(route, "priority");
+    queue.maxAttempts = numberIn(route, "max_attempts", 1);
+    const auto stretch = route.find("stretch");
+    queue.stretch = stretch != route.end() && stretch->is_number() ? stretch->get<double>() : 1.0;
+    queue.objectiveMs = numberIn(route, "slo_ms");
+    queue.advised = route.contains("advice") && route["advice"].is_object();
+    return queue;
+}
+
+} // namespace internal
+
+std::optional<std::pair<Routes, jobnode::OperatorNews>> Routes::read(const std::string &text)
+{
+    const json body = parseObject(text);
+    if (!body.is_object() || numberIn(body, "version") <= 0) {
+        return std::nullopt;
+    }
+    Routes routes;
+    jobs::FleetConfig fleet;
+    for (const json &row : internal::rowsIn(body, "routes")) {
+        const std::string name = textIn(row, "name");
+        routes.m_routes.push_back(Route{textIn(row, "host"), textIn(row, "prefix"), name, flagIn(row, "public")});
+        routes.m_pools[name] = textIn(row, "service");
+        fleet.queues[name] = internal::toQueue(row);
+    }
+    for (const json &row : internal::rowsIn(body, "services")) {
+        fleet.pools[textIn(row, "name")] = jobs::PoolPolicy{flagIn(row, "enforce_capacity", true), flagIn(row, "standby")};
+    }
+    for (const json &row : internal::rowsIn(body, "tenants")) {
+        const std::string name = textIn(row, "name");
+        const auto weight = row.find("weight");
+        jobs::TeamPolicy team;
+        team.weight = weight != row.end() && weight->is_number() ? weight->get<double>() : 1.0;
+        team.limit = row.contains("cap") && row["cap"].is_object() ? resourcesIn(row["cap"]) : jobs::Resources{};
+        fleet.teams[name] = team;
+        for (const json &key : internal::rowsIn(row, "api_keys")) {
+            if (key.is_string()) {
+                routes.m_teams[key.get<std::string>()] = name;
+            }
+        }
+    }
+    jobnode::OperatorNews news;
+    news.configVersion = numberIn(body, "version");
+    news.config = std::move(fleet);
+    return std::pair{std::move(routes), std::move(news)};
+}
+
+const Route *Routes::find(std::string_view host, std::string_view path) const
+{
+    const std::string_view name = host.substr(0, host.find(':'));
+    const Route *best = nullptr;
+    for (const Route &route : m_routes) {
+        const bool matches = route.host == name && path.starts_with(route.prefix);
+        if (matches && (best == nullptr || route.prefix.size() > best->prefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+const std::string *Routes::teamOf(const std::string &key) const
+{
+    const auto found = m_teams.find(key);
+    return found == m_teams.end() ? nullptr : &found->second;
+}
+
+std::string Routes::poolOf(const std::string &queue) const
+{
+    const auto found = m_pools.find(queue);
+    return found == m_pools.end() ? std::string{} : found->second;
+}
+
+} // namespace oleanderwick::platform
--- /dev/null
+++ b/src/platform/run.cpp
@@ -0,0 +1,155 @@
+#include "run.hpp"
+
+#include <csignal>
+#include <random>
+
+#include <absl/strings/str_cat.h>
+
+#include "ingress.hpp"
+#include "oleanderwick/http/server.hpp"
+#include "service_clients.hpp"
+#include "store_client.hpp"
+#include "worker_client.hpp"
+
+namespace oleanderwick::platform
+{
+
+namespace internal
+{
+
+/** The balancer asks once a second and takes a node out after two misses. */
+constexpr core::Duration balancerDelay = std::chrono::milliseconds{2600};
+/** Left before the platform kills the process. */
+constexpr core::Duration killMargin = std::chrono::milliseconds{900};
+constexpr core::Duration stopPoll = std::chrono::milliseconds{50};
+constexpr std::size_t largestBody = 1U << 20U;
+
+std::string uniqueName(const std::string &node)
+{
+    std::random_device source;
+    return absl::StrCat(node, "#", absl::Hex(source()), absl::Hex(source()));
+}
+
+jobnode::TenureLimits limitsOf(const settings::JobSettings &settings)
+{
+    jobnode::TenureLimits limits;
+    limits.scheduler.longestLease = settings.longestLease;
+    limits.scheduler.gangWait = settings.gangWait;
+    limits.scheduler.atWorkNotice = settings.atWorkNotice;
+    limits.orderPause = settings.orderPause;
+    // Submitters' clocks and repeated submissions: a record outlives the time that is promised.
+    limits.keepEnded = settings.keepEnded + std::chrono::seconds{60};
+    return limits;
+}
+
+http::ServerLimits serverLimits()
+{
+    http::ServerLimits limits;
+    limits.maxBodyBytes = largestBody;
+    return limits;
+}
+
+/** @brief Everything that a node on the platform consists of, in the order of its making. */
+class PlatformNode
+{
+public:
+    explicit PlatformNode(const settings::JobSettings &settings)
+        : m_settings{settings}
+        , m_name{uniqueName(settings.node)}
+        , m_links{m_loop}
+        , m_store{m_links, settings.store}
+        , m_workers{m_links}
+        , m_instances{m_links, settings.instances, m_name}
+        , m_advice{m_links, settings.advice}
+        , m_translator{m_log}
+        , m_node{m_loop, jobnode::Ports{m_store, m_workers, m_instances, m_advice, m_translator}, m_name, limitsOf(settings), m_log}
+        , m_ingress{m_node, m_translator, m_log}
+        , m_callers{m_loop,
+                    serverLimits(),
+                    [this](http::Request request, http::Responder respond) {
+                        m_ingress.handle(std::move(request), std::move(respond));
+                    }}
+        , m_readiness{m_loop, serverLimits(), [this](const http::Request &, const http::Responder &respond) {
+                          respond(http::Response{m_node.isReady() ? 200 : 503, {}, {}});
+                      }}
+    {
+    }
+
+    [[nodiscard]] absl::Status run()
+    {
+        const absl::StatusOr<std::uint16_t> callers = m_callers.listen(m_settings.callers);
+        if (!callers.ok()) {
+            return callers.status();
+        }
+        const absl::StatusOr<std::uint16_t> readiness = m_readiness.listen(m_settings.readiness);
+        if (!readiness.ok()) {
+            return readiness.status();
+        }
+        m_log.add("started", telemetry::Event{"started"}.with("node", m_name).with("zone", m_settings.zone).with("callers", m_settings.callers));
+        m_loop.onStopSignal([this] {
+            stop();
+        });
+        m_loop.run();
+        m_log.add("stopped", telemetry::Event{"stopped"}.with("node", m_name));
+        return absl::OkStatus();
+    }
+
+private:
+    void stop()
+    {
+        if (m_stopping) {
+            return;
+        }
+        m_stopping = true;
+        m_stopStart = core::BootClock::now();
+        m_log.add("stopping", telemetry::Event{"stopping"}.with("node", m_name).with("busy", static_cast<std::int64_t>(m_callers.busy())));
+        m_node.stop();
+        m_callers.drain();
+        pollStop();
+    }
+
+    void pollStop()
+    {
+        const core::Duration spent = core::BootClock::now() - m_stopStart;
+        const bool noticed = spent >= balancerDelay;
+        if ((noticed && m_callers.busy() == 0) || spent >= m_settings.stopTimeout - killMargin) {
+            m_callers.close();
+            m_readiness.close();
+            m_loop.stop();
+            return;
+        }
+        m_loop.after(stopPoll, [this] {
+            pollStop();
+        });
+    }
+
+    settings::JobSettings m_settings;
+    std::string m_name;
+    jobnode::LogSink m_log;
+    http::Loop m_loop;
+    http::UpstreamLinks m_links;
+    StoreClient m_store;
+    WorkerClient m_workers;
+    InstanceClient m_instances;
+    AdviceClient m_advice;
+    StoreTranslator m_translator;
+    jobnode::JobNode m_node;
+    Ingress m_ingress;
+    http::Server m_callers;
+    http::Server m_readiness;
+    bool m_stopping{false};
+    core::TimePoint m_stopStart;
+};
+
+} // namespace internal
+
+absl::Status run(const settings::JobSettings &settings)
+{
+    // A closed connection is an error of its write; a change of the settings is noticed by their content.
+    (void)std::signal(SIGPIPE, SIG_IGN);
+    (void)std::signal(SIGHUP, SIG_IGN);
+    internal::PlatformNode node{settings};
+    return node.run();
+}
+
+} // namespace oleanderwick::platform
--- /dev/null
+++ b/src/platform/store_client.cpp
@@ -0,0 +1,170 @@
+#include "store_client.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include "oleanderwick/store/base64.hpp"
+#include "wire.hpp"
+
+namespace oleanderwick::platform
+{
+
+namespace internal
+{
+
+constexpr core::Duration readTimeout = std::chrono::milliseconds{1200};
+constexpr core::Duration commitTimeout = std::chrono::milliseconds{1500};
+constexpr core::Duration renewTimeout = std::chrono::milliseconds{900};
+/** Added to the wait of a watch for the answer's way. */
+constexpr core::Duration watchMargin = std::chrono::milliseconds{600};
+
+/** Escapes what a query must not hold; keys are short and mostly plain. */
+std::string escape(const std::string &text)
+{
+    std::string escaped;
+    for (const char letter : text) {
+        const bool plain =
+            std::isalnum(static_cast<unsigned char>(letter)) != 0 || letter == '/' || letter == '-' || letter == '_' || letter == '.' || letter == '~';
+        if (plain) {
+            escaped += letter;
+        } else {
+            absl::StrAppend(&escaped, "%", absl::Hex(static_cast<unsigned char>(letter), absl::kZeroPad2));
+        }
+    }
+    return escaped;
+}
+
+/** Reads an item; its value is nothing we can use if it is not valid base64. */
+jobs::StoreItem toItem(const json &row)
+{
+    jobs::StoreItem item;
+    item.key = textIn(row, "key");
+    item.value = store::fromBase64(textIn(row, "value")).value_or(std::string{});
+    item.revision = numberIn(row, "revision");
+    return item;
+}
+
+void readRows(const json &body, const char *name, jobs::StoreAnswer &answer)
+{
+    const auto rows = body.find(name);
+    if (rows == body.end() || !rows->is_array()) {
+        return;
+    }
+    for (const json &row : *rows) {
+        if (!row.is_object()) {
+            continue;
+        }
+        if (flagIn(row, "tombstone")) {
+            answer.removed.push_back(textIn(row, "key"));
+        } else {
+            answer.items.push_back(toItem(row));
+        }
+    }
+}
+
+jobs::StoreOutcome outcomeOf(int status)
+{
+    switch (status) {
+    case 200:
+        return jobs::StoreOutcome::Done;
+    case 404:
+        return jobs::StoreOutcome::NotFound;
+    case 410:
+        return jobs::StoreOutcome::Compacted;
+    case 412:
+        return jobs::StoreOutcome::Conflict;
+    default:
+        // 429 and 503 say that nothing was done, and so does a call that the service cannot read.
+        return status < 500 || status == 503 ? jobs::StoreOutcome::Refused : jobs::StoreOutcome::Unknown;
+    }
+}
+
+jobs::StoreAnswer toAnswer(const http::ExchangeResult &result)
+{
+    jobs::StoreAnswer answer;
+    if (result.end != routing::ExchangeEnd::Whole) {
+        answer.outcome = nothingSent(result.end) ? jobs::StoreOutcome::Refused : jobs::StoreOutcome::Unknown;
+        return answer;
+    }
+    answer.outcome = outcomeOf(result.response.status);
+    const json body = parseObject(result.response.body);
+    if (!body.is_object()) {
+        // An answer that cannot be read says nothing about the call.
+        answer.outcome = answer.outcome == jobs::StoreOutcome::Done ? jobs::StoreOutcome::Unknown : answer.outcome;
+        return answer;
+    }
+    if (body.contains("value")) {
+        answer.items.push_back(toItem(body));
+    }
+    readRows(body, "items", answer);
+    readRows(body, "events", answer);
+    answer.revision = numberIn(body, "as_of", numberIn(body, "revision"));
+    answer.more = flagIn(body, "has_more");
+    answer.lease = numberIn(body, "lease");
+    answer.ttl = std::chrono::milliseconds{numberIn(body, "ttl_ms")};
+    return answer;
+}
+
+} // namespace internal
+
+StoreClient::StoreClient(http::UpstreamLinks &links, std::string address)
+    : m_links{links}
+    , m_address{std::move(address)}
+{
+}
+
+void StoreClient::call(http::Exchange exchange, OnAnswer onAnswer)
+{
+    m_links.start(std::move(exchange), [answer = std::move(onAnswer)](const http::ExchangeResult &result) {
+        answer(internal::toAnswer(result));
+    });
+}
+
+void StoreClient::read(const std::string &key, OnAnswer onAnswer)
+{
+    call(makeExchange(m_address, "GET", absl::StrCat("/v1/kv-key?key=", internal::escape(key)), {}, internal::readTimeout), std::move(onAnswer));
+}
+
+void StoreClient::list(const std::string &prefix, const std::string &after, OnAnswer onAnswer)
+{
+    std::string target = absl::StrCat("/v1/kv-range?prefix=", internal::escape(prefix));
+    if (!after.empty()) {
+        absl::StrAppend(&target, "&after=", internal::escape(after));
+    }
+    call(makeExchange(m_address, "GET", std::move(target), {}, internal::readTimeout), std::move(onAnswer));
+}
+
+void StoreClient::watch(const std::string &prefix, std::int64_t after, core::Duration wait, OnAnswer onAnswer)
+{
+    std::string target = absl::StrCat("/v1/kv-watch?prefix=", internal::escape(prefix), "&after=", after, "&wait_ms=", core::milliseconds(wait));
+    call(makeExchange(m_address, "GET", std::move(target), {}, wait + internal::watchMargin), std::move(onAnswer));
+}
+
+void StoreClient::commit(const jobs::StoreChange &change, OnAnswer onAnswer)
+{
+    json conditions = json::array();
+    for (const jobs::StoreChange::Condition &condition : change.conditions) {
+        conditions.push_back({{"key", condition.key}, {"revision", condition.revision}});
+    }
+    json writes = json::array();
+    for (const jobs::StoreChange::Write &write : change.writes) {
+        json row{{"key", write.key}, {"value", store::toBase64(write.value)}};
+        if (write.lease != 0) {
+            row["lease"] = write.lease;
+        }
+        writes.push_back(std::move(row));
+    }
+    const json body{{"expected_rev", std::move(conditions)}, {"writes", std::move(writes)}, {"remove", change.removals}};
+    call(makeExchange(m_address, "POST", "/v1/kv-txn", body, internal::commitTimeout), std::move(onAnswer));
+}
+
+void StoreClient::grant(core::Duration ttl, OnAnswer onAnswer)
+{
+    call(makeExchange(m_address, "POST", "/v1/kv-lease", json{{"ttl_ms", core::milliseconds(ttl)}}, internal::commitTimeout), std::move(onAnswer));
+}
+
+void StoreClient::renew(std::int64_t lease, OnAnswer onAnswer)
+{
+    call(makeExchange(m_address, "POST", absl::StrCat("/v1/kv-keep/", lease), {}, internal::renewTimeout), std::move(onAnswer));
+}
+
+} // namespace oleanderwick::platform
--- /dev/null
+++ b/src/platform/store_client.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <string>
+
+#include "oleanderwick/http/upstream_links.hpp"
+#include "oleanderwick/jobs/ports.hpp"
+
+namespace oleanderwick::platform
+{
+
+/** @brief The platform's key-value service as coordination store. */
+class StoreClient final : public jobs::CoordinationStore
+{
+public:
+    /**
+     * @brief Prepares a client.
+     * @param links Connections to use.
+     * @param address IP number and port of the service.
+     */
+    StoreClient(http::UpstreamLinks &links, std::string address);
+
+    void read(const std::string &key, OnAnswer onAnswer) override;
+    void list(const std::string &prefix, const std::string &after, OnAnswer onAnswer) override;
+    void watch(const std::string &prefix, std::int64_t after, core::Duration wait, OnAnswer onAnswer) override;
+    void commit(const jobs::StoreChange &change, OnAnswer onAnswer) override;
+    void grant(core::Duration ttl, OnAnswer onAnswer) override;
+    void renew(std::int64_t lease, OnAnswer onAnswer) override;
+
+private:
+    void call(http::Exchange exchange, OnAnswer onAnswer);
+
+    http::UpstreamLinks &m_links;
+    std::string m_address;
+};
+
+} // namespace oleanderwick::platform
--- /dev/null
+++ b/src/platform/store_translator.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "oleanderwick/jobnode/log_sink.hpp"
+#include "oleanderwick/jobnode/translator.hpp"
+#include "routes.hpp"
+
+namespace oleanderwick::platform
+{
+
+/** @brief Reads what the platform's operators and runners keep in the store. */
+class StoreTranslator final : public jobnode::Translator
+{
+public:
+    /**
+     * @brief Starts without a configuration.
+     * @param log Takes the log lines.
+     */
+    explicit StoreTranslator(jobnode::LogSink &log);
+
+    [[nodiscard]] std::string operatorPrefix() const override;
+    [[nodiscard]] std::string workerPrefix() const override;
+    [[nodiscard]] jobnode::OperatorNews readOperatorItem(const jobs::StoreItem &item) override;
+    [[nodiscard]] std::optional<jobs::WorkerEntry> readWorker(const jobs::StoreItem &item) const override;
+    [[nodiscard]] std::pair<std::string, std::string> waveStatus(std::int64_t number, const jobs::WaveProgress &progress) const override;
+
+    /** @return Routes of the newest configuration. */
+    [[nodiscard]] const Routes &routes() const noexcept;
+
+private:
+    jobnode::LogSink &m_log;
+    Routes m_routes;
+    std::int64_t m_version{0};
+};
+
+} // namespace oleanderwick::platform
--- /dev/null
+++ b/src/platform/wire.cpp
@@ -0,0 +1,61 @@
+#include "wire.hpp"
+
+#include <cmath>
+
+namespace oleanderwick::platform
+{
+
+json parseObject(std::string_view text)
+{
+    json value = json::parse(text, nullptr, false);
+    return value.is_object() ? value : json{};
+}
+
+std::int64_t numberIn(const json &object, const char *name, std::int64_t otherwise)
+{
+    const auto field = object.find(name);
+    if (field == object.end() || !field->is_number()) {
+        return otherwise;
+    }
+    return field->is_number_float() ? std::llround(field->get<double>()) : field->get<std::int64_t>();
+}
+
+std::string textIn(const json &object, const char *name)
+{
+    const auto field = object.find(name);
+    return field != object.end() && field->is_string() ? field->get<std::string>() : std::string{};
+}
+
+bool flagIn(const json &object, const char *name, bool otherwise)
+{
+    const auto field = object.find(name);
+    return field != object.end() && field->is_boolean() ? field->get<bool>() : otherwise;
+}
+
+jobs::Resources resourcesIn(const json &object)
+{
+    return {numberIn(object, "cpu"), numberIn(object, "mem_mb"), numberIn(object, "gpu")};
+}
+
+http::Exchange makeExchange(const std::string &address, const char *method, std::string target, const json &body, core::Duration timeout)
+{
+    constexpr std::size_t idleConnections = 6;
+    http::Exchange exchange;
+    exchange.address = address;
+    exchange.request.method = method;
+    exchange.request.target = std::move(target);
+    if (!body.is_null()) {
+        exchange.request.headers.push_back({"Content-Type", "application/json"});
+        exchange.request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    }
+    exchange.timeout = timeout;
+    exchange.idleConnections = idleConnections;
+    return exchange;
+}
+
+bool nothingSent(routing::ExchangeEnd end) noexcept
+{
+    return end == routing::ExchangeEnd::NotConnected || end == routing::ExchangeEnd::NothingSent;
+}
+
+} // namespace oleanderwick::platform
--- /dev/null
+++ b/src/platform/worker_client.cpp
@@ -0,0 +1,166 @@
+#include "worker_client.hpp"
+
+#include <map>
+
+#include "wire.hpp"
+
+namespace oleanderwick::platform
+{
+
+namespace internal
+{
+
+constexpr core::Duration orderTimeout = std::chrono::milliseconds{800};
+/** Added to the wait of a look for the answer's way. */
+constexpr core::Duration holdMargin = std::chrono::milliseconds{800};
+constexpr int otherIncarnationStatus = 421;
+
+http::Exchange makeOrder(const std::string &address, const std::string &worker, const char *target, const json &body, core::Duration timeout)
+{
+    http::Exchange exchange = makeExchange(address, "POST", target, body, timeout);
+    exchange.request.headers.push_back({expectedWorkerHeader, worker});
+    return exchange;
+}
+
+std::optional<jobs::EndKind> endKind(const std::string &text)
+{
+    static const std::map<std::string, jobs::EndKind> kinds{
+        {"done", jobs::EndKind::Done},
+        {"failed", jobs::EndKind::Failed},
+        {"stopped", jobs::EndKind::Stopped},
+        {"lapsed", jobs::EndKind::Lapsed},
+        {"broken", jobs::EndKind::Broken},
+        {"alone", jobs::EndKind::Alone},
+    };
+    const auto found = kinds.find(text);
+    return found == kinds.end() ? std::nullopt : std::optional<jobs::EndKind>{found->second};
+}
+
+jobs::StartAnswer startAnswer(const http::ExchangeResult &result, const json &body)
+{
+    static const std::map<std::string, jobs::StartAnswer> reasons{
+        {"fence", jobs::StartAnswer::Fenced},
+        {"old", jobs::StartAnswer::Outdated},
+        {"late", jobs::StartAnswer::TooLate},
+        {"room", jobs::StartAnswer::NoRoom},
+        {"ticket", jobs::StartAnswer::NoTicket},
+    };
+    if (result.end != routing::ExchangeEnd::Whole) {
+        return nothingSent(result.end) ? jobs::StartAnswer::NotSent : jobs::StartAnswer::Unknown;
+    }
+    switch (result.response.status) {
+    case 200:
+        return jobs::StartAnswer::Started;
+    case 400:
+        return jobs::StartAnswer::Invalid;
+    case 409: {
+        const auto reason = reasons.find(textIn(body, "reason"));
+        return reason == reasons.end() ? jobs::StartAnswer::Outdated : reason->second;
+    }
+    case otherIncarnationStatus:
+        return jobs::StartAnswer::OtherIncarnation;
+    case 429:
+    case 503:
+        return jobs::StartAnswer::Unhealthy;
+    default:
+        return jobs::StartAnswer::Unknown;
+    }
+}
+
+std::optional<jobs::TaskName> taskIn(const json &row, std::size_t column)
+{
+    return row.at(column).is_string() ? jobs::parseTaskName(row.at(column).get_ref<const std::string &>()) : std::nullopt;
+}
+
+} // namespace internal
+
+WorkerClient::WorkerClient(http::UpstreamLinks &links)
+    : m_links{links}
+{
+}
+
+void WorkerClient::start(const jobs::StartOrder &order, std::int64_t token, std::function<void(jobs::StartReply)> onReply)
+{
+    json body{{"task", jobs::toText(order.task)}, {"run", order.run}, {"spec", order.spec}, {"deadline_ms", order.deadlineMs}, {"fencing_token", token}};
+    if (!order.checkpoint.empty()) {
+        body["checkpoint"] = order.checkpoint;
+    }
+    if (!order.ticket.empty()) {
+        body["ticket"] = order.ticket;
+    }
+    m_links.start(internal::makeOrder(order.address, order.worker, "/v1/run-start", body, internal::orderTimeout),
+                  [reply = std::move(onReply)](const http::ExchangeResult &result) {
+                      const json answer = parseObject(result.response.body);
+                      reply(jobs::StartReply{internal::startAnswer(result, answer), numberIn(answer, "clock_ms")});
+                  });
+}
+
+void WorkerClient::stop(const jobs::StopOrder &order, std::int64_t token, std::function<void(bool)> onReply)
+{
+    const json body{{"task", jobs::toText(order.task)}, {"run", order.run}, {"fencing_token", token}};
+    m_links.start(internal::makeOrder(order.address, order.worker, "/v1/run-stop", body, internal::orderTimeout),
+                  [reply = std::move(onReply)](const http::ExchangeResult &result) {
+                      reply(result.end == routing::ExchangeEnd::Whole && result.response.status == 200);
+                  });
+}
+
+void WorkerClient::pace(const jobs::PaceOrder &order, std::int64_t token)
+{
+    const json body{{"task", jobs::toText(order.task)}, {"run", order.run}, {"percent", order.percent}, {"fencing_token", token}};
+    m_links.start(internal::makeOrder(order.address, order.worker, "/v1/pace", body, internal::orderTimeout), [](const http::ExchangeResult &) {
+        // A lost order is made up for by the next one: the tail is looked at again within half a second.
+    });
+}
+
+void WorkerClient::hold(const jobs::HoldOrder &order, std::int64_t token, std::function<void(jobs::HoldReply)> onReply)
+{
+    json body{{"fencing_token", token}, {"ack_cursor", order.ackedEnd}, {"wait_ms", order.waitMs}};
+    if (order.deadlineMs > 0) {
+        body["deadline_ms"] = order.deadlineMs;
+    }
+    const core::Duration timeout = std::chrono::milliseconds{order.waitMs} + internal::holdMargin;
+    m_links.start(internal::makeOrder(order.address, order.worker, "/v1/hold", body, timeout),
+                  [reply = std::move(onReply)](const http::ExchangeResult &result) {
+                      jobs::HoldReply answer;
+                      if (result.end == routing::ExchangeEnd::Whole && result.response.status == 200) {
+                          const std::optional<jobs::WorkerReport> report = readReport(result.response.body);
+                          answer.kind = report.has_value() ? jobs::HoldReply::Kind::Listed : jobs::HoldReply::Kind::Silent;
+                          answer.report = report.value_or(jobs::WorkerReport{});
+                      } else if (result.end == routing::ExchangeEnd::Whole && result.response.status == internal::otherIncarnationStatus) {
+                          answer.kind = jobs::HoldReply::Kind::Gone;
+                      } else if (result.end == routing::ExchangeEnd::Whole && result.response.status == 409) {
+                          answer.kind = jobs::HoldReply::Kind::Fenced;
+                      }
+                      reply(std::move(answer));
+                  });
+}
+
+std::optional<jobs::WorkerReport> readReport(std::string_view text)
+{
+    try {
+        const json body = json::parse(text);
+        jobs::WorkerReport report;
+        report.clockMs = body.at("clock_ms").get<std::int64_t>();
+        report.incarnation = numberIn(body, "born");
+        for (const json &row : body.value("running", json::array())) {
+            const std::optional<jobs::TaskName> task = internal::taskIn(row, 0);
+            if (task.has_value()) {
+                const std::int64_t figure = row.size() > 4 ? static_cast<std::int64_t>(row.at(4).get<double>()) : 0;
+                report.running.push_back(
+                    {*task, row.at(1).get<std::int64_t>(), row.at(2).get<std::string>(), static_cast<std::int64_t>(row.at(3).get<double>()), figure});
+            }
+        }
+        for (const json &row : body.value("ended", json::array())) {
+            const std::optional<jobs::TaskName> task = internal::taskIn(row, 1);
+            const std::optional<jobs::EndKind> kind = internal::endKind(row.at(3).get<std::string>());
+            if (task.has_value() && kind.has_value()) {
+                report.ended.push_back({row.at(0).get<std::int64_t>(), *task, row.at(2).get<std::int64_t>(), *kind, row.at(4).get<std::string>()});
+            }
+        }
+        return report;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace oleanderwick::platform
