--- a/src/oleanderwick/jobnode/log_sink.cpp
+++ b/src/oleanderwick/jobnode/log_sink.cpp
@@ -16,8 +16,8 @@
 /** Batches that wait for a slow reader of standard output. */
 constexpr std::size_t waitingBatches = 32;
 /** Lines of one kind in a second. */
-constexpr std::uint32_t linesPerSecond = 300;
-constexpr std::size_t largestBatch = 64U << 10U;
+constexpr std::uint32_t linesPerSecond = 1500;
+constexpr std::size_t largestBatch = 256U << 10U;
 
 std::string timeText()
 {
--- a/src/oleanderwick/jobs/leases.cpp
+++ b/src/oleanderwick/jobs/leases.cpp
@@ -42,6 +42,12 @@
     }
 }
 
+core::Duration Scheduler::longestLeaseHere() const noexcept
+{
+    const double longestMs = static_cast<double>(core::milliseconds(m_limits.longestLease)) / internal::slowestClock;
+    return std::chrono::milliseconds{static_cast<std::int64_t>(longestMs)} + internal::expiryMargin;
+}
+
 std::int64_t Scheduler::leaseFor(Worker &worker, core::TimePoint now)
 {
     if (worker.clockMs == 0) {
@@ -112,7 +118,7 @@
 {
     constexpr core::Duration forgetAfter = std::chrono::seconds{20};
     const core::TimePoint unknownBound =
-        m_tenureStart + std::chrono::duration_cast<core::Duration>(m_limits.longestLease / internal::slowestClock) + internal::expiryMargin;
+        m_tenureStart + longestLeaseHere();
     for (auto item = m_workers.begin(); item != m_workers.end();) {
         Worker &worker = item->second;
         const core::TimePoint bound = worker.reported ? worker.leaseBound : std::max(worker.leaseBound, unknownBound);
@@ -135,7 +141,7 @@
 bool Scheduler::settled(const std::string &pool, core::TimePoint now) const
 {
     const core::TimePoint unknownBound =
-        m_tenureStart + std::chrono::duration_cast<core::Duration>(m_limits.longestLease / internal::slowestClock) + internal::expiryMargin;
+        m_tenureStart + longestLeaseHere();
     if (now > unknownBound) {
         return true;
     }
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -165,6 +165,7 @@
     }
     Worker &worker = found->second;
     worker.holdOut = false;
+    const std::int64_t before = worker.incarnation;
     if (report.incarnation != 0 && worker.incarnation != 0 && report.incarnation < worker.incarnation) {
         return;
     }
@@ -175,6 +176,10 @@
         decide("worker_held", "", id, absl::StrCat("running=", report.running.size(), " ended=", report.ended.size(), " clock_ms=", report.clockMs));
     }
     learnClock(worker, report.clockMs, now);
+    if (!worker.reported || report.incarnation != before) {
+        // What it runs holds a lease of the last owner, of unknown length.
+        worker.leaseBound = std::max(worker.leaseBound, now + longestLeaseHere());
+    }
     worker.silent = false;
     worker.seenAt = now;
     for (const ListedEnd &end : report.ended) {
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -248,6 +248,7 @@
 
     [[nodiscard]] std::int64_t leaseFor(Worker &worker, core::TimePoint now);
     void learnClock(Worker &worker, std::int64_t clockMs, core::TimePoint now) const;
+    [[nodiscard]] core::Duration longestLeaseHere() const noexcept;
     void moveAcks(Worker &worker);
     void sweepWorkers(core::TimePoint now);
     void sweepTasks(core::TimePoint now);
