Complete a step once, and count tasks on silent workers as away

Ruled out: a record read wrongly, lost log lines of a killed node. Change: a step completes on the end that empties it; restored jobs are checked for completion; only tasks on workers heard of within one look count as at work.

--- a/src/oleanderwick/jobs/leases.cpp
+++ b/src/oleanderwick/jobs/leases.cpp
@@ -117,8 +117,7 @@
 void Scheduler::sweepWorkers(core::TimePoint now)
 {
     constexpr core::Duration forgetAfter = std::chrono::seconds{20};
-    const core::TimePoint unknownBound =
-        m_tenureStart + longestLeaseHere();
+    const core::TimePoint unknownBound = m_tenureStart + longestLeaseHere();
     for (auto item = m_workers.begin(); item != m_workers.end();) {
         Worker &worker = item->second;
         const core::TimePoint bound = worker.reported ? worker.leaseBound : std::max(worker.leaseBound, unknownBound);
@@ -140,8 +139,7 @@
 
 bool Scheduler::settled(const std::string &pool, core::TimePoint now) const
 {
-    const core::TimePoint unknownBound =
-        m_tenureStart + longestLeaseHere();
+    const core::TimePoint unknownBound = m_tenureStart + longestLeaseHere();
     if (now > unknownBound) {
         return true;
     }
@@ -155,6 +153,13 @@
 {
     sweepWorkers(now);
     sweepTasks(now);
+    for (const std::string &id : m_restored) {
+        JobEntry *entry = findEntry(id);
+        if (entry != nullptr && !isFinal(entry->state)) {
+            completeIfDone(*entry, wallMs, now);
+        }
+    }
+    m_restored.clear();
     for (std::pair<const std::string, JobEntry> &item : m_jobs) {
         const std::int64_t before = item.second.nextOccurrence;
         if (!isFinal(item.second.state)) {
@@ -176,14 +181,18 @@
     }
 }
 
-std::int64_t Scheduler::othersAway(const TaskName &name) const
+std::int64_t Scheduler::othersAway(const TaskName &name, core::TimePoint now) const
 {
+    // A worker that was not heard of for longer than a look takes may be gone with its tasks.
+    constexpr core::Duration heardWithin = std::chrono::milliseconds{internal::longWaitMs + 700};
     const JobEntry *entry = findJob(name.job);
     const auto occurrence = entry->occurrences.find(name.occurrence);
     const std::vector<Task> &tasks = occurrence->second.steps[name.step].tasks;
     std::int64_t away = 0;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
-        away += index != name.index && !tasks[index].isAtWork() ? 1 : 0;
+        const auto worker = m_workers.find(tasks[index].worker);
+        const bool heard = worker != m_workers.end() && !worker->second.silent && now - worker->second.seenAt <= heardWithin;
+        away += index != name.index && !(tasks[index].isAtWork() && heard) ? 1 : 0;
     }
     return away;
 }
@@ -202,7 +211,7 @@
             continue;
         }
         const bool budgeted = step->maxUnavailable > 0 && !found->second.entry.draining;
-        const std::int64_t away = budgeted ? othersAway(run.first) : 0;
+        const std::int64_t away = budgeted ? othersAway(run.first, now) : 0;
         if (budgeted && away >= step->maxUnavailable) {
             continue;
         }
--- a/src/oleanderwick/jobs/runs.cpp
+++ b/src/oleanderwick/jobs/runs.cpp
@@ -143,6 +143,7 @@
     // One end of a gang stands for all its members.
     const std::size_t first = step.gang ? 0 : name.index;
     const std::size_t last = step.gang ? state.tasks.size() : name.index + 1;
+    const std::size_t remainingBefore = state.remaining;
     for (std::size_t index = first; index < last; ++index) {
         Task &member = state.tasks[index];
         if (member.record.done) {
@@ -158,14 +159,20 @@
             stopTask(TaskName{name.job, name.occurrence, name.step, index}, member, now);
         }
     }
-    if (state.remaining > 0) {
+    if (state.remaining > 0 || remainingBefore == 0) {
         return;
     }
     --occurrence.remainingSteps;
+    completeIfDone(entry, wallMs, now);
+}
+
+void Scheduler::completeIfDone(JobEntry &entry, std::int64_t wallMs, core::TimePoint now)
+{
     const bool allOpened = entry.nextOccurrence >= std::max<std::int64_t>(entry.job.repeatCount, 1);
-    const bool allDone = std::all_of(entry.occurrences.begin(), entry.occurrences.end(), [](const std::pair<const std::int64_t, Occurrence> &other) {
-        return other.second.remainingSteps == 0;
-    });
+    const bool allDone = !entry.occurrences.empty()
+        && std::all_of(entry.occurrences.begin(), entry.occurrences.end(), [](const std::pair<const std::int64_t, Occurrence> &other) {
+               return other.second.remainingSteps == 0;
+           });
     if (allOpened && allDone) {
         endJob(entry, JobState::Completed, wallMs, now);
     }
@@ -208,7 +215,8 @@
 {
     entry.state = state;
     entry.endedMs = wallMs;
-    decide("job_ended", entry.job.id, "", absl::StrCat("state=", std::string{toText(state)}, " age_ms=", wallMs - entry.job.submittedMs, " out=", entry.outCount));
+    decide(
+        "job_ended", entry.job.id, "", absl::StrCat("state=", std::string{toText(state)}, " age_ms=", wallMs - entry.job.submittedMs, " out=", entry.outCount));
     for (std::pair<const std::int64_t, Occurrence> &occurrence : entry.occurrences) {
         for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
             std::vector<Task> &tasks = occurrence.second.steps[step].tasks;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -106,6 +106,7 @@
         for (const std::pair<const std::int64_t, std::vector<std::vector<TaskRecord>>> &saved : record->occurrences) {
             openOccurrence(entry, saved.first, &saved.second);
         }
+        m_restored.insert(entry.job.id);
     }
     m_placementDue = true;
 }
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -236,6 +236,7 @@
 
     void takeEnd(Worker &worker, const ListedEnd &end, core::TimePoint now, std::int64_t wallMs);
     void takeDone(JobEntry &entry, const TaskName &name, std::int64_t wallMs, core::TimePoint now);
+    void completeIfDone(JobEntry &entry, std::int64_t wallMs, core::TimePoint now);
     void takeFailed(JobEntry &entry, const TaskName &name, Task &task, std::int64_t wallMs, core::TimePoint now);
     void takeRunning(Worker &worker, const ListedRun &listed, core::TimePoint now);
     void takeMissing(Worker &worker, const WorkerReport &report, core::TimePoint sentAt, core::TimePoint now);
@@ -270,7 +271,7 @@
     void startTask(const Candidate &candidate, std::size_t index, Worker &worker, std::int64_t run, core::TimePoint now);
     [[nodiscard]] const std::string *ticketFor(const StepName &step, const std::string &worker, core::TimePoint now) const;
     void askAdvice(const Candidate &candidate, core::TimePoint now);
-    [[nodiscard]] std::int64_t othersAway(const TaskName &name) const;
+    [[nodiscard]] std::int64_t othersAway(const TaskName &name, core::TimePoint now) const;
     void decide(std::string event, std::string job, std::string worker, std::string detail);
 
     SchedulerLimits m_limits;
@@ -282,6 +283,7 @@
     std::map<StepName, Advice> m_advice;
     std::set<std::string> m_unsaved; /**< Jobs with a state that is neither stored nor being stored. */
     std::set<std::string> m_unsavedEnds; /**< Those of them that have ended. */
+    std::set<std::string> m_restored; /**< Jobs taken in with a stored state: the last end may be stored without the job's. */
     std::set<std::string> m_ended; /**< Ended jobs that are still held. */
     std::set<std::string> m_usedWorkers;
     bool m_placementDue{true};
