Move instances to the pools whose queues ask for more, and park idle ones

Change: PoolBalancer lends empty instances to pools that need more, parks idle ones on standby; short tasks fill full workers first so that others stay empty; waves close only as many instances as the time left asks for.

--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -27,6 +27,7 @@
     , log{itsLog}
     , scheduler{itsLimits.scheduler, core::BootClock::now()}
     , upkeep{core::BootClock::now() + itsLimits.orderPause}
+    , balancer{core::BootClock::now() + itsLimits.orderPause}
     , startedAt{core::BootClock::now()}
 {
 }
@@ -91,6 +92,7 @@
             if (value.is_object()) {
                 jobs::WaveProgress &progress = self->storedWaves[number];
                 progress.completed = value.value("completed", false);
+                progress.deadlineMs = value.value("deadline", std::int64_t{0});
                 progress.begun = value.value("begun", std::set<std::string>{});
             }
         }
@@ -175,7 +177,7 @@
     }
     for (const std::pair<const std::int64_t, jobs::MaintenanceWave> &wave : waves) {
         const auto progress = storedWaves.find(wave.first);
-        upkeep.addWave(wave.second, progress == storedWaves.end() ? std::nullopt : std::optional<jobs::WaveProgress>{progress->second});
+        upkeep.addWave(wave.second, progress == storedWaves.end() ? std::nullopt : std::optional<jobs::WaveProgress>{progress->second}, wallMs());
     }
     telemetry::Event event{"tenure_ready"};
     event.with("token", token).with("jobs", static_cast<std::int64_t>(storedJobs.size())).with("states", static_cast<std::int64_t>(storedStates.size()));
@@ -308,7 +310,8 @@
         m_state->waves[news.wave->number] = *news.wave;
         if (m_state->ready) {
             const auto progress = m_state->storedWaves.find(news.wave->number);
-            m_state->upkeep.addWave(*news.wave, progress == m_state->storedWaves.end() ? std::nullopt : std::optional<jobs::WaveProgress>{progress->second});
+            m_state->upkeep.addWave(
+                *news.wave, progress == m_state->storedWaves.end() ? std::nullopt : std::optional<jobs::WaveProgress>{progress->second}, State::wallMs());
         }
     }
 }
--- a/src/oleanderwick/jobnode/tenure_orders.cpp
+++ b/src/oleanderwick/jobnode/tenure_orders.cpp
@@ -26,7 +26,8 @@
         }
         if (!winding) {
             scheduler.advance(now, wallMs());
-            upkeep.advance(scheduler, now);
+            upkeep.advance(scheduler, now, wallMs());
+            balancer.advance(scheduler, upkeep, now);
         }
         sendOrders();
     }
@@ -59,6 +60,9 @@
     for (const jobs::MaintainOrder &order : upkeep.takeOrders()) {
         sendMaintenance(order);
     }
+    for (const jobs::MoveOrder &order : balancer.takeOrders()) {
+        sendMove(order);
+    }
 }
 
 void Tenure::State::fenced(const std::string &worker)
@@ -145,7 +149,7 @@
 void Tenure::State::listInstances()
 {
     const core::TimePoint now = core::BootClock::now();
-    if (listingInstances || !upkeep.isBusy() || now - instancesListedAt < internal::instancesEvery) {
+    if (listingInstances || now - instancesListedAt < internal::instancesEvery) {
         return;
     }
     listingInstances = true;
@@ -156,6 +160,7 @@
             return;
         }
         if (instances.has_value()) {
+            self->balancer.takeInstances(*instances, now);
             self->upkeep.takeInstances(*std::move(instances), now);
             self->schedulePump();
         } else {
@@ -186,4 +191,26 @@
     });
 }
 
+void Tenure::State::sendMove(const jobs::MoveOrder &order)
+{
+    if (!ownership.holds(core::BootClock::now())) {
+        balancer.takeAnswer(order, jobs::InstanceAnswer::Refused, scheduler, core::BootClock::now());
+        return;
+    }
+    ports.instances.move(order, token, [self = shared_from_this(), order](jobs::InstanceAnswer answer) {
+        telemetry::Event event{"move_ordered"};
+        event.with("instance", order.instance).with("from", order.from).with("to", order.pool).with("answer", static_cast<std::int64_t>(answer));
+        self->log.add("move_ordered", event);
+        if (!self->active()) {
+            return;
+        }
+        self->balancer.takeAnswer(order, answer, self->scheduler, core::BootClock::now());
+        if (answer == jobs::InstanceAnswer::Fenced) {
+            self->ownership.lose();
+            return;
+        }
+        self->schedulePump();
+    });
+}
+
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/tenure_saves.cpp
+++ b/src/oleanderwick/jobnode/tenure_saves.cpp
@@ -145,7 +145,7 @@
     }
     for (const std::pair<const std::int64_t, jobs::WaveProgress> &wave : upkeep.takeSaves()) {
         const std::string key = absl::StrCat(keys::waves, wave.first);
-        const nlohmann::json value{{"completed", wave.second.completed}, {"begun", wave.second.begun}};
+        const nlohmann::json value{{"completed", wave.second.completed}, {"deadline", wave.second.deadlineMs}, {"begun", wave.second.begun}};
         const std::pair<std::string, std::string> status = ports.translator.waveStatus(wave.first, wave.second);
         storedWaves[wave.first] = wave.second;
         wavesSaving = true;
--- a/src/oleanderwick/jobnode/tenure_state.hpp
+++ b/src/oleanderwick/jobnode/tenure_state.hpp
@@ -39,6 +39,7 @@
     void askAdvice();
     void listInstances();
     void sendMaintenance(const jobs::MaintainOrder &order);
+    void sendMove(const jobs::MoveOrder &order);
     void fenced(const std::string &worker);
     /** @} */
 
@@ -66,6 +67,7 @@
     LogSink &log;
     jobs::Scheduler scheduler;
     jobs::Upkeep upkeep;
+    jobs::PoolBalancer balancer;
     core::TimePoint startedAt;
 
     bool stopped{false};
--- a/src/oleanderwick/jobs/placement.cpp
+++ b/src/oleanderwick/jobs/placement.cpp
@@ -225,7 +225,9 @@
 double Scheduler::placementCost(const Worker &worker, const Candidate &candidate, const Step &step) const
 {
     const double capacity = static_cast<double>(std::max<std::int64_t>(worker.entry.capacity.cpu, 1));
-    double cost = static_cast<double>(worker.used.cpu) / capacity;
+    const double used = static_cast<double>(worker.used.cpu) / capacity;
+    // Full workers first, so that others stay empty and can be lent; a filling task takes what others leave.
+    double cost = step.fills ? used : 1.0 - used;
     if (!step.affinityRack.empty() && worker.entry.rack != step.affinityRack) {
         cost += internal::otherRackCost;
     }
@@ -327,6 +329,59 @@
     }
 }
 
+bool Scheduler::isStandby(const std::string &pool) const
+{
+    const auto found = m_config.pools.find(pool);
+    return found != m_config.pools.end() && found->second.standby;
+}
+
+std::map<std::string, PoolLoad> Scheduler::poolLoads() const
+{
+    std::map<std::string, PoolLoad> loads;
+    for (const std::pair<const std::string, PoolPolicy> &pool : m_config.pools) {
+        if (!pool.second.standby) {
+            loads[pool.first];
+        }
+    }
+    for (const std::pair<const std::string, Worker> &item : m_workers) {
+        const Worker &worker = item.second;
+        const auto load = loads.find(worker.entry.pool);
+        if (load != loads.end() && worker.listed && !worker.closed && !worker.silent && !worker.entry.draining) {
+            ++load->second.workers;
+            load->second.capacity += worker.entry.capacity.cpu;
+        }
+    }
+    for (const std::pair<const std::string, JobEntry> &item : m_jobs) {
+        const auto load = loads.find(item.second.job.pool);
+        if (load == loads.end() || isFinal(item.second.state)) {
+            continue;
+        }
+        for (const std::pair<const std::int64_t, Occurrence> &occurrence : item.second.occurrences) {
+            addLoad(item.second, occurrence.second, load->second);
+        }
+    }
+    return loads;
+}
+
+void Scheduler::addLoad(const JobEntry &entry, const Occurrence &occurrence, PoolLoad &load) const
+{
+    for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+        const Step &step = entry.job.steps[index];
+        const std::int64_t cpu = demandOf(step).cpu;
+        if (step.continuous) {
+            load.continuous += cpu * step.count;
+            const std::int64_t apart = step.maxPerWorker > 0 ? (step.count + step.maxPerWorker - 1) / step.maxPerWorker : 1;
+            load.leastWorkers = std::max(load.leastWorkers, apart);
+            continue;
+        }
+        const bool ready = occurrence.steps[index].remaining > 0 && stepReady(entry, occurrence, index);
+        for (const Task &task : occurrence.steps[index].tasks) {
+            load.running += task.isOut() ? cpu : 0;
+            load.waiting += ready && task.phase == TaskPhase::Waiting && !task.record.done ? cpu : 0;
+        }
+    }
+}
+
 double Scheduler::pressure(const std::string &pool) const
 {
     double capacity = 0.0;
--- a/src/oleanderwick/jobs/ports.hpp
+++ b/src/oleanderwick/jobs/ports.hpp
@@ -9,6 +9,7 @@
 
 #include "../core/core.hpp"
 #include "orders.hpp"
+#include "pool_balancer.hpp"
 #include "upkeep.hpp"
 
 namespace oleanderwick::jobs
@@ -192,6 +193,14 @@
      * @param onReply Takes the answer.
      */
     virtual void maintain(const MaintainOrder &order, std::int64_t token, std::function<void(InstanceAnswer)> onReply) = 0;
+
+    /**
+     * @brief Moves an instance to another pool.
+     * @param order The order.
+     * @param token Fencing token of the owner.
+     * @param onReply Takes the answer.
+     */
+    virtual void move(const MoveOrder &order, std::int64_t token, std::function<void(InstanceAnswer)> onReply) = 0;
 };
 
 /** @brief Answer of the advice service. */
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -205,6 +205,16 @@
      */
     [[nodiscard]] double pressure(const std::string &pool) const;
 
+    /**
+     * @brief Tells whether a pool's instances are off and free of charge.
+     * @param pool Name of the pool.
+     * @return True for a standby pool.
+     */
+    [[nodiscard]] bool isStandby(const std::string &pool) const;
+
+    /** @return Load of each pool that is not on standby. */
+    [[nodiscard]] std::map<std::string, PoolLoad> poolLoads() const;
+
     /** @return Names of workers that work was ever placed on in this tenure. */
     [[nodiscard]] const std::set<std::string> &usedWorkers() const noexcept;
 
@@ -263,6 +273,7 @@
     void place(core::TimePoint now, std::int64_t wallMs);
     void placeStep(const Candidate &candidate, core::TimePoint now);
     void placeGang(const Candidate &candidate, core::TimePoint now);
+    void addLoad(const JobEntry &entry, const Occurrence &occurrence, PoolLoad &load) const;
     [[nodiscard]] bool teamHasRoom(const JobEntry &entry, const Resources &demand) const;
     [[nodiscard]] Worker *chooseWorker(const Candidate &candidate, const Step &step, core::TimePoint now);
     [[nodiscard]] bool mayTake(const Worker &worker, const Candidate &candidate, const Step &step, core::TimePoint now);
--- a/src/oleanderwick/jobs/upkeep.cpp
+++ b/src/oleanderwick/jobs/upkeep.cpp
@@ -1,6 +1,7 @@
 #include "upkeep.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace oleanderwick::jobs
 {
@@ -12,6 +13,10 @@
 constexpr std::size_t drainAhead = 1;
 /** Share of a pool that a wave may keep closed at once. */
 constexpr double mostOfPoolClosed = 0.35;
+/** From closing an instance to its return, as seen on the platform: drain, maintenance and start. */
+constexpr core::Duration typicalMaintenance = std::chrono::milliseconds{4500};
+/** Share of the time left that the plan uses; the rest is for failures and takeovers. */
+constexpr double usedShareOfTime = 0.7;
 constexpr core::Duration orderAgainAfter = std::chrono::milliseconds{700};
 
 } // namespace internal
@@ -21,7 +26,7 @@
 {
 }
 
-void Upkeep::addWave(const MaintenanceWave &wave, const std::optional<WaveProgress> &progress)
+void Upkeep::addWave(const MaintenanceWave &wave, const std::optional<WaveProgress> &progress, std::int64_t wallMs)
 {
     WaveState &state = m_waves[wave.number];
     if (state.wave == wave) {
@@ -38,6 +43,9 @@
             member.phase = state.progress.completed ? Phase::Finished : Phase::Down;
         }
     }
+    if (state.progress.deadlineMs == 0) {
+        state.progress.deadlineMs = wallMs + core::milliseconds(wave.duration);
+    }
     if (!state.progress.completed) {
         m_unsaved.insert(wave.number);
     }
@@ -115,24 +123,24 @@
     }));
 }
 
-void Upkeep::advance(Scheduler &scheduler, core::TimePoint now)
+void Upkeep::advance(Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs)
 {
     if (m_instances.empty()) {
         return;
     }
     for (std::pair<const std::int64_t, WaveState> &item : m_waves) {
         if (!item.second.progress.completed) {
-            advanceWave(item.second, scheduler, now);
+            advanceWave(item.second, scheduler, now, wallMs);
         }
     }
 }
 
-void Upkeep::advanceWave(WaveState &state, Scheduler &scheduler, core::TimePoint now)
+void Upkeep::advanceWave(WaveState &state, Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs)
 {
     for (std::pair<const std::string, Member> &member : state.members) {
         advanceMember(state, member.first, member.second, scheduler, now);
     }
-    startDrains(state, scheduler, now);
+    startDrains(state, scheduler, now, wallMs);
     finishIfComplete(state);
 }
 
@@ -183,6 +191,10 @@
 {
     constexpr double closedWeight = 10.0;
     constexpr double pressureWeight = 5.0;
+    if (scheduler.isStandby(instance.pool)) {
+        // Nobody misses an instance that is off.
+        return 0.0;
+    }
     double closed = 0.0;
     double size = 0.0;
     for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
@@ -203,9 +215,28 @@
     return closedWeight * share + pressureWeight * scheduler.pressure(instance.pool) + runs;
 }
 
-void Upkeep::startDrains(WaveState &state, Scheduler &scheduler, core::TimePoint now)
+std::size_t Upkeep::mostClosed(const WaveState &state, std::int64_t wallMs) const
+{
+    // Enough at once to end in time, and no more: each closed instance is room that callers miss.
+    const double open = static_cast<double>(countPhase(state, Phase::Pending) + countPhase(state, Phase::Draining) + countPhase(state, Phase::Ordered));
+    const double leftMs = static_cast<double>(state.progress.deadlineMs - wallMs) * internal::usedShareOfTime;
+    const double neededMs = open * static_cast<double>(core::milliseconds(internal::typicalMaintenance));
+    const double allowed = static_cast<double>(std::max<std::int64_t>(state.wave.mostAtOnce, 1));
+    const double needed = leftMs <= 0.0 ? allowed : std::ceil(neededMs / leftMs);
+    return static_cast<std::size_t>(std::clamp(needed, 1.0, allowed)) + internal::drainAhead;
+}
+
+bool Upkeep::isMaintaining(const std::string &instance) const
+{
+    return std::any_of(m_waves.begin(), m_waves.end(), [&instance](const std::pair<const std::int64_t, WaveState> &item) {
+        const auto member = item.second.members.find(instance);
+        return member != item.second.members.end() && member->second.phase != Phase::Finished && member->second.phase != Phase::Pending;
+    });
+}
+
+void Upkeep::startDrains(WaveState &state, Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs)
 {
-    const std::size_t most = static_cast<std::size_t>(std::max<std::int64_t>(state.wave.mostAtOnce, 1)) + internal::drainAhead;
+    const std::size_t most = mostClosed(state, wallMs);
     while (countPhase(state, Phase::Draining) + countPhase(state, Phase::Ordered) + countPhase(state, Phase::Down) < most) {
         std::string best;
         double bestCost = 0.0;
--- a/src/oleanderwick/jobs/upkeep.hpp
+++ b/src/oleanderwick/jobs/upkeep.hpp
@@ -44,6 +44,7 @@
 /** @brief Durable state of a wave. */
 struct WaveProgress {
     bool completed{false};
+    std::int64_t deadlineMs{0}; /**< Unix time by which it should be completed. */
     std::set<std::string> begun; /**< Instances whose maintenance has begun. */
 
     [[nodiscard]] bool operator==(const WaveProgress &) const = default;
@@ -80,8 +81,9 @@
      * @brief Takes in a wave.
      * @param wave The wave.
      * @param progress Its stored state; nothing if there is none.
+     * @param wallMs Unix time.
      */
-    void addWave(const MaintenanceWave &wave, const std::optional<WaveProgress> &progress);
+    void addWave(const MaintenanceWave &wave, const std::optional<WaveProgress> &progress, std::int64_t wallMs);
 
     /**
      * @brief Takes in the platform's list of instances.
@@ -102,8 +104,9 @@
      * @brief Drains instances that are next, and orders the maintenance of those that are empty.
      * @param scheduler Scheduler whose workers are closed and opened.
      * @param now Present time.
+     * @param wallMs Unix time.
      */
-    void advance(Scheduler &scheduler, core::TimePoint now);
+    void advance(Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs);
 
     /** @return Orders that came up since the last call; each has to be answered by `takeAnswer`. */
     [[nodiscard]] std::vector<MaintainOrder> takeOrders();
@@ -117,6 +120,13 @@
      */
     void saveAgain(std::int64_t number);
 
+    /**
+     * @brief Tells whether an instance is out of service, or about to be, for maintenance.
+     * @param instance Name of the instance.
+     * @return True if it should not be moved.
+     */
+    [[nodiscard]] bool isMaintaining(const std::string &instance) const;
+
     /** @return True while a wave is not completed, so that the list of instances is needed. */
     [[nodiscard]] bool isBusy() const noexcept;
 
@@ -142,9 +152,10 @@
         std::map<std::string, Member> members;
     };
 
-    void advanceWave(WaveState &state, Scheduler &scheduler, core::TimePoint now);
+    void advanceWave(WaveState &state, Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs);
     void advanceMember(WaveState &state, const std::string &instance, Member &member, Scheduler &scheduler, core::TimePoint now);
-    void startDrains(WaveState &state, Scheduler &scheduler, core::TimePoint now);
+    void startDrains(WaveState &state, Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs);
+    [[nodiscard]] std::size_t mostClosed(const WaveState &state, std::int64_t wallMs) const;
     [[nodiscard]] const InstanceEntry *findInstance(const std::string &id) const;
     [[nodiscard]] std::size_t countPhase(const WaveState &state, Phase phase) const;
     [[nodiscard]] double drainCost(const InstanceEntry &instance, const Scheduler &scheduler) const;
--- a/src/platform/service_clients.cpp
+++ b/src/platform/service_clients.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr core::Duration listTimeout = std::chrono::milliseconds{1500};
-constexpr core::Duration maintainTimeout = std::chrono::milliseconds{1500};
+constexpr core::Duration orderTimeout = std::chrono::milliseconds{1500};
 /** The service takes time for each worker that is named. */
 constexpr core::Duration adviceTimeout = std::chrono::milliseconds{3000};
 
@@ -92,10 +92,9 @@
                   });
 }
 
-void InstanceClient::maintain(const jobs::MaintainOrder &order, std::int64_t token, std::function<void(jobs::InstanceAnswer)> onReply)
+void InstanceClient::order(const char *target, const std::string &body, std::int64_t token, std::function<void(jobs::InstanceAnswer)> onReply)
 {
-    http::Exchange exchange =
-        makeExchange(m_address, "POST", "/v1/machine-upkeep", json{{"machine", order.instance}, {"wave", order.wave}}, internal::maintainTimeout);
+    http::Exchange exchange = makeExchange(m_address, "POST", target, parseObject(body), internal::orderTimeout);
     exchange.request.headers.push_back({holderHeader, m_holder});
     exchange.request.headers.push_back({tokenHeader, absl::StrCat(token)});
     m_links.start(std::move(exchange), [reply = std::move(onReply)](const http::ExchangeResult &result) {
@@ -103,6 +102,16 @@
     });
 }
 
+void InstanceClient::maintain(const jobs::MaintainOrder &order, std::int64_t token, std::function<void(jobs::InstanceAnswer)> onReply)
+{
+    this->order("/v1/machine-upkeep", json{{"machine", order.instance}, {"wave", order.wave}}.dump(), token, std::move(onReply));
+}
+
+void InstanceClient::move(const jobs::MoveOrder &order, std::int64_t token, std::function<void(jobs::InstanceAnswer)> onReply)
+{
+    this->order("/v1/machine-move", json{{"machine", order.instance}, {"pool", order.pool}}.dump(), token, std::move(onReply));
+}
+
 AdviceClient::AdviceClient(http::UpstreamLinks &links, std::string address)
     : m_links{links}
     , m_address{std::move(address)}
--- a/src/platform/service_clients.hpp
+++ b/src/platform/service_clients.hpp
@@ -23,8 +23,10 @@
 
     void list(std::function<void(std::optional<Instances>)> onReply) override;
     void maintain(const jobs::MaintainOrder &order, std::int64_t token, std::function<void(jobs::InstanceAnswer)> onReply) override;
+    void move(const jobs::MoveOrder &order, std::int64_t token, std::function<void(jobs::InstanceAnswer)> onReply) override;
 
 private:
+    void order(const char *target, const std::string &body, std::int64_t token, std::function<void(jobs::InstanceAnswer)> onReply);
     void listPage(const std::string &page, std::shared_ptr<Instances> found, std::function<void(std::optional<Instances>)> onReply);
 
     http::UpstreamLinks &m_links;
