--- a/src/oleanderwick/jobs/jobs.hpp
+++ b/src/oleanderwick/jobs/jobs.hpp
@@ -8,6 +8,7 @@
 #include "fwd.hpp"
 #include "model.hpp"
 #include "orders.hpp"
+#include "pool_balancer.hpp"
 #include "scheduler.hpp"
 #include "table.hpp"
 #include "upkeep.hpp"
--- a/src/oleanderwick/jobs/leases.cpp
+++ b/src/oleanderwick/jobs/leases.cpp
@@ -220,7 +220,7 @@
     }
 }
 
-void Scheduler::closeWorker(const std::string &id, bool closed, bool pending)
+void Scheduler::closeWorker(const std::string &id, bool closed)
 {
     const auto found = m_workers.find(id);
     if (found == m_workers.end()) {
@@ -228,7 +228,15 @@
     }
     m_placementDue = m_placementDue || (found->second.closed && !closed);
     found->second.closed = closed;
-    found->second.maintenancePending = pending;
+    found->second.maintenancePending = false;
+}
+
+void Scheduler::expectMaintenance(const std::string &id)
+{
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end()) {
+        found->second.maintenancePending = true;
+    }
 }
 
 void Scheduler::paceFillers(Worker &worker, core::TimePoint now)
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -56,7 +56,7 @@
         m_impossible.emplace(order.instance, order.pool);
     }
     m_moving.erase(moving);
-    scheduler.closeWorker(order.worker, false, false);
+    scheduler.closeWorker(order.worker, false);
 }
 
 std::vector<MoveOrder> PoolBalancer::takeOrders()
@@ -142,7 +142,7 @@
 {
     m_orders.push_back(MoveOrder{instance.id, to, instance.worker, instance.pool});
     m_moving[instance.id] = Moving{to, now, true};
-    scheduler.closeWorker(instance.worker, true, false);
+    scheduler.closeWorker(instance.worker, true);
 }
 
 bool PoolBalancer::lendOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now)
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -137,9 +137,14 @@
      * @brief Closes a worker for new work, or opens it again.
      * @param id Name of the worker.
      * @param closed True to close it.
-     * @param pending True if maintenance of it is still to come.
      */
-    void closeWorker(const std::string &id, bool closed, bool pending);
+    void closeWorker(const std::string &id, bool closed);
+
+    /**
+     * @brief Notes that a worker will be closed for maintenance, so that continuous tasks rather go elsewhere.
+     * @param id Name of the worker.
+     */
+    void expectMaintenance(const std::string &id);
 
     /**
      * @brief Stops tasks on a closed worker as far as their availability budgets allow.
--- a/src/oleanderwick/jobs/upkeep.cpp
+++ b/src/oleanderwick/jobs/upkeep.cpp
@@ -151,7 +151,7 @@
         return;
     }
     if (member.phase == Phase::Down) {
-        const bool back = entry == nullptr || (entry->state == InstanceState::Up && entry->worker != member.drainedWorker);
+        const bool back = entry == nullptr || (entry->state == InstanceState::Up && (entry->worker.empty() || entry->worker != member.drainedWorker));
         if (back && m_listedAt > member.since) {
             member.phase = Phase::Finished;
         }
@@ -161,18 +161,18 @@
         if (m_listedAt > member.since) {
             // The instance is gone for good.
             member.phase = Phase::Finished;
-            scheduler.closeWorker(member.drainedWorker, false, false);
+            scheduler.closeWorker(member.drainedWorker, false);
         }
         return;
     }
     if (member.phase == Phase::Pending) {
-        scheduler.closeWorker(entry->worker, false, true);
+        scheduler.expectMaintenance(entry->worker);
         return;
     }
     if (member.phase == Phase::Draining && entry->worker != member.drainedWorker && !entry->worker.empty()) {
         member.drainedWorker = entry->worker;
     }
-    scheduler.closeWorker(entry->worker, true, false);
+    scheduler.closeWorker(entry->worker, true);
     scheduler.evacuate(entry->worker, now);
     const auto worker = scheduler.workers().find(entry->worker);
     const bool empty = worker == scheduler.workers().end() || (worker->second.runs.empty() && worker->second.pendingEnds.empty());
@@ -258,7 +258,7 @@
         member.phase = Phase::Draining;
         member.since = now;
         member.drainedWorker = findInstance(best)->worker;
-        scheduler.closeWorker(member.drainedWorker, true, false);
+        scheduler.closeWorker(member.drainedWorker, true);
     }
 }
 
--- /dev/null
+++ b/test/oleanderwick/jobs/upkeep.cpp
@@ -0,0 +1,147 @@
+#include <catch2/catch.hpp>
+
+#include "support/job_fleet.hpp"
+
+using namespace oleanderwick;
+using test::JobFleet;
+
+namespace
+{
+
+jobs::MaintenanceWave makeWave(std::vector<std::string> instances, std::int64_t mostAtOnce)
+{
+    jobs::MaintenanceWave wave;
+    wave.number = 1;
+    wave.instances = std::move(instances);
+    wave.duration = std::chrono::seconds{20};
+    wave.mostAtOnce = mostAtOnce;
+    return wave;
+}
+
+jobs::InstanceEntry makeInstance(const std::string &id, const std::string &worker, const std::string &pool = "pool")
+{
+    return {id, pool, worker, jobs::InstanceState::Up};
+}
+
+} // namespace
+
+TEST_CASE("an instance is maintained only when nothing runs on it", "[upkeep]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false);
+    const std::vector<jobs::StartOrder> starts = fleet.advance();
+    REQUIRE(starts.size() == 1);
+    fleet.accept(starts);
+    jobs::Upkeep upkeep{fleet.now};
+    upkeep.addWave(makeWave({"m1"}, 1), std::nullopt, fleet.wallMs());
+    upkeep.takeInstances({{"m1", makeInstance("m1", "w1")}}, fleet.now);
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    CHECK(upkeep.takeOrders().empty());
+    fleet.end(starts[0], jobs::EndKind::Done);
+    (void)fleet.save();
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    CHECK(upkeep.takeOrders().size() == 1);
+}
+
+TEST_CASE("a wave never has more down than it may", "[upkeep]")
+{
+    JobFleet fleet;
+    jobs::Upkeep upkeep{fleet.now};
+    upkeep.addWave(makeWave({"m1", "m2", "m3"}, 1), std::nullopt, fleet.wallMs());
+    upkeep.takeInstances({{"m1", makeInstance("m1", "")}, {"m2", makeInstance("m2", "")}, {"m3", makeInstance("m3", "")}}, fleet.now);
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    const std::vector<jobs::MaintainOrder> orders = upkeep.takeOrders();
+    REQUIRE(orders.size() == 1);
+    upkeep.takeAnswer(orders[0], jobs::InstanceAnswer::Unknown, fleet.now);
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    CHECK(upkeep.takeOrders().empty());
+}
+
+TEST_CASE("an instance on standby, on which no worker runs, counts as back once it is up", "[upkeep]")
+{
+    JobFleet fleet;
+    jobs::Upkeep upkeep{fleet.now};
+    upkeep.addWave(makeWave({"m1", "m2"}, 1), std::nullopt, fleet.wallMs());
+    const std::map<std::string, jobs::InstanceEntry> listed{{"m1", makeInstance("m1", "")}, {"m2", makeInstance("m2", "")}};
+    upkeep.takeInstances(listed, fleet.now);
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    const std::vector<jobs::MaintainOrder> first = upkeep.takeOrders();
+    REQUIRE(first.size() == 1);
+    upkeep.takeAnswer(first[0], jobs::InstanceAnswer::Done, fleet.now);
+    fleet.now += std::chrono::seconds{3};
+    upkeep.takeInstances(listed, fleet.now);
+    for (int round = 0; round < 3; ++round) {
+        upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    }
+    const std::vector<jobs::MaintainOrder> second = upkeep.takeOrders();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].instance != first[0].instance);
+}
+
+TEST_CASE("a wave is completed only when the maintenance of each instance that stays has begun", "[upkeep]")
+{
+    JobFleet fleet;
+    jobs::Upkeep upkeep{fleet.now};
+    upkeep.addWave(makeWave({"m1", "gone"}, 2), std::nullopt, fleet.wallMs());
+    fleet.now += std::chrono::seconds{1};
+    upkeep.takeInstances({{"m1", makeInstance("m1", "")}}, fleet.now);
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    CHECK_FALSE(upkeep.takeSaves().at(1).completed);
+    const std::vector<jobs::MaintainOrder> orders = upkeep.takeOrders();
+    REQUIRE(orders.size() == 1);
+    upkeep.takeAnswer(orders[0], jobs::InstanceAnswer::Done, fleet.now);
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    CHECK(upkeep.takeSaves().at(1).completed);
+}
+
+TEST_CASE("a pool borrows empty instances for a burst, and gives idle ones to standby", "[balancer]")
+{
+    JobFleet fleet;
+    jobs::FleetConfig config;
+    config.queues["queue"].pool = "pool";
+    config.pools["pool"] = {};
+    config.pools["other"] = {};
+    config.pools["standby"].standby = true;
+    fleet.scheduler.configure(config);
+    fleet.addWorker("w1");
+    std::map<std::string, jobs::InstanceEntry> listed{{"m1", makeInstance("m1", "w1")}};
+    for (const char *id : {"2", "3", "4"}) {
+        jobs::WorkerEntry entry;
+        entry.id = std::string{"w"} + id;
+        entry.pool = "other";
+        entry.address = "127.0.0.1:1";
+        entry.capacity = {16'000, 64'000, 0};
+        fleet.scheduler.listWorker(entry, fleet.now);
+        fleet.report(entry.id, {}, {});
+        listed[std::string{"m"} + id] = makeInstance(std::string{"m"} + id, entry.id, "other");
+    }
+    listed["m5"] = makeInstance("m5", "", "standby");
+    jobs::Upkeep upkeep{fleet.now};
+    jobs::PoolBalancer balancer{fleet.now};
+    balancer.takeInstances(listed, fleet.now);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(40)}), std::nullopt, false);
+    (void)fleet.advance();
+    balancer.advance(fleet.scheduler, upkeep, fleet.now);
+    const std::vector<jobs::MoveOrder> lent = balancer.takeOrders();
+    REQUIRE(lent.size() == 2);
+    CHECK(lent[0].from == "other");
+    CHECK(lent[0].pool == "pool");
+    for (const jobs::MoveOrder &order : lent) {
+        CHECK(fleet.scheduler.workers().at(order.worker).closed);
+        balancer.takeAnswer(order, jobs::InstanceAnswer::Refused, fleet.scheduler, fleet.now);
+        CHECK_FALSE(fleet.scheduler.workers().at(order.worker).closed);
+    }
+    fleet.scheduler.cancelJob("a", fleet.wallMs(), fleet.now);
+    std::vector<jobs::MoveOrder> parked;
+    for (int round = 0; round < 100 && parked.empty(); ++round) {
+        (void)fleet.advance();
+        balancer.advance(fleet.scheduler, upkeep, fleet.now);
+        parked = balancer.takeOrders();
+    }
+    REQUIRE_FALSE(parked.empty());
+    CHECK(parked[0].pool == "standby");
+}
