Serve the newest first in an overload, copy speculative tasks of silent workers, take over a second sooner

Cause: in an overload each job was started when it would only just miss its objective; speculative tasks waited for the lease of a dark rack; ownership lapsed 3 s after a kill; a worker that had left kept all pools waiting after a takeover. Change: jobs that have begun go first, then the newest ones once half a pool waits, late ones last; speculative tasks start elsewhere as soon as their worker is silent; lease of ownership 2 s; the record of used workers names their pools.

--- a/src/oleanderwick/jobnode/ownership.cpp
+++ b/src/oleanderwick/jobnode/ownership.cpp
@@ -14,10 +14,10 @@
 {
 
 /** Long enough for a short stall of the store, short enough for a quick successor. */
-constexpr core::Duration leaseTtl = std::chrono::milliseconds{3000};
-constexpr core::Duration renewEvery = std::chrono::milliseconds{700};
+constexpr core::Duration leaseTtl = std::chrono::milliseconds{2000};
+constexpr core::Duration renewEvery = std::chrono::milliseconds{500};
 /** Left at the end of the lease for an order that is just being sent. */
-constexpr core::Duration sendMargin = std::chrono::milliseconds{250};
+constexpr core::Duration sendMargin = std::chrono::milliseconds{200};
 constexpr core::Duration retryAcquire = std::chrono::milliseconds{300};
 /** Candidates do not all ask at once. */
 constexpr int spreadMs = 60;
--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -61,18 +61,27 @@
         }
         if (!answer.items.empty()) {
             self->revisions[keys::usedWorkers] = answer.items.front().revision;
-            const nlohmann::json value = nlohmann::json::parse(answer.items.front().value, nullptr, false);
-            for (const nlohmann::json &id : value.is_array() ? value : nlohmann::json::array()) {
-                if (id.is_string()) {
-                    self->scheduler.expectWorker(id.get<std::string>());
-                    self->savedUsedWorkers.insert(id.get<std::string>());
-                }
-            }
+            self->takeUsedWorkers(answer.items.front().value);
         }
         self->loadWaves("");
     });
 }
 
+void Tenure::State::takeUsedWorkers(const std::string &text)
+{
+    const nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
+    if (!value.is_object()) {
+        log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("key", keys::usedWorkers));
+        return;
+    }
+    for (auto item = value.begin(); item != value.end(); ++item) {
+        if (item.value().is_string()) {
+            savedUsedWorkers[item.key()] = item.value().get<std::string>();
+            scheduler.expectWorker(item.key(), item.value().get<std::string>());
+        }
+    }
+}
+
 void Tenure::State::loadWaves(const std::string &after)
 {
     ports.store.list(keys::waves, after, [self = shared_from_this(), after](const jobs::StoreAnswer &answer) {
--- a/src/oleanderwick/jobnode/tenure_orders.cpp
+++ b/src/oleanderwick/jobnode/tenure_orders.cpp
@@ -27,7 +27,7 @@
         if (!winding) {
             scheduler.advance(now, wallMs());
             upkeep.advance(scheduler, now, wallMs());
-            balancer.advance(scheduler, upkeep, now);
+            balancer.advance(scheduler, upkeep, now, wallMs());
         }
         sendOrders();
     }
--- a/src/oleanderwick/jobnode/tenure_saves.cpp
+++ b/src/oleanderwick/jobnode/tenure_saves.cpp
@@ -125,7 +125,7 @@
 
 void Tenure::State::saveUsedWorkers()
 {
-    const std::set<std::string> &used = scheduler.usedWorkers();
+    const std::map<std::string, std::string> &used = scheduler.usedWorkers();
     if (usedWorkersSaving || used == savedUsedWorkers) {
         return;
     }
--- a/src/oleanderwick/jobnode/tenure_state.hpp
+++ b/src/oleanderwick/jobnode/tenure_state.hpp
@@ -15,6 +15,7 @@
     void loadStates(const std::string &after);
     void loadWaves(const std::string &after);
     void loadUsedWorkers();
+    void takeUsedWorkers(const std::string &text);
     void follow();
     void restored();
     void restoreJob(const std::string &id);
@@ -87,7 +88,7 @@
     core::TimePoint savedAt;
     core::TimePoint saveRetryAt;
     bool usedWorkersSaving{false};
-    std::set<std::string> savedUsedWorkers;
+    std::map<std::string, std::string> savedUsedWorkers;
     bool pendingSaving{false};
     core::TimePoint pendingSavedAt;
     std::map<std::string, std::int64_t> savedPending;
--- a/src/oleanderwick/jobs/placement.cpp
+++ b/src/oleanderwick/jobs/placement.cpp
@@ -21,6 +21,8 @@
 constexpr double strikeCost = 1.0;
 /** With this many failures in a row a worker is probed with one task at a time. */
 constexpr std::int64_t strikesForProbe = 3;
+/** Share of a pool that may wait before it counts as overloaded. */
+constexpr double overload = 0.5;
 /** Workers named in one question to the advice service; the answer takes time for each. */
 constexpr std::size_t workersAtOnce = 30;
 
@@ -50,15 +52,22 @@
     return longest;
 }
 
-void Scheduler::addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found)
+double Scheduler::slackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const
 {
     const auto queue = m_config.queues.find(entry.job.queue);
     const QueuePolicy policy = queue == m_config.queues.end() ? QueuePolicy{} : queue->second;
+    const std::int64_t bornMs = occurrence.dueMs > 0 ? occurrence.dueMs : entry.job.submittedMs;
+    const double objective = policy.stretch * entry.chainMs + static_cast<double>(policy.objectiveMs);
+    return static_cast<double>(bornMs - wallMs) + objective - remainingChainMs(entry, occurrence);
+}
+
+void Scheduler::addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found)
+{
+    const auto queue = m_config.queues.find(entry.job.queue);
+    const std::int64_t priority = queue == m_config.queues.end() ? 0 : queue->second.priority;
     for (std::pair<const std::int64_t, Occurrence> &item : entry.occurrences) {
         Occurrence &occurrence = item.second;
-        const std::int64_t bornMs = occurrence.dueMs > 0 ? occurrence.dueMs : entry.job.submittedMs;
-        const double objective = policy.stretch * entry.chainMs + static_cast<double>(policy.objectiveMs);
-        const double slack = static_cast<double>(bornMs - wallMs) + objective - remainingChainMs(entry, occurrence);
+        const double slack = slackMs(entry, occurrence, wallMs);
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const std::vector<Task> &tasks = occurrence.steps[step].tasks;
             const bool waiting = occurrence.steps[step].remaining > 0 && std::any_of(tasks.begin(), tasks.end(), [now](const Task &task) {
@@ -66,8 +75,10 @@
                                  });
             if (waiting && stepReady(entry, occurrence, step)) {
                 const bool continuous = entry.job.steps[step].continuous;
-                const bool hopeless = !continuous && slack < 0;
-                found.push_back(Candidate{&entry, item.first, step, continuous ? -1 : policy.priority, hopeless, slack});
+                const Rank timely = entry.state == JobState::Queued ? Rank::Timely : Rank::Begun;
+                const Rank rank = continuous || slack >= 0 ? timely : Rank::Late;
+                const double age = static_cast<double>(entry.job.submittedMs);
+                found.push_back(Candidate{&entry, item.first, step, continuous ? -1 : priority, rank, slack, rank == Rank::Late ? age : slack});
             }
         }
     }
@@ -77,6 +88,7 @@
 {
     std::vector<Candidate> found;
     std::map<std::string, bool> settledPools;
+    const std::map<std::string, PoolLoad> loads = poolLoads(wallMs);
     for (std::pair<const std::string, JobEntry> &item : m_jobs) {
         JobEntry &entry = item.second;
         if (isFinal(entry.state)) {
@@ -87,14 +99,24 @@
             if (known.second) {
                 known.first->second = settled(entry.job.pool, now);
             }
-            if (!known.first->second) {
+            if (!known.first->second && !entry.allSpeculative) {
                 continue;
             }
         }
+        const std::size_t first = found.size();
         addCandidates(entry, now, wallMs, found);
+        const auto load = loads.find(entry.job.pool);
+        const bool overloaded =
+            load != loads.end() && static_cast<double>(load->second.waiting) > internal::overload * static_cast<double>(load->second.capacity);
+        for (std::size_t index = first; index < found.size() && overloaded; ++index) {
+            if (found[index].rank == Rank::Timely) {
+                // Not all can be served in time: the newest can, while the oldest would only just miss it, one after the other.
+                found[index].order = -static_cast<double>(entry.job.submittedMs);
+            }
+        }
     }
     std::sort(found.begin(), found.end(), [](const Candidate &left, const Candidate &right) {
-        return std::tuple{left.priority, left.hopeless, left.slackMs} < std::tuple{right.priority, right.hopeless, right.slackMs};
+        return std::tuple{left.priority, left.rank, left.order} < std::tuple{right.priority, right.rank, right.order};
     });
     return found;
 }
@@ -335,7 +357,7 @@
     return found != m_config.pools.end() && found->second.standby;
 }
 
-std::map<std::string, PoolLoad> Scheduler::poolLoads() const
+std::map<std::string, PoolLoad> Scheduler::poolLoads(std::int64_t wallMs) const
 {
     std::map<std::string, PoolLoad> loads;
     for (const std::pair<const std::string, PoolPolicy> &pool : m_config.pools) {
@@ -357,14 +379,15 @@
             continue;
         }
         for (const std::pair<const std::int64_t, Occurrence> &occurrence : item.second.occurrences) {
-            addLoad(item.second, occurrence.second, load->second);
+            addLoad(item.second, occurrence.second, wallMs, load->second);
         }
     }
     return loads;
 }
 
-void Scheduler::addLoad(const JobEntry &entry, const Occurrence &occurrence, PoolLoad &load) const
+void Scheduler::addLoad(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, PoolLoad &load) const
 {
+    const bool late = slackMs(entry, occurrence, wallMs) < 0;
     for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
         const Step &step = entry.job.steps[index];
         const std::int64_t cpu = demandOf(step).cpu;
@@ -377,7 +400,7 @@
         const bool ready = occurrence.steps[index].remaining > 0 && stepReady(entry, occurrence, index);
         for (const Task &task : occurrence.steps[index].tasks) {
             load.running += task.isOut() ? cpu : 0;
-            load.waiting += ready && task.phase == TaskPhase::Waiting && !task.record.done ? cpu : 0;
+            (late ? load.waitingLate : load.waiting) += ready && task.phase == TaskPhase::Waiting && !task.record.done ? cpu : 0;
         }
     }
 }
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -11,6 +11,8 @@
 
 /** Work that waits is to be under way within this time; tasks take about as long. */
 constexpr double clearWithin = 1.3;
+/** What misses its objective anyway is worth little room. */
+constexpr double clearLateWithin = 5.0;
 /** Share of an instance that can be filled before tasks no longer fit. */
 constexpr double usableShare = 0.92;
 /** A need counts for this long after it has passed: moving back and forth costs more than waiting. */
@@ -68,7 +70,9 @@
 
 std::int64_t PoolBalancer::needOf(const PoolLoad &load, std::int64_t perInstance)
 {
-    const double work = static_cast<double>(load.continuous) + static_cast<double>(load.running + load.waiting) / internal::clearWithin;
+    const double soon = static_cast<double>(load.running + load.waiting) / internal::clearWithin;
+    const double late = static_cast<double>(load.waitingLate) / internal::clearLateWithin;
+    const double work = static_cast<double>(load.continuous) + soon + late;
     const double usable = static_cast<double>(std::max<std::int64_t>(perInstance, 1)) * internal::usableShare;
     const std::int64_t byWork = static_cast<std::int64_t>(std::ceil(work / usable));
     return std::max(byWork, load.leastWorkers);
@@ -91,11 +95,11 @@
     }
 }
 
-void PoolBalancer::updateNeeds(const Scheduler &scheduler, core::TimePoint now)
+void PoolBalancer::updateNeeds(const Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs)
 {
     std::int64_t capacity = 0;
     std::int64_t workers = 0;
-    const std::map<std::string, PoolLoad> loads = scheduler.poolLoads();
+    const std::map<std::string, PoolLoad> loads = scheduler.poolLoads(wallMs);
     for (const std::pair<const std::string, PoolLoad> &load : loads) {
         capacity += load.second.capacity;
         workers += load.second.workers;
@@ -201,13 +205,13 @@
     }
 }
 
-void PoolBalancer::advance(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now)
+void PoolBalancer::advance(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now, std::int64_t wallMs)
 {
     if (m_instances.empty() || now < m_firstOrderAt) {
         return;
     }
     countInstances(scheduler, now);
-    updateNeeds(scheduler, now);
+    updateNeeds(scheduler, now, wallMs);
     for (const std::pair<const std::string, PoolState> &pool : std::map<std::string, PoolState>{m_pools}) {
         std::int64_t missing = pool.second.need - pool.second.have;
         while (missing > 0 && lendOne(pool.first, scheduler, upkeep, now)) {
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -58,8 +58,9 @@
      * @param scheduler Scheduler that knows the load, and whose workers are closed.
      * @param upkeep Knows which instances are maintained.
      * @param now Present time.
+     * @param wallMs Unix time.
      */
-    void advance(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
+    void advance(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now, std::int64_t wallMs);
 
     /** @return Orders that came up since the last call; each has to be answered by `takeAnswer`. */
     [[nodiscard]] std::vector<MoveOrder> takeOrders();
@@ -87,7 +88,7 @@
     };
 
     void countInstances(const Scheduler &scheduler, core::TimePoint now);
-    void updateNeeds(const Scheduler &scheduler, core::TimePoint now);
+    void updateNeeds(const Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs);
     [[nodiscard]] bool lendOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
     void parkIdle(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
     [[nodiscard]] const InstanceEntry *findIdle(const std::string &pool, const std::string &to, const Scheduler &scheduler, const Upkeep &upkeep) const;
--- a/src/oleanderwick/jobs/runs.cpp
+++ b/src/oleanderwick/jobs/runs.cpp
@@ -45,7 +45,7 @@
     worker.used = worker.used + demandOf(step);
     m_teamUse[entry.job.team] = m_teamUse[entry.job.team] + step.each;
     ++entry.outCount;
-    m_usedWorkers.insert(worker.entry.id);
+    m_usedWorkers[worker.entry.id] = worker.entry.pool;
 }
 
 void Scheduler::detach(JobEntry &entry, const TaskName &name, Task &task)
@@ -70,6 +70,21 @@
     }
 }
 
+void Scheduler::dropSpeculative(Worker &worker, core::TimePoint now)
+{
+    const std::map<TaskName, std::int64_t> runs = worker.runs;
+    for (const std::pair<const TaskName, std::int64_t> &run : runs) {
+        const Step *step = findStep(run.first);
+        Task *task = findTask(run.first);
+        if (step == nullptr || task == nullptr || !step->speculative) {
+            continue;
+        }
+        decide("run_doubted", toText(run.first), worker.entry.id, absl::StrCat("run=", run.second));
+        detach(*findEntry(run.first.job), run.first, *task);
+        task->notBefore = now;
+    }
+}
+
 void Scheduler::dropRuns(Worker &worker, std::string_view reason, core::TimePoint now)
 {
     const std::map<TaskName, std::int64_t> runs = worker.runs;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -85,10 +85,11 @@
     }
 }
 
-void Scheduler::expectWorker(const std::string &id)
+void Scheduler::expectWorker(const std::string &id, const std::string &pool)
 {
     m_workers[id].entry.id = id;
-    m_usedWorkers.insert(id);
+    m_workers[id].entry.pool = pool;
+    m_usedWorkers[id] = pool;
 }
 
 void Scheduler::addJob(Job job, const std::optional<JobRecord> &record, bool predatesTenure)
@@ -100,6 +101,9 @@
     entry.job = std::move(job);
     entry.predatesTenure = predatesTenure;
     entry.chainMs = internal::longestChainMs(entry.job);
+    entry.allSpeculative = std::all_of(entry.job.steps.begin(), entry.job.steps.end(), [](const Step &step) {
+        return step.speculative;
+    });
     if (record.has_value()) {
         entry.state = record->state;
         entry.nextOccurrence = record->nextOccurrence;
@@ -217,6 +221,9 @@
                absl::StrCat("gone=", gone ? 1 : 0, " runs=", worker.runs.size(), " seen_ms_ago=", core::milliseconds(now - worker.seenAt)));
     }
     worker.silent = true;
+    if (!gone) {
+        dropSpeculative(worker, now);
+    }
     if (gone) {
         // The process that ran the tasks is no more: its address refuses, or belongs to another worker.
         dropRuns(worker, "worker_gone", now);
@@ -257,11 +264,16 @@
         return;
     }
     if (answer == StartAnswer::Unknown) {
-        if (task->phase == TaskPhase::Starting) {
+        worker.nextHold = now;
+        if (entry->job.steps[order.task.step].speculative) {
+            // A copy elsewhere does no harm.
+            detach(*entry, order.task, *task);
+            task->notBefore = now;
+            worker.quarantinedUntil = now + unhealthyPause;
+        } else if (task->phase == TaskPhase::Starting) {
             task->phase = TaskPhase::Uncertain;
             task->since = now;
         }
-        worker.nextHold = now;
         return;
     }
     detach(*entry, order.task, *task);
@@ -413,7 +425,7 @@
     return found == m_jobs.end() ? nullptr : &found->second;
 }
 
-const std::set<std::string> &Scheduler::usedWorkers() const noexcept
+const std::map<std::string, std::string> &Scheduler::usedWorkers() const noexcept
 {
     return m_usedWorkers;
 }
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -62,8 +62,9 @@
     /**
      * @brief Takes in a worker that a former owner used, whether the registry names it or not.
      * @param id Name of the worker.
+     * @param pool Pool that it was in.
      */
-    void expectWorker(const std::string &id);
+    void expectWorker(const std::string &id, const std::string &pool);
 
     /**
      * @brief Takes in a job.
@@ -217,22 +218,34 @@
      */
     [[nodiscard]] bool isStandby(const std::string &pool) const;
 
-    /** @return Load of each pool that is not on standby. */
-    [[nodiscard]] std::map<std::string, PoolLoad> poolLoads() const;
+    /**
+     * @brief Measures the load of the pools that are not on standby.
+     * @param wallMs Unix time.
+     * @return Load by pool.
+     */
+    [[nodiscard]] std::map<std::string, PoolLoad> poolLoads(std::int64_t wallMs) const;
 
-    /** @return Names of workers that work was ever placed on in this tenure. */
-    [[nodiscard]] const std::set<std::string> &usedWorkers() const noexcept;
+    /** @return Pool by worker, for the workers on which something may run. */
+    [[nodiscard]] const std::map<std::string, std::string> &usedWorkers() const noexcept;
 
     /** @} */
 
 private:
+    /** What a job can still earn, best first. */
+    enum class Rank : std::uint8_t {
+        Begun, /**< Has begun, and can meet its objective. */
+        Timely, /**< Can meet its objective. */
+        Late, /**< Misses it. */
+    };
+
     struct Candidate {
         JobEntry *entry;
         std::int64_t occurrence;
         std::size_t step;
         std::int64_t priority;
-        bool hopeless;
+        Rank rank;
         double slackMs;
+        double order; /**< Lower comes first among those of one priority and rank. */
     };
 
     [[nodiscard]] Task *findTask(const TaskName &name);
@@ -246,6 +259,7 @@
     void attach(JobEntry &entry, const TaskName &name, Task &task, Worker &worker, std::int64_t run, TaskPhase phase, core::TimePoint now);
     void detach(JobEntry &entry, const TaskName &name, Task &task);
     [[nodiscard]] Resources demandOf(const Step &step) const noexcept;
+    void dropSpeculative(Worker &worker, core::TimePoint now);
     void dropRuns(Worker &worker, std::string_view reason, core::TimePoint now);
     void resetIncarnation(Worker &worker, std::int64_t incarnation, core::TimePoint now);
 
@@ -278,7 +292,8 @@
     void place(core::TimePoint now, std::int64_t wallMs);
     void placeStep(const Candidate &candidate, core::TimePoint now);
     void placeGang(const Candidate &candidate, core::TimePoint now);
-    void addLoad(const JobEntry &entry, const Occurrence &occurrence, PoolLoad &load) const;
+    void addLoad(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, PoolLoad &load) const;
+    [[nodiscard]] double slackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const;
     [[nodiscard]] bool teamHasRoom(const JobEntry &entry, const Resources &demand) const;
     [[nodiscard]] Worker *chooseWorker(const Candidate &candidate, const Step &step, core::TimePoint now);
     [[nodiscard]] bool mayTake(const Worker &worker, const Candidate &candidate, const Step &step, core::TimePoint now);
@@ -301,7 +316,7 @@
     std::set<std::string> m_unsavedEnds; /**< Those of them that have ended. */
     std::set<std::string> m_restored; /**< Jobs taken in with a stored state: the last end may be stored without the job's. */
     std::set<std::string> m_ended; /**< Ended jobs that are still held. */
-    std::set<std::string> m_usedWorkers;
+    std::map<std::string, std::string> m_usedWorkers;
     bool m_placementDue{true};
     core::TimePoint m_lastPlacement;
     Orders m_orders;
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -81,6 +81,7 @@
     std::uint64_t savingVersion{0}; /**< Version that is being stored; 0 for none. */
     bool predatesTenure{false}; /**< A former owner may have started something of it. */
     std::int64_t outCount{0}; /**< Tasks that may run somewhere. */
+    bool allSpeculative{false}; /**< Copies of any of its tasks do no harm. */
     double chainMs{0}; /**< Longest chain of work by the estimates. */
 };
 
--- a/src/oleanderwick/jobs/upkeep.cpp
+++ b/src/oleanderwick/jobs/upkeep.cpp
@@ -209,7 +209,9 @@
     const auto worker = scheduler.workers().find(instance.worker);
     const double runs = worker == scheduler.workers().end() ? 0.0 : static_cast<double>(worker->second.runs.size());
     const double share = size > 0.0 ? closed / size : 0.0;
-    if (closed > 0.0 && (closed + 1.0) / size > internal::mostOfPoolClosed) {
+    // One that is out of service already costs the pool nothing more.
+    const bool open = worker != scheduler.workers().end() && worker->second.listed && !worker->second.closed;
+    if (open && closed > 0.0 && (closed + 1.0) / size > internal::mostOfPoolClosed) {
         return -1.0;
     }
     return closedWeight * share + pressureWeight * scheduler.pressure(instance.pool) + runs;
