Size pools by the work that arrives, not only by what waits

Ruled out: too few parked instances; the order of jobs. Change: PoolLoad::arriving, the work of the jobs of the last 600 ms; newest first only when more waits than a pool holds.

--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -214,13 +214,13 @@
     const std::pair<jobs::Job, std::int64_t> &stored = storedJobs[id];
     const auto state = storedStates.find(id);
     if (state == storedStates.end()) {
-        scheduler.addJob(stored.first, std::nullopt, stored.second < token);
+        scheduler.addJob(stored.first, std::nullopt, stored.second < token, startedAt);
         return;
     }
     if (jobs::isFinal(state->second.state)) {
         endedJobs[id] = state->second.endedMs;
     }
-    scheduler.addJob(stored.first, state->second, stored.second < token);
+    scheduler.addJob(stored.first, state->second, stored.second < token, startedAt);
 }
 
 void Tenure::State::takeIntake(const jobs::StoreItem &item)
@@ -248,7 +248,7 @@
         return;
     }
     if (!endedJobs.contains(job->id) && scheduler.findJob(job->id) == nullptr) {
-        scheduler.addJob(*std::move(job), std::nullopt, item.revision < token);
+        scheduler.addJob(*std::move(job), std::nullopt, item.revision < token, core::BootClock::now());
         schedulePump();
     }
 }
--- a/src/oleanderwick/jobs/orders.hpp
+++ b/src/oleanderwick/jobs/orders.hpp
@@ -76,6 +76,7 @@
     std::int64_t running{0}; /**< Thousandths of a core of other tasks that run. */
     std::int64_t waiting{0}; /**< Thousandths of a core of other tasks that could start, of jobs that can meet their objective. */
     std::int64_t waitingLate{0}; /**< The same of jobs that miss it. */
+    std::int64_t arriving{0}; /**< Thousandths of a core that would keep up with the jobs of the last moments. */
     std::int64_t leastWorkers{0}; /**< Workers over which tasks that must be apart have to be spread. */
 
     [[nodiscard]] bool operator==(const PoolLoad &) const = default;
--- a/src/oleanderwick/jobs/placement.cpp
+++ b/src/oleanderwick/jobs/placement.cpp
@@ -21,8 +21,11 @@
 constexpr double strikeCost = 1.0;
 /** With this many failures in a row a worker is probed with one task at a time. */
 constexpr std::int64_t strikesForProbe = 3;
+/** Jobs are counted over this time to see a rise of the load. */
+constexpr core::Duration arrivalWindow = std::chrono::milliseconds{600};
+constexpr std::size_t arrivalsForTrend = 3;
 /** Share of a pool that may wait before it counts as overloaded. */
-constexpr double overload = 0.5;
+constexpr double overload = 1.2;
 /** Workers named in one question to the advice service; the answer takes time for each. */
 constexpr std::size_t workersAtOnce = 30;
 
@@ -88,7 +91,7 @@
 {
     std::vector<Candidate> found;
     std::map<std::string, bool> settledPools;
-    const std::map<std::string, PoolLoad> loads = poolLoads(wallMs);
+    const std::map<std::string, PoolLoad> loads = poolLoads(now, wallMs);
     for (std::pair<const std::string, JobEntry> &item : m_jobs) {
         JobEntry &entry = item.second;
         if (isFinal(entry.state)) {
@@ -357,12 +360,42 @@
     return found != m_config.pools.end() && found->second.standby;
 }
 
-std::map<std::string, PoolLoad> Scheduler::poolLoads(std::int64_t wallMs) const
+void Scheduler::noteArrival(const Job &job, core::TimePoint now)
+{
+    std::deque<Arrival> &arrivals = m_arrivals[job.pool];
+    while (!arrivals.empty() && now - arrivals.front().at > internal::arrivalWindow) {
+        arrivals.pop_front();
+    }
+    std::int64_t work = 0;
+    for (const Step &step : job.steps) {
+        work += step.continuous ? 0 : step.count * step.each.cpu * step.estimateMs;
+    }
+    arrivals.push_back(Arrival{now, work});
+}
+
+std::int64_t Scheduler::arrivingCpu(const std::string &pool, core::TimePoint now) const
+{
+    const auto arrivals = m_arrivals.find(pool);
+    if (arrivals == m_arrivals.end()) {
+        return 0;
+    }
+    std::int64_t work = 0;
+    std::size_t jobs = 0;
+    for (const Arrival &arrival : arrivals->second) {
+        const bool fresh = now - arrival.at <= internal::arrivalWindow;
+        work += fresh ? arrival.work : 0;
+        jobs += fresh ? 1 : 0;
+    }
+    // One large job is no trend.
+    return jobs < internal::arrivalsForTrend ? 0 : work / core::milliseconds(internal::arrivalWindow);
+}
+
+std::map<std::string, PoolLoad> Scheduler::poolLoads(core::TimePoint now, std::int64_t wallMs) const
 {
     std::map<std::string, PoolLoad> loads;
     for (const std::pair<const std::string, PoolPolicy> &pool : m_config.pools) {
         if (!pool.second.standby) {
-            loads[pool.first];
+            loads[pool.first].arriving = arrivingCpu(pool.first, now);
         }
     }
     for (const std::pair<const std::string, Worker> &item : m_workers) {
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -70,7 +70,7 @@
 
 std::int64_t PoolBalancer::needOf(const PoolLoad &load, std::int64_t perInstance)
 {
-    const double soon = static_cast<double>(load.running + load.waiting) / internal::clearWithin;
+    const double soon = std::max(static_cast<double>(load.running + load.waiting) / internal::clearWithin, static_cast<double>(load.arriving));
     const double late = static_cast<double>(load.waitingLate) / internal::clearLateWithin;
     const double work = static_cast<double>(load.continuous) + soon + late;
     const double usable = static_cast<double>(std::max<std::int64_t>(perInstance, 1)) * internal::usableShare;
@@ -99,7 +99,7 @@
 {
     std::int64_t capacity = 0;
     std::int64_t workers = 0;
-    const std::map<std::string, PoolLoad> loads = scheduler.poolLoads(wallMs);
+    const std::map<std::string, PoolLoad> loads = scheduler.poolLoads(now, wallMs);
     for (const std::pair<const std::string, PoolLoad> &load : loads) {
         capacity += load.second.capacity;
         workers += load.second.workers;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -92,7 +92,7 @@
     m_usedWorkers[id] = pool;
 }
 
-void Scheduler::addJob(Job job, const std::optional<JobRecord> &record, bool predatesTenure)
+void Scheduler::addJob(Job job, const std::optional<JobRecord> &record, bool predatesTenure, core::TimePoint now)
 {
     if (m_jobs.contains(job.id) || (record.has_value() && isFinal(record->state))) {
         return;
@@ -111,6 +111,8 @@
             openOccurrence(entry, saved.first, &saved.second);
         }
         m_restored.insert(entry.job.id);
+    } else if (!predatesTenure) {
+        noteArrival(entry.job, now);
     }
     m_placementDue = true;
 }
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -71,8 +72,9 @@
      * @param job The job.
      * @param record Its stored progress; nothing if there is none.
      * @param predatesTenure True if a former owner may have started something of it.
+     * @param now Present time.
      */
-    void addJob(Job job, const std::optional<JobRecord> &record, bool predatesTenure);
+    void addJob(Job job, const std::optional<JobRecord> &record, bool predatesTenure, core::TimePoint now);
 
     /**
      * @brief Cancels a job.
@@ -220,10 +222,11 @@
 
     /**
      * @brief Measures the load of the pools that are not on standby.
+     * @param now Present time.
      * @param wallMs Unix time.
      * @return Load by pool.
      */
-    [[nodiscard]] std::map<std::string, PoolLoad> poolLoads(std::int64_t wallMs) const;
+    [[nodiscard]] std::map<std::string, PoolLoad> poolLoads(core::TimePoint now, std::int64_t wallMs) const;
 
     /** @return Pool by worker, for the workers on which something may run. */
     [[nodiscard]] const std::map<std::string, std::string> &usedWorkers() const noexcept;
@@ -238,6 +241,11 @@
         Late, /**< Misses it. */
     };
 
+    struct Arrival {
+        core::TimePoint at;
+        std::int64_t work; /**< Thousandths of a core times milliseconds. */
+    };
+
     struct Candidate {
         JobEntry *entry;
         std::int64_t occurrence;
@@ -284,6 +292,8 @@
     void sweepTasks(core::TimePoint now);
     void paceFillers(Worker &worker, core::TimePoint now);
 
+    void noteArrival(const Job &job, core::TimePoint now);
+    [[nodiscard]] std::int64_t arrivingCpu(const std::string &pool, core::TimePoint now) const;
     [[nodiscard]] bool settled(const std::string &pool, core::TimePoint now) const;
     [[nodiscard]] std::vector<Candidate> candidates(core::TimePoint now, std::int64_t wallMs);
     void addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found);
@@ -312,6 +322,7 @@
     std::map<std::string, Worker> m_workers;
     std::map<std::string, Resources> m_teamUse;
     std::map<StepName, Advice> m_advice;
+    std::map<std::string, std::deque<Arrival>> m_arrivals; /**< Jobs of the last moments by pool, oldest first. */
     std::set<std::string> m_unsaved; /**< Jobs with a state that is neither stored nor being stored. */
     std::set<std::string> m_unsavedEnds; /**< Those of them that have ended. */
     std::set<std::string> m_restored; /**< Jobs taken in with a stored state: the last end may be stored without the job's. */
--- a/test/oleanderwick/jobs/scheduler.cpp
+++ b/test/oleanderwick/jobs/scheduler.cpp
@@ -9,7 +9,7 @@
 {
     JobFleet fleet;
     fleet.addWorker("w1");
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(2), JobFleet::makeStep(1, {0})}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(2), JobFleet::makeStep(1, {0})}), std::nullopt, false, fleet.now);
     const std::vector<jobs::StartOrder> first = fleet.advance();
     REQUIRE(first.size() == 2);
     fleet.accept(first);
@@ -28,7 +28,7 @@
 {
     JobFleet fleet;
     fleet.addWorker("w1");
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1), JobFleet::makeStep(1, {0})}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1), JobFleet::makeStep(1, {0})}), std::nullopt, false, fleet.now);
     const std::vector<jobs::StartOrder> first = fleet.advance();
     REQUIRE(first.size() == 1);
     fleet.accept(first);
@@ -47,7 +47,7 @@
     record.state = jobs::JobState::Running;
     record.nextOccurrence = 1;
     record.occurrences[0] = {{jobs::TaskRecord{true, 0, 1, ""}}};
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), record, true);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), record, true, fleet.now);
     CHECK(fleet.advance().empty());
     CHECK(fleet.save().at("a").state == jobs::JobState::Completed);
 }
@@ -59,7 +59,7 @@
     record.state = jobs::JobState::Running;
     record.nextOccurrence = 1;
     record.occurrences[0] = {{jobs::TaskRecord{}}};
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), record, true);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), record, true, fleet.now);
     fleet.addWorker("w1");
     fleet.report("w1", {{{"a", 0, 0, 0}, 3, "", 40, 0}}, {});
     CHECK(fleet.advance().empty());
@@ -72,8 +72,8 @@
     JobFleet fleet;
     fleet.scheduler.expectWorker("lost", "pool");
     fleet.addWorker("w1");
-    fleet.scheduler.addJob(JobFleet::makeJob("old", {JobFleet::makeStep(1)}), std::nullopt, true);
-    fleet.scheduler.addJob(JobFleet::makeJob("new", {JobFleet::makeStep(1)}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("old", {JobFleet::makeStep(1)}), std::nullopt, true, fleet.now);
+    fleet.scheduler.addJob(JobFleet::makeJob("new", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
     const std::vector<jobs::StartOrder> first = fleet.advance();
     REQUIRE(first.size() == 1);
     CHECK(first[0].task.job == "new");
@@ -90,7 +90,7 @@
 {
     JobFleet fleet;
     fleet.addWorker("w1");
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
     const std::vector<jobs::StartOrder> first = fleet.advance();
     REQUIRE(first.size() == 1);
     fleet.accept(first);
@@ -107,7 +107,7 @@
 {
     JobFleet fleet;
     fleet.addWorker("w1");
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
     fleet.accept(fleet.advance());
     (void)fleet.scheduler.takeHolds(fleet.now);
     fleet.scheduler.takeHoldFailure("w1", false, fleet.now);
@@ -121,7 +121,7 @@
 {
     JobFleet fleet;
     fleet.addWorker("w1");
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
     const std::vector<jobs::StartOrder> first = fleet.advance();
     REQUIRE(first.size() == 1);
     fleet.scheduler.takeStartAnswer(first[0], jobs::StartAnswer::Unknown, 0, fleet.now);
@@ -142,7 +142,7 @@
 {
     JobFleet fleet;
     fleet.addWorker("w1");
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
     const std::vector<jobs::StartOrder> first = fleet.advance();
     REQUIRE(first.size() == 1);
     fleet.accept(first);
@@ -156,7 +156,7 @@
 {
     JobFleet fleet;
     fleet.addWorker("w1");
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
     const std::vector<jobs::StartOrder> first = fleet.advance();
     REQUIRE(first.size() == 1);
     fleet.accept(first);
@@ -172,7 +172,7 @@
 {
     JobFleet fleet;
     fleet.addWorker("w1", 1000);
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(2)}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(2)}), std::nullopt, false, fleet.now);
     fleet.accept(fleet.advance());
     fleet.scheduler.cancelJob("a", fleet.wallMs(), fleet.now);
     CHECK(fleet.advance().empty());
@@ -184,7 +184,7 @@
 {
     JobFleet fleet;
     fleet.addWorker("w1");
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
     fleet.accept(fleet.advance());
     fleet.report("w1", {}, {}, 2);
     const std::vector<jobs::StartOrder> again = fleet.advance();
@@ -202,7 +202,7 @@
     fleet.addWorker("w1");
     jobs::Job job = JobFleet::makeJob("a", {JobFleet::makeStep(5)});
     job.team = "team";
-    fleet.scheduler.addJob(job, std::nullopt, false);
+    fleet.scheduler.addJob(job, std::nullopt, false, fleet.now);
     CHECK(fleet.advance().size() == 2);
 }
 
@@ -213,7 +213,7 @@
     fleet.addWorker("w2");
     jobs::Step step = JobFleet::makeStep(5);
     step.maxPerWorker = 1;
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false, fleet.now);
     CHECK(fleet.advance().size() == 2);
 }
 
@@ -223,7 +223,7 @@
     fleet.addWorker("w1", 2000);
     jobs::Step step = JobFleet::makeStep(3);
     step.gang = true;
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false, fleet.now);
     CHECK(fleet.advance().empty());
     fleet.addWorker("w2", 2000);
     const std::vector<jobs::StartOrder> starts = fleet.advance();
@@ -240,7 +240,7 @@
     step.continuous = true;
     step.maxPerWorker = 1;
     step.maxUnavailable = 1;
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false, fleet.now);
     fleet.accept(fleet.advance());
     for (const char *worker : {"w1", "w2"}) {
         fleet.running[worker][0].percent = 100;
@@ -262,7 +262,7 @@
     fleet.addWorker("w1");
     jobs::Step step = JobFleet::makeStep(1);
     step.speculative = true;
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false, fleet.now);
     fleet.accept(fleet.advance());
     fleet.addWorker("w2");
     fleet.scheduler.takeHoldFailure("w1", false, fleet.now);
@@ -278,11 +278,11 @@
     for (int index = 0; index < 20; ++index) {
         jobs::Job job = JobFleet::makeJob("job" + std::to_string(index), {JobFleet::makeStep(1)});
         job.submittedMs = fleet.wallMs() - 20 * index;
-        fleet.scheduler.addJob(job, std::nullopt, false);
+        fleet.scheduler.addJob(job, std::nullopt, false, fleet.now);
     }
     jobs::Job late = JobFleet::makeJob("late", {JobFleet::makeStep(1)});
     late.submittedMs = fleet.wallMs() - 60'000;
-    fleet.scheduler.addJob(late, std::nullopt, false);
+    fleet.scheduler.addJob(late, std::nullopt, false, fleet.now);
     const std::vector<jobs::StartOrder> starts = fleet.advance();
     REQUIRE(starts.size() == 2);
     CHECK(starts[0].task.job == "job0");
--- a/test/oleanderwick/jobs/upkeep.cpp
+++ b/test/oleanderwick/jobs/upkeep.cpp
@@ -29,7 +29,7 @@
 {
     JobFleet fleet;
     fleet.addWorker("w1");
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
     const std::vector<jobs::StartOrder> starts = fleet.advance();
     REQUIRE(starts.size() == 1);
     fleet.accept(starts);
@@ -123,7 +123,7 @@
     jobs::Upkeep upkeep{fleet.now};
     jobs::PoolBalancer balancer{fleet.now};
     balancer.takeInstances(listed, fleet.now);
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(40)}), std::nullopt, false);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(40)}), std::nullopt, false, fleet.now);
     const std::vector<jobs::StartOrder> starts = fleet.advance();
     fleet.accept(starts);
     balancer.advance(fleet.scheduler, upkeep, fleet.now, fleet.wallMs());
