--- a/src/oleanderwick/jobnode/job_desk.cpp
+++ b/src/oleanderwick/jobnode/job_desk.cpp
@@ -53,7 +53,7 @@
     commit(call);
 }
 
-void JobDesk::commit(std::shared_ptr<Call> call)
+void JobDesk::commit(const std::shared_ptr<Call> &call)
 {
     ++call->attempts;
     m_store.commit(call->change, [this, call](const jobs::StoreAnswer &answer) {
@@ -63,13 +63,13 @@
             return;
         }
         call->mayBeStored = call->mayBeStored || answer.outcome == jobs::StoreOutcome::Unknown;
-        retry(call, [this](std::shared_ptr<Call> again) {
-            commit(std::move(again));
+        retry(call, [this](const std::shared_ptr<Call> &again) {
+            commit(again);
         });
     });
 }
 
-void JobDesk::retry(std::shared_ptr<Call> call, std::function<void(std::shared_ptr<Call>)> again)
+void JobDesk::retry(const std::shared_ptr<Call> &call, std::function<void(const std::shared_ptr<Call> &)> again)
 {
     const core::TimePoint now = core::BootClock::now();
     const bool late = now + call->pause >= call->deadline - internal::answerMargin;
@@ -98,7 +98,7 @@
     call.onAnswer(answer);
 }
 
-void JobDesk::read(std::shared_ptr<Call> call, const std::string &key, std::function<void(const jobs::StoreAnswer &)> onFound)
+void JobDesk::read(const std::shared_ptr<Call> &call, const std::string &key, std::function<void(const jobs::StoreAnswer &)> onFound)
 {
     ++call->attempts;
     m_store.read(key, [this, call, key, found = std::move(onFound)](const jobs::StoreAnswer &answer) {
@@ -108,8 +108,8 @@
         }
         // Reading changes nothing, so it is tried until the submitter gives up.
         call->mayBeStored = true;
-        retry(call, [this, key, found](std::shared_ptr<Call> again) {
-            read(std::move(again), key, found);
+        retry(call, [this, key, found](const std::shared_ptr<Call> &again) {
+            read(again, key, found);
         });
     });
 }
--- a/src/oleanderwick/jobnode/job_desk.hpp
+++ b/src/oleanderwick/jobnode/job_desk.hpp
@@ -78,10 +78,10 @@
 private:
     struct Call;
 
-    void commit(std::shared_ptr<Call> call);
-    void read(std::shared_ptr<Call> call, const std::string &key, std::function<void(const jobs::StoreAnswer &)> onFound);
+    void commit(const std::shared_ptr<Call> &call);
+    void read(const std::shared_ptr<Call> &call, const std::string &key, std::function<void(const jobs::StoreAnswer &)> onFound);
     void finish(Call &call, DeskAnswer answer);
-    void retry(std::shared_ptr<Call> call, std::function<void(std::shared_ptr<Call>)> again);
+    void retry(const std::shared_ptr<Call> &call, std::function<void(const std::shared_ptr<Call> &)> again);
 
     http::Loop &m_loop;
     jobs::CoordinationStore &m_store;
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -126,7 +126,7 @@
     respond(status == 503 ? internal::unavailable(status) : internal::respondJson(status, json{{"error", reason}}));
 }
 
-void Ingress::handle(http::Request request, http::Responder respond)
+void Ingress::handle(const http::Request &request, http::Responder respond)
 {
     const core::TimePoint deadline = core::BootClock::now() + std::chrono::milliseconds{internal::deadlineOf(request)};
     if (m_node.configVersion() == 0) {
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -26,7 +26,7 @@
      * @param request The call.
      * @param respond Takes the answer, once.
      */
-    void handle(http::Request request, http::Responder respond);
+    void handle(const http::Request &request, http::Responder respond);
 
 private:
     void submit(const http::Request &request,
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -66,8 +66,8 @@
         , m_ingress{m_node, m_translator, m_log}
         , m_callers{m_loop,
                     serverLimits(),
-                    [this](http::Request request, http::Responder respond) {
-                        m_ingress.handle(std::move(request), std::move(respond));
+                    [this](const http::Request &request, http::Responder respond) {
+                        m_ingress.handle(request, std::move(respond));
                     }}
         , m_readiness{m_loop, serverLimits(), [this](const http::Request &, const http::Responder &respond) {
                           respond(http::Response{m_node.isReady() ? 200 : 503, {}, {}});
--- a/src/platform/service_clients.cpp
+++ b/src/platform/service_clients.cpp
@@ -62,7 +62,7 @@
     listPage({}, std::make_shared<Instances>(), std::move(onReply));
 }
 
-void InstanceClient::listPage(const std::string &page, std::shared_ptr<Instances> found, std::function<void(std::optional<Instances>)> onReply)
+void InstanceClient::listPage(const std::string &page, const std::shared_ptr<Instances> &found, std::function<void(std::optional<Instances>)> onReply)
 {
     std::string target = "/v1/machines";
     if (!page.empty()) {
--- a/src/platform/service_clients.hpp
+++ b/src/platform/service_clients.hpp
@@ -27,7 +27,7 @@
 
 private:
     void order(const char *target, const std::string &body, std::int64_t token, std::function<void(jobs::InstanceAnswer)> onReply);
-    void listPage(const std::string &page, std::shared_ptr<Instances> found, std::function<void(std::optional<Instances>)> onReply);
+    void listPage(const std::string &page, const std::shared_ptr<Instances> &found, std::function<void(std::optional<Instances>)> onReply);
 
     http::UpstreamLinks &m_links;
     std::string m_address;
