--- a/src/oleanderwick/jobnode/job_node.cpp
+++ b/src/oleanderwick/jobnode/job_node.cpp
@@ -45,7 +45,7 @@
     changes.onLost = [this] {
         m_tenure.reset();
     };
-    m_ownership = std::make_unique<Ownership>(loop, ports.store, name, log, std::move(changes));
+    m_ownership = std::make_unique<Ownership>(loop, ports.store, name, limits.handicap, log, std::move(changes));
     loop.every(internal::flushLogEvery, [this] {
         m_log.flush();
     });
--- a/src/oleanderwick/jobnode/ownership.cpp
+++ b/src/oleanderwick/jobnode/ownership.cpp
@@ -26,10 +26,11 @@
 } // namespace internal
 
 struct Ownership::State : std::enable_shared_from_this<Ownership::State> {
-    State(http::Loop &itsLoop, jobs::CoordinationStore &itsStore, std::string itsName, LogSink &itsLog, Callbacks itsCallbacks)
+    State(http::Loop &itsLoop, jobs::CoordinationStore &itsStore, std::string itsName, core::Duration itsHandicap, LogSink &itsLog, Callbacks itsCallbacks)
         : loop{itsLoop}
         , store{itsStore}
         , self{std::move(itsName)}
+        , handicap{itsHandicap}
         , log{itsLog}
         , callbacks{std::move(itsCallbacks)}
         , random{std::random_device{}()}
@@ -43,7 +44,7 @@
         }
         attempting = true;
         const core::Duration spread = std::chrono::milliseconds{std::uniform_int_distribution<int>{0, internal::spreadMs}(random)};
-        loop.after(least + spread, [me = shared_from_this()] {
+        loop.after(least + handicap + spread, [me = shared_from_this()] {
             me->attempting = false;
             me->acquire();
         });
@@ -168,6 +169,7 @@
     http::Loop &loop;
     jobs::CoordinationStore &store;
     std::string self;
+    core::Duration handicap;
     LogSink &log;
     Callbacks callbacks;
     std::mt19937_64 random;
@@ -182,8 +184,8 @@
     core::TimePoint validUntil;
 };
 
-Ownership::Ownership(http::Loop &loop, jobs::CoordinationStore &store, std::string self, LogSink &log, Callbacks callbacks)
-    : m_state{std::make_shared<State>(loop, store, std::move(self), log, std::move(callbacks))}
+Ownership::Ownership(http::Loop &loop, jobs::CoordinationStore &store, std::string self, core::Duration handicap, LogSink &log, Callbacks callbacks)
+    : m_state{std::make_shared<State>(loop, store, std::move(self), handicap, log, std::move(callbacks))}
 {
     State *state = m_state.get();
     Watcher::Callbacks seen;
--- a/src/oleanderwick/jobnode/ownership.hpp
+++ b/src/oleanderwick/jobnode/ownership.hpp
@@ -28,10 +28,11 @@
      * @param loop Loop to run on.
      * @param store Store that keeps the key.
      * @param self Name of this node, unique for one run of its process.
+     * @param handicap Time for which better suited nodes are let go first.
      * @param log Takes the log lines.
      * @param callbacks Take changes.
      */
-    Ownership(http::Loop &loop, jobs::CoordinationStore &store, std::string self, LogSink &log, Callbacks callbacks);
+    Ownership(http::Loop &loop, jobs::CoordinationStore &store, std::string self, core::Duration handicap, LogSink &log, Callbacks callbacks);
     ~Ownership();
     Ownership(const Ownership &) = delete;
     Ownership &operator=(const Ownership &) = delete;
--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr core::Duration pumpEvery = std::chrono::milliseconds{50};
+/** Under load, events that come close together are decided on together. */
+constexpr core::Duration gather = std::chrono::milliseconds{3};
 constexpr core::Duration retryLoad = std::chrono::milliseconds{100};
 constexpr core::Duration watchWait = std::chrono::milliseconds{2000};
 
@@ -275,10 +277,16 @@
         return;
     }
     pumpPosted = true;
-    loop.post([self = shared_from_this()] {
+    const core::Duration sincePump = core::BootClock::now() - pumpedAt;
+    const std::function<void()> work = [self = shared_from_this()] {
         self->pumpPosted = false;
         self->pump();
-    });
+    };
+    if (sincePump >= internal::gather) {
+        loop.post(work);
+    } else {
+        loop.after(internal::gather - sincePump, work);
+    }
 }
 
 void Tenure::State::logDecisions()
--- a/src/oleanderwick/jobnode/tenure.hpp
+++ b/src/oleanderwick/jobnode/tenure.hpp
@@ -17,6 +17,7 @@
 /** @brief Bounds of an owner's work. */
 struct TenureLimits {
     jobs::SchedulerLimits scheduler;
+    core::Duration handicap{}; /**< Time for which nodes with more processor are let become owner first. */
     core::Duration orderPause{std::chrono::seconds{3}}; /**< Before the first order for an instance: the last owner's may be under way. */
     core::Duration keepEnded{std::chrono::seconds{180}}; /**< How long the state of an ended job can be read. */
 };
--- a/src/oleanderwick/jobnode/tenure_orders.cpp
+++ b/src/oleanderwick/jobnode/tenure_orders.cpp
@@ -18,6 +18,7 @@
     if (!active() || !ready) {
         return;
     }
+    pumpedAt = now;
     if (ownership.holds(now)) {
         for (const std::pair<const std::string, jobs::Worker> &worker : scheduler.workers()) {
             if (worker.second.entry.draining && !worker.second.runs.empty()) {
@@ -27,7 +28,7 @@
         if (!winding) {
             scheduler.advance(now, wallMs());
             upkeep.advance(scheduler, now, wallMs());
-            balancer.advance(scheduler, upkeep, now, wallMs());
+            balancer.advance(scheduler, upkeep, now);
         }
         sendOrders();
     }
--- a/src/oleanderwick/jobnode/tenure_state.hpp
+++ b/src/oleanderwick/jobnode/tenure_state.hpp
@@ -75,6 +75,7 @@
     bool ready{false}; /**< All that is stored was taken in. */
     bool winding{false};
     bool pumpPosted{false};
+    core::TimePoint pumpedAt;
 
     std::map<std::string, jobs::JobRecord> storedStates; /**< Only while taking over. */
     std::map<std::string, std::pair<jobs::Job, std::int64_t>> storedJobs; /**< Only while taking over. */
--- a/src/oleanderwick/jobs/leases.cpp
+++ b/src/oleanderwick/jobs/leases.cpp
@@ -151,8 +151,13 @@
 
 void Scheduler::advance(core::TimePoint now, std::int64_t wallMs)
 {
-    sweepWorkers(now);
-    sweepTasks(now);
+    constexpr core::Duration sweepEvery = std::chrono::milliseconds{50};
+    constexpr core::Duration measureEvery = std::chrono::milliseconds{40};
+    if (now - m_sweptAt >= sweepEvery) {
+        m_sweptAt = now;
+        sweepWorkers(now);
+        sweepTasks(now);
+    }
     for (const std::string &id : m_restored) {
         JobEntry *entry = findEntry(id);
         if (entry != nullptr && !isFinal(entry->state)) {
@@ -162,7 +167,7 @@
     m_restored.clear();
     for (std::pair<const std::string, JobEntry> &item : m_jobs) {
         const std::int64_t before = item.second.nextOccurrence;
-        if (!isFinal(item.second.state)) {
+        if (!isFinal(item.second.state) && before < std::max<std::int64_t>(item.second.job.repeatCount, 1)) {
             openDueOccurrences(item.second, wallMs);
         }
         if (before != item.second.nextOccurrence) {
@@ -173,6 +178,10 @@
         }
     }
     forgetEnded();
+    if (now - m_loadsAt >= measureEvery) {
+        m_loadsAt = now;
+        m_loads = poolLoads(now, wallMs);
+    }
     constexpr core::Duration placeAtLeastEvery = std::chrono::milliseconds{100};
     if (m_placementDue || now - m_lastPlacement >= placeAtLeastEvery) {
         m_placementDue = false;
--- a/src/oleanderwick/jobs/placement.cpp
+++ b/src/oleanderwick/jobs/placement.cpp
@@ -70,13 +70,21 @@
     const std::int64_t priority = queue == m_config.queues.end() ? 0 : queue->second.priority;
     for (std::pair<const std::int64_t, Occurrence> &item : entry.occurrences) {
         Occurrence &occurrence = item.second;
-        const double slack = slackMs(entry, occurrence, wallMs);
+        if (occurrence.remainingSteps == 0) {
+            continue;
+        }
+        double slack = 0.0;
+        bool measured = false;
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const std::vector<Task> &tasks = occurrence.steps[step].tasks;
             const bool waiting = occurrence.steps[step].remaining > 0 && std::any_of(tasks.begin(), tasks.end(), [now](const Task &task) {
                                      return task.phase == TaskPhase::Waiting && !task.record.done && task.notBefore <= now;
                                  });
             if (waiting && stepReady(entry, occurrence, step)) {
+                if (!measured) {
+                    measured = true;
+                    slack = slackMs(entry, occurrence, wallMs);
+                }
                 const bool continuous = entry.job.steps[step].continuous;
                 const Rank timely = entry.state == JobState::Queued ? Rank::Timely : Rank::Begun;
                 const Rank rank = continuous || slack >= 0 ? timely : Rank::Late;
@@ -91,7 +99,6 @@
 {
     std::vector<Candidate> found;
     std::map<std::string, bool> settledPools;
-    const std::map<std::string, PoolLoad> loads = poolLoads(now, wallMs);
     for (std::pair<const std::string, JobEntry> &item : m_jobs) {
         JobEntry &entry = item.second;
         if (isFinal(entry.state)) {
@@ -108,9 +115,9 @@
         }
         const std::size_t first = found.size();
         addCandidates(entry, now, wallMs, found);
-        const auto load = loads.find(entry.job.pool);
+        const auto load = m_loads.find(entry.job.pool);
         const bool overloaded =
-            load != loads.end() && static_cast<double>(load->second.waiting) > internal::overload * static_cast<double>(load->second.capacity);
+            load != m_loads.end() && static_cast<double>(load->second.waiting) > internal::overload * static_cast<double>(load->second.capacity);
         for (std::size_t index = first; index < found.size() && overloaded; ++index) {
             if (found[index].rank == Rank::Timely) {
                 // Not all can be served in time: the newest can, while the oldest would only just miss it, one after the other.
@@ -124,8 +131,29 @@
     return found;
 }
 
+void Scheduler::indexWorkers()
+{
+    m_poolWorkers.clear();
+    m_unplaceable.clear();
+    for (std::pair<const std::string, Worker> &item : m_workers) {
+        const Worker &worker = item.second;
+        if (worker.listed && worker.reported && !worker.silent && !worker.closed && !worker.entry.draining && worker.clockMs > 0) {
+            m_poolWorkers[worker.entry.pool].push_back(&item.second);
+        }
+    }
+}
+
+bool Scheduler::isUnplaceable(const std::string &pool, const Resources &demand) const
+{
+    const auto known = m_unplaceable.find(pool);
+    return known != m_unplaceable.end() && std::any_of(known->second.begin(), known->second.end(), [&demand](const Resources &least) {
+               return demand.cpu >= least.cpu && demand.memory >= least.memory && demand.gpu >= least.gpu;
+           });
+}
+
 void Scheduler::place(core::TimePoint now, std::int64_t wallMs)
 {
+    indexWorkers();
     for (const Candidate &candidate : candidates(now, wallMs)) {
         const auto queue = m_config.queues.find(candidate.entry->job.queue);
         if (queue != m_config.queues.end() && queue->second.advised) {
@@ -225,8 +253,7 @@
 
 bool Scheduler::mayTake(const Worker &worker, const Candidate &candidate, const Step &step, core::TimePoint now)
 {
-    const bool usable = worker.listed && worker.reported && !worker.silent && !worker.closed && !worker.entry.draining && worker.clockMs > 0;
-    if (!usable || worker.entry.pool != candidate.entry->job.pool || worker.quarantinedUntil > now) {
+    if (worker.quarantinedUntil > now) {
         return false;
     }
     if (worker.strikes >= internal::strikesForProbe && !worker.runs.empty()) {
@@ -281,18 +308,28 @@
 
 Worker *Scheduler::chooseWorker(const Candidate &candidate, const Step &step, core::TimePoint now)
 {
+    const std::string &pool = candidate.entry->job.pool;
+    const Resources demand = demandOf(step);
+    if (isUnplaceable(pool, demand)) {
+        return nullptr;
+    }
     Worker *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    for (std::pair<const std::string, Worker> &item : m_workers) {
-        if (!mayTake(item.second, candidate, step, now)) {
+    bool fitsSomewhere = false;
+    for (Worker *worker : m_poolWorkers[pool]) {
+        fitsSomewhere = fitsSomewhere || fits(demand, worker->entry.capacity - worker->used);
+        if (!mayTake(*worker, candidate, step, now)) {
             continue;
         }
-        const double cost = placementCost(item.second, candidate, step);
+        const double cost = placementCost(*worker, candidate, step);
         if (cost < bestCost) {
-            best = &item.second;
+            best = worker;
             bestCost = cost;
         }
     }
+    if (!fitsSomewhere) {
+        m_unplaceable[pool].push_back(demand);
+    }
     return best;
 }
 
@@ -390,6 +427,11 @@
     return jobs < internal::arrivalsForTrend ? 0 : work / core::milliseconds(internal::arrivalWindow);
 }
 
+const std::map<std::string, PoolLoad> &Scheduler::lastPoolLoads() const noexcept
+{
+    return m_loads;
+}
+
 std::map<std::string, PoolLoad> Scheduler::poolLoads(core::TimePoint now, std::int64_t wallMs) const
 {
     std::map<std::string, PoolLoad> loads;
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -95,11 +95,11 @@
     }
 }
 
-void PoolBalancer::updateNeeds(const Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs)
+void PoolBalancer::updateNeeds(const Scheduler &scheduler, core::TimePoint now)
 {
     std::int64_t capacity = 0;
     std::int64_t workers = 0;
-    const std::map<std::string, PoolLoad> loads = scheduler.poolLoads(now, wallMs);
+    const std::map<std::string, PoolLoad> &loads = scheduler.lastPoolLoads();
     for (const std::pair<const std::string, PoolLoad> &load : loads) {
         capacity += load.second.capacity;
         workers += load.second.workers;
@@ -205,13 +205,18 @@
     }
 }
 
-void PoolBalancer::advance(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now, std::int64_t wallMs)
+void PoolBalancer::advance(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now)
 {
+    constexpr core::Duration balanceEvery = std::chrono::milliseconds{40};
+    if (now - m_balancedAt < balanceEvery) {
+        return;
+    }
+    m_balancedAt = now;
     if (m_instances.empty() || now < m_firstOrderAt) {
         return;
     }
     countInstances(scheduler, now);
-    updateNeeds(scheduler, now, wallMs);
+    updateNeeds(scheduler, now);
     for (const std::pair<const std::string, PoolState> &pool : std::map<std::string, PoolState>{m_pools}) {
         std::int64_t missing = pool.second.need - pool.second.have;
         while (missing > 0 && lendOne(pool.first, scheduler, upkeep, now)) {
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -58,9 +58,8 @@
      * @param scheduler Scheduler that knows the load, and whose workers are closed.
      * @param upkeep Knows which instances are maintained.
      * @param now Present time.
-     * @param wallMs Unix time.
      */
-    void advance(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now, std::int64_t wallMs);
+    void advance(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
 
     /** @return Orders that came up since the last call; each has to be answered by `takeAnswer`. */
     [[nodiscard]] std::vector<MoveOrder> takeOrders();
@@ -88,7 +87,7 @@
     };
 
     void countInstances(const Scheduler &scheduler, core::TimePoint now);
-    void updateNeeds(const Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs);
+    void updateNeeds(const Scheduler &scheduler, core::TimePoint now);
     [[nodiscard]] bool lendOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
     void parkIdle(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
     [[nodiscard]] const InstanceEntry *findIdle(const std::string &pool, const std::string &to, const Scheduler &scheduler, const Upkeep &upkeep) const;
@@ -97,6 +96,7 @@
     core::TimePoint m_firstOrderAt;
     std::map<std::string, InstanceEntry> m_instances;
     core::TimePoint m_listedAt;
+    core::TimePoint m_balancedAt;
     std::map<std::string, PoolState> m_pools;
     std::map<std::string, Moving> m_moving; /**< Instances on their way. */
     std::set<std::pair<std::string, std::string>> m_impossible; /**< Instances and pools that do not go together. */
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -228,6 +228,9 @@
      */
     [[nodiscard]] std::map<std::string, PoolLoad> poolLoads(core::TimePoint now, std::int64_t wallMs) const;
 
+    /** @return Load of the pools as it was measured last by `advance`. */
+    [[nodiscard]] const std::map<std::string, PoolLoad> &lastPoolLoads() const noexcept;
+
     /** @return Pool by worker, for the workers on which something may run. */
     [[nodiscard]] const std::map<std::string, std::string> &usedWorkers() const noexcept;
 
@@ -306,6 +309,8 @@
     [[nodiscard]] double slackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const;
     [[nodiscard]] bool teamHasRoom(const JobEntry &entry, const Resources &demand) const;
     [[nodiscard]] Worker *chooseWorker(const Candidate &candidate, const Step &step, core::TimePoint now);
+    void indexWorkers();
+    [[nodiscard]] bool isUnplaceable(const std::string &pool, const Resources &demand) const;
     [[nodiscard]] bool mayTake(const Worker &worker, const Candidate &candidate, const Step &step, core::TimePoint now);
     [[nodiscard]] double placementCost(const Worker &worker, const Candidate &candidate, const Step &step) const;
     [[nodiscard]] std::int64_t countOnWorker(const Worker &worker, const Candidate &candidate) const;
@@ -328,6 +333,11 @@
     std::set<std::string> m_restored; /**< Jobs taken in with a stored state: the last end may be stored without the job's. */
     std::set<std::string> m_ended; /**< Ended jobs that are still held. */
     std::map<std::string, std::string> m_usedWorkers;
+    std::map<std::string, std::vector<Worker *>> m_poolWorkers; /**< Workers that may take something, by pool; only while placing. */
+    std::map<std::string, std::vector<Resources>> m_unplaceable; /**< Demands that fit nowhere, by pool; only while placing. */
+    std::map<std::string, PoolLoad> m_loads;
+    core::TimePoint m_loadsAt;
+    core::TimePoint m_sweptAt;
     bool m_placementDue{true};
     core::TimePoint m_lastPlacement;
     Orders m_orders;
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -43,6 +43,14 @@
     };
 }
 
+void readProcessorShare(const YAML::Node &node, JobSettings &settings)
+{
+    settings.processorShare = node.as<double>();
+    if (!(settings.processorShare > 0)) {
+        throw YAML::Exception(node.Mark(), "must be above 0");
+    }
+}
+
 void readPeers(const YAML::Node &node, JobSettings &settings)
 {
     for (const YAML::Node &peer : node) {
@@ -62,6 +70,7 @@
         {"store", text(&JobSettings::store)},
         {"instances", text(&JobSettings::instances)},
         {"advice", text(&JobSettings::advice)},
+        {"processorShare", readProcessorShare},
         {"longestLeaseMs", milliseconds(&JobSettings::longestLease)},
         {"orderPauseMs", milliseconds(&JobSettings::orderPause)},
         {"gangWaitMs", milliseconds(&JobSettings::gangWait)},
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -22,6 +22,7 @@
     std::string store; /**< IP number and port of the platform's key-value service. */
     std::string instances; /**< IP number and port of the platform's instances; empty for none. */
     std::string advice; /**< IP number and port of the advice service; empty for none. */
+    double processorShare{1.0}; /**< Cores that the node may use; larger nodes become owner first. */
     core::Duration longestLease{std::chrono::seconds{6}}; /**< Longest lease that a worker grants. */
     core::Duration orderPause{std::chrono::seconds{3}}; /**< Pause between the orders of two owners for one instance. */
     core::Duration gangWait{std::chrono::seconds{3}}; /**< How long members of a gang wait for each other. */
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -22,6 +22,9 @@
 /** Left before the platform kills the process. */
 constexpr core::Duration killMargin = std::chrono::milliseconds{900};
 constexpr core::Duration stopPoll = std::chrono::milliseconds{50};
+/** Share of a core with which a node is well suited to be the owner. */
+constexpr double ampleShare = 0.5;
+constexpr double handicapMsPerCore = 600.0;
 constexpr std::size_t largestBody = 1U << 20U;
 
 std::string uniqueName(const std::string &node)
@@ -37,6 +40,8 @@
     limits.scheduler.gangWait = settings.gangWait;
     limits.scheduler.atWorkNotice = settings.atWorkNotice;
     limits.orderPause = settings.orderPause;
+    // An owner needs more processor than the others; nodes do not know each other's share.
+    limits.handicap = std::chrono::milliseconds{static_cast<std::int64_t>(std::max(0.0, ampleShare - settings.processorShare) * handicapMsPerCore)};
     // Submitters' clocks and repeated submissions: a record outlives the time that is promised.
     limits.keepEnded = settings.keepEnded + std::chrono::seconds{60};
     return limits;
--- a/test/oleanderwick/jobs/upkeep.cpp
+++ b/test/oleanderwick/jobs/upkeep.cpp
@@ -103,6 +103,7 @@
     JobFleet fleet;
     jobs::FleetConfig config;
     config.queues["queue"].pool = "pool";
+    config.queues["queue"].objectiveMs = 600;
     config.pools["pool"] = {};
     config.pools["other"] = {};
     config.pools["standby"].standby = true;
@@ -123,10 +124,12 @@
     jobs::Upkeep upkeep{fleet.now};
     jobs::PoolBalancer balancer{fleet.now};
     balancer.takeInstances(listed, fleet.now);
-    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(40)}), std::nullopt, false, fleet.now);
+    jobs::Job job = JobFleet::makeJob("a", {JobFleet::makeStep(40)});
+    job.submittedMs = fleet.wallMs();
+    fleet.scheduler.addJob(job, std::nullopt, false, fleet.now);
     const std::vector<jobs::StartOrder> starts = fleet.advance();
     fleet.accept(starts);
-    balancer.advance(fleet.scheduler, upkeep, fleet.now, fleet.wallMs());
+    balancer.advance(fleet.scheduler, upkeep, fleet.now);
     const std::vector<jobs::MoveOrder> lent = balancer.takeOrders();
     REQUIRE(lent.size() == 2);
     CHECK(lent[0].from == "other");
@@ -144,7 +147,7 @@
     bool parked = false;
     for (int round = 0; round < 100 && !parked; ++round) {
         (void)fleet.advance();
-        balancer.advance(fleet.scheduler, upkeep, fleet.now, fleet.wallMs());
+        balancer.advance(fleet.scheduler, upkeep, fleet.now);
         for (const jobs::MoveOrder &order : balancer.takeOrders()) {
             parked = parked || order.pool == "standby";
             balancer.takeAnswer(order, jobs::InstanceAnswer::Refused, fleet.scheduler, fleet.now);
