Serve metrics, test the translation, and keep the platform's names inside platform/

Change: counters by decision and histograms of job times by team and queue on the internal address; tests of platform/, the desk for submitters, records and settings; scripts/check_layers.py refuses the platform's names outside src/platform/; a worker's list with a row that cannot be read counts as no answer.

--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -26,6 +26,10 @@
     "node": set(LAYERS) - {"node"},
 }
 MOST_LINES = 500
+# Names of the users' platform: only src/platform/ and deploy/ may know them.
+PLATFORM_NAMES = ["Api-Key", "X-Lease-Holder", "X-Fencing-Token", "X-Expect-Instance", "X-Deadline-Ms", "/v1/kv-", "/v1/run-",
+                  "/v1/hold", "/v1/machine", "/v1/advise", "op/config", "op/wave", "api_keys", "mem_mb", "ack_cursor",
+                  "fencing_token", "long_running", "max_per_server", "enforce_capacity", "expected_rev"]
 
 
 def main() -> int:
@@ -38,6 +42,9 @@
             failures.append(f"{path.relative_to(root)}: {lines} lines, at most {MOST_LINES}")
         if path.relative_to(root).parts[0] != "oleanderwick":
             continue
+        for name in PLATFORM_NAMES:
+            if name in text:
+                failures.append(f"{path.relative_to(root)}: {name} belongs to src/platform/")
         module = path.relative_to(root).parts[1]
         for include in re.findall(r'#include "((?:\.\./)+)([a-z_]+)/', text):
             target = include[1]
--- /dev/null
+++ b/src/oleanderwick/jobnode/job_metrics.cpp
@@ -0,0 +1,85 @@
+#include "job_metrics.hpp"
+
+#include <map>
+
+#include <absl/strings/str_cat.h>
+#include <boost/histogram.hpp>
+
+namespace oleanderwick::jobnode
+{
+
+namespace internal
+{
+
+namespace histogram = boost::histogram;
+
+using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
+using Times = decltype(histogram::make_histogram(Axis{}));
+
+constexpr unsigned bins = 24;
+constexpr double shortestSeconds = 0.05;
+constexpr double longestSeconds = 200.0;
+
+struct Series {
+    Times ages{histogram::make_histogram(Axis{bins, shortestSeconds, longestSeconds, "seconds"})};
+    double sum{0.0};
+};
+
+} // namespace internal
+
+struct JobMetrics::State {
+    std::map<std::string, std::uint64_t> events;
+    std::map<std::string, std::int64_t> values;
+    std::map<std::pair<std::string, std::string>, internal::Series> series;
+};
+
+JobMetrics::JobMetrics()
+    : m_state{std::make_unique<State>()}
+{
+}
+
+JobMetrics::~JobMetrics() = default;
+
+void JobMetrics::count(const std::string &event)
+{
+    ++m_state->events[event];
+}
+
+void JobMetrics::recordJob(const std::string &team, const std::string &queue, core::Duration age)
+{
+    internal::Series &series = m_state->series[{team, queue}];
+    const double seconds = std::chrono::duration<double>{age}.count();
+    series.ages(seconds);
+    series.sum += seconds;
+}
+
+void JobMetrics::set(const std::string &name, std::int64_t value)
+{
+    m_state->values[name] = value;
+}
+
+std::string JobMetrics::toText() const
+{
+    std::string text;
+    for (const std::pair<const std::string, std::int64_t> &value : m_state->values) {
+        absl::StrAppend(&text, "oleanderwick_", value.first, " ", value.second, "\n");
+    }
+    for (const std::pair<const std::string, std::uint64_t> &event : m_state->events) {
+        absl::StrAppend(&text, "oleanderwick_events_total{event=\"", event.first, "\"} ", event.second, "\n");
+    }
+    for (const std::pair<const std::pair<std::string, std::string>, internal::Series> &entry : m_state->series) {
+        const std::string labels = absl::StrCat("team=\"", entry.first.first, "\",queue=\"", entry.first.second, "\"");
+        double count = entry.second.ages.at(-1);
+        for (const auto &bin : internal::histogram::indexed(entry.second.ages)) {
+            count += *bin;
+            absl::StrAppend(&text, "oleanderwick_job_seconds_bucket{", labels, ",le=\"", bin.bin().upper(), "\"} ", count, "\n");
+        }
+        count += entry.second.ages.at(static_cast<int>(internal::bins));
+        absl::StrAppend(&text, "oleanderwick_job_seconds_bucket{", labels, ",le=\"+Inf\"} ", count, "\n");
+        absl::StrAppend(&text, "oleanderwick_job_seconds_sum{", labels, "} ", entry.second.sum, "\n");
+        absl::StrAppend(&text, "oleanderwick_job_seconds_count{", labels, "} ", count, "\n");
+    }
+    return text;
+}
+
+} // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/log_sink.cpp
+++ b/src/oleanderwick/jobnode/log_sink.cpp
@@ -59,6 +59,7 @@
 
 void LogSink::add(const std::string &kind, const telemetry::Event &event)
 {
+    m_metrics.count(kind);
     Rate &rate = m_rates[kind];
     const core::TimePoint now = core::BootClock::now();
     if (now - rate.windowStart >= std::chrono::seconds{1}) {
@@ -86,6 +87,11 @@
     m_collected.clear();
 }
 
+JobMetrics &LogSink::metrics() noexcept
+{
+    return m_metrics;
+}
+
 std::uint64_t LogSink::suppressed() const noexcept
 {
     return m_suppressed;
--- a/src/oleanderwick/jobnode/log_sink.hpp
+++ b/src/oleanderwick/jobnode/log_sink.hpp
@@ -8,6 +8,7 @@
 
 #include "../core/core.hpp"
 #include "../telemetry/event_log.hpp"
+#include "job_metrics.hpp"
 
 namespace oleanderwick::jobnode
 {
@@ -31,6 +32,9 @@
     /** @brief Hands the collected lines on; called a few times a second. */
     void flush();
 
+    /** @return Metrics; each line is counted by its kind, written or not. */
+    [[nodiscard]] JobMetrics &metrics() noexcept;
+
     /** @return Lines left out so far. */
     [[nodiscard]] std::uint64_t suppressed() const noexcept;
 
@@ -43,6 +47,7 @@
 
     void write();
 
+    JobMetrics m_metrics;
     std::string m_collected;
     std::map<std::string, Rate> m_rates;
     std::uint64_t m_suppressed{0};
--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -292,6 +292,10 @@
 void Tenure::State::logDecisions()
 {
     for (const jobs::Decision &decision : scheduler.takeDecisions()) {
+        const jobs::JobEntry *entry = decision.event == "job_ended" ? scheduler.findJob(decision.job) : nullptr;
+        if (entry != nullptr) {
+            log.metrics().recordJob(entry->job.team, entry->job.queue, std::chrono::milliseconds{entry->endedMs - entry->job.submittedMs});
+        }
         telemetry::Event event{decision.event};
         if (!decision.job.empty()) {
             event.with("job", decision.job);
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -74,9 +74,14 @@
                     [this](const http::Request &request, http::Responder respond) {
                         m_ingress.handle(request, std::move(respond));
                     }}
-        , m_readiness{m_loop, serverLimits(), [this](const http::Request &, const http::Responder &respond) {
+        , m_readiness{m_loop,
+                      serverLimits(),
+                      [this](const http::Request &, const http::Responder &respond) {
                           respond(http::Response{m_node.isReady() ? 200 : 503, {}, {}});
                       }}
+        , m_internal{m_loop, serverLimits(), [this](const http::Request &request, const http::Responder &respond) {
+                         serveMetrics(request, respond);
+                     }}
     {
     }
 
@@ -90,6 +95,10 @@
         if (!readiness.ok()) {
             return readiness.status();
         }
+        const absl::StatusOr<std::uint16_t> internalPort = m_internal.listen(m_settings.internal);
+        if (!internalPort.ok()) {
+            return internalPort.status();
+        }
         m_log.add("started", telemetry::Event{"started"}.with("node", m_name).with("zone", m_settings.zone).with("callers", m_settings.callers));
         m_loop.onStopSignal([this] {
             stop();
@@ -100,6 +109,20 @@
     }
 
 private:
+    void serveMetrics(const http::Request &request, const http::Responder &respond)
+    {
+        if (request.target != "/metrics") {
+            respond(http::Response{404, {}, {}});
+            return;
+        }
+        jobnode::JobMetrics &metrics = m_log.metrics();
+        metrics.set("owner", m_node.isOwner() ? 1 : 0);
+        metrics.set("ready", m_node.isReady() ? 1 : 0);
+        metrics.set("config_version", m_node.configVersion());
+        metrics.set("log_lines_suppressed", static_cast<std::int64_t>(m_log.suppressed()));
+        respond(http::Response{200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.toText()});
+    }
+
     void stop()
     {
         if (m_stopping) {
@@ -120,6 +143,7 @@
         if ((noticed && m_callers.busy() == 0) || spent >= m_settings.stopTimeout - killMargin) {
             m_callers.close();
             m_readiness.close();
+            m_internal.close();
             m_loop.stop();
             return;
         }
@@ -142,6 +166,7 @@
     Ingress m_ingress;
     http::Server m_callers;
     http::Server m_readiness;
+    http::Server m_internal;
     bool m_stopping{false};
     core::TimePoint m_stopStart;
 };
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -144,18 +144,20 @@
         report.incarnation = numberIn(body, "born");
         for (const json &row : body.value("running", json::array())) {
             const std::optional<jobs::TaskName> task = internal::taskIn(row, 0);
-            if (task.has_value()) {
-                const std::int64_t figure = row.size() > 4 ? static_cast<std::int64_t>(row.at(4).get<double>()) : 0;
-                report.running.push_back(
-                    {*task, row.at(1).get<std::int64_t>(), row.at(2).get<std::string>(), static_cast<std::int64_t>(row.at(3).get<double>()), figure});
+            if (!task.has_value()) {
+                return std::nullopt;
             }
+            const std::int64_t figure = row.size() > 4 ? static_cast<std::int64_t>(row.at(4).get<double>()) : 0;
+            const std::int64_t percent = static_cast<std::int64_t>(row.at(3).get<double>());
+            report.running.push_back({*task, row.at(1).get<std::int64_t>(), row.at(2).get<std::string>(), percent, figure});
         }
         for (const json &row : body.value("ended", json::array())) {
             const std::optional<jobs::TaskName> task = internal::taskIn(row, 1);
             const std::optional<jobs::EndKind> kind = internal::endKind(row.at(3).get<std::string>());
-            if (task.has_value() && kind.has_value()) {
-                report.ended.push_back({row.at(0).get<std::int64_t>(), *task, row.at(2).get<std::int64_t>(), *kind, row.at(4).get<std::string>()});
+            if (!task.has_value() || !kind.has_value()) {
+                return std::nullopt;
             }
+            report.ended.push_back({row.at(0).get<std::int64_t>(), *task, row.at(2).get<std::int64_t>(), *kind, row.at(4).get<std::string>()});
         }
         return report;
     } catch (const json::exception &) {
--- /dev/null
+++ b/test/oleanderwick/settings/job_settings.cpp
@@ -0,0 +1,29 @@
+#include <catch2/catch.hpp>
+
+#include "oleanderwick/settings/job_settings.hpp"
+
+using namespace oleanderwick;
+
+TEST_CASE("settings of a scheduling node are read", "[settings]")
+{
+    const std::string text =
+        "scheduler:\n  node: n1\n  callers: 127.0.0.1:1\n  readiness: 127.0.0.1:2\n  internal: 127.0.0.1:3\n  store: 127.0.0.1:4\n"
+        "  peers: [\"127.0.0.1:5\"]\n  longestLeaseMs: 4000\n  keepEndedS: 1.5\n  processorShare: 0.25\n";
+    REQUIRE(settings::isJobSettings(text));
+    const absl::StatusOr<settings::JobSettings> read = settings::parseJobSettings(text);
+    REQUIRE(read.ok());
+    CHECK(read->longestLease == std::chrono::seconds{4});
+    CHECK(read->keepEnded == std::chrono::milliseconds{1500});
+    CHECK(read->peers == std::vector<std::string>{"127.0.0.1:5"});
+}
+
+TEST_CASE("every error in a scheduling node's settings is named", "[settings]")
+{
+    const absl::StatusOr<settings::JobSettings> read = settings::parseJobSettings("scheduler:\n  nodes: n1\n  longestLeaseMs: -1\n  processorShare: 0\n");
+    REQUIRE_FALSE(read.ok());
+    const std::string message{read.status().message()};
+    for (const char *part :
+         {"line 2: unknown setting nodes", "line 3: longestLeaseMs", "line 4: processorShare", "missing setting node", "missing setting store"}) {
+        CHECK(message.find(part) != std::string::npos);
+    }
+}
--- /dev/null
+++ b/test/platform/translation.cpp
@@ -0,0 +1,114 @@
+#include <catch2/catch.hpp>
+
+#include "platform/ingress.hpp"
+#include "platform/routes.hpp"
+#include "platform/store_translator.hpp"
+#include "platform/worker_client.hpp"
+
+using namespace oleanderwick;
+
+namespace
+{
+
+const char *const configuration = R"({"version":7,
+ "routes":[{"name":"q1","host":"a.example","prefix":"/x/","service":"s1","priority":1,"max_attempts":3,"stretch":1.5,"slo_ms":600,"public":false},
+           {"name":"q2","host":"a.example","prefix":"/x/deep/","service":"s2","public":true,"advice":{"decide_ms":5,"each_ms":1,"valid_ms":3000}}],
+ "services":[{"name":"s1","enforce_capacity":false},{"name":"s2","standby":true}],
+ "tenants":[{"name":"t1","api_keys":["k1"],"weight":2.5,"cap":{"cpu":4000,"mem_mb":100}}],"limits":{}})";
+
+} // namespace
+
+TEST_CASE("a configuration is read into queues, pools and teams", "[platform]")
+{
+    const std::optional<std::pair<platform::Routes, jobnode::OperatorNews>> read = platform::Routes::read(configuration);
+    REQUIRE(read.has_value());
+    const jobs::FleetConfig &fleet = *read->second.config;
+    CHECK(read->second.configVersion == 7);
+    CHECK(fleet.queues.at("q1") == jobs::QueuePolicy{"s1", 1, 3, 1.5, 600, false});
+    CHECK(fleet.queues.at("q2").advised);
+    CHECK_FALSE(fleet.pools.at("s1").workersGuardCapacity);
+    CHECK(fleet.pools.at("s2").standby);
+    CHECK(fleet.teams.at("t1").limit == jobs::Resources{4000, 100, 0});
+    CHECK(*read->first.teamOf("k1") == "t1");
+    CHECK(read->first.teamOf("k2") == nullptr);
+}
+
+TEST_CASE("the longest prefix of the host's routes wins", "[platform]")
+{
+    const std::optional<std::pair<platform::Routes, jobnode::OperatorNews>> read = platform::Routes::read(configuration);
+    REQUIRE(read.has_value());
+    CHECK(read->first.find("a.example", "/x/deep/1")->queue == "q2");
+    CHECK(read->first.find("a.example:80", "/x/1")->queue == "q1");
+    CHECK(read->first.find("b.example", "/x/1") == nullptr);
+    CHECK(read->first.find("a.example", "/y/1") == nullptr);
+}
+
+TEST_CASE("a configuration that cannot be read changes nothing", "[platform]")
+{
+    CHECK_FALSE(platform::Routes::read("{").has_value());
+    CHECK_FALSE(platform::Routes::read("[]").has_value());
+    CHECK_FALSE(platform::Routes::read(R"({"routes":[]})").has_value());
+}
+
+TEST_CASE("an entry with fields missing, of another type or unreadable names no worker", "[platform]")
+{
+    jobnode::LogSink log;
+    const platform::StoreTranslator translator{log};
+    const auto read = [&translator](const std::string &value) {
+        return translator.readWorker(jobs::StoreItem{"servers/w1", value, 1});
+    };
+    const std::optional<jobs::WorkerEntry> good =
+        read(R"({"service":"s1","address":"10.0.0.1:80","state":"draining","capacity":{"cpu":16000,"mem_mb":5},"labels":["a","r1"],"born":9})");
+    REQUIRE(good.has_value());
+    CHECK(good->id == "w1");
+    CHECK(good->rack == "r1");
+    CHECK(good->draining);
+    CHECK(good->incarnation == 9);
+    CHECK_FALSE(read("\xff\xfe").has_value());
+    CHECK_FALSE(read(R"({"service":"s1","address":"10.0.0.1:80","state":"odd"})").has_value());
+    CHECK_FALSE(read(R"({"service":4,"address":"10.0.0.1:80","state":"ready"})").has_value());
+    CHECK_FALSE(read(R"({"service":"s1","address":"nowhere","state":"ready"})").has_value());
+}
+
+TEST_CASE("a worker's lists are read, and lists of another form are no answer", "[platform]")
+{
+    const std::optional<jobs::WorkerReport> report = platform::readReport(
+        R"({"clock_ms":5,"born":3,"running":[["00112233aabbccdd.0.1.2",4,"cp",41,12.5]],"ended":[[7,"00112233aabbccdd.0.1.1",2,"lapsed",""]]})");
+    REQUIRE(report.has_value());
+    CHECK(report->running.at(0) == jobs::ListedRun{{"00112233aabbccdd", 0, 1, 2}, 4, "cp", 41, 12});
+    CHECK(report->ended.at(0) == jobs::ListedEnd{7, {"00112233aabbccdd", 0, 1, 1}, 2, jobs::EndKind::Lapsed, ""});
+    CHECK_FALSE(platform::readReport(R"({"running":[]})").has_value());
+    CHECK_FALSE(platform::readReport(R"({"clock_ms":5,"running":[[1]]})").has_value());
+    CHECK_FALSE(platform::readReport("").has_value());
+}
+
+TEST_CASE("a submission is read whole or refused", "[platform]")
+{
+    const absl::StatusOr<jobs::Job> job = platform::readSubmission(
+        R"({"spec":"s","steps":[{"count":2,"cpu":500,"mem_mb":64},{"after":[0],"long_running":true,"max_per_server":1,"max_unavailable":2}]})");
+    REQUIRE(job.ok());
+    CHECK(job->steps.at(0).each == jobs::Resources{500, 64, 0});
+    CHECK(job->steps.at(1).continuous);
+    CHECK(job->steps.at(1).maxPerWorker == 1);
+    CHECK(job->steps.at(1).maxUnavailable == 2);
+    for (const char *text : {"",
+                             "[]",
+                             R"({"spec":"s"})",
+                             R"({"spec":"s","steps":[]})",
+                             R"({"spec":"s","steps":[{"after":[0]}]})",
+                             R"({"spec":"s","steps":[{"count":-1}]})",
+                             R"({"spec":"s","steps":[{"after":"x"}]})"}) {
+        CHECK_FALSE(platform::readSubmission(text).ok());
+    }
+}
+
+TEST_CASE("a wave is read with its instances, and its state is written for operators", "[platform]")
+{
+    jobnode::LogSink log;
+    platform::StoreTranslator translator{log};
+    const jobnode::OperatorNews news = translator.readOperatorItem({"op/wave/3", R"({"wave":3,"machines":["m1","m2"],"duration_s":20,"cap":2})", 1});
+    REQUIRE(news.wave.has_value());
+    CHECK(news.wave->instances == std::vector<std::string>{"m1", "m2"});
+    CHECK(news.wave->mostAtOnce == 2);
+    CHECK(translator.waveStatus(3, jobs::WaveProgress{true, 0, {}}) == std::pair<std::string, std::string>{"status/wave/3", R"({"state":"completed"})"});
+}
