Cancel jobs whose cancellation is heard of first, and grow pools for continuous tasks that fit nowhere

Change: the scheduler keeps cancellations of jobs it does not know yet; unplaced continuous tasks ask for one more instance; lost moves and refused maintenance open their workers again.

--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -229,10 +229,10 @@
 {
     if (item.key.starts_with(keys::cancels)) {
         const std::string id = item.key.substr(keys::cancels.size());
-        if (ready) {
+        if (ready && !endedJobs.contains(id)) {
             scheduler.cancelJob(id, wallMs(), core::BootClock::now());
             schedulePump();
-        } else {
+        } else if (!ready) {
             storedCancels.insert(id);
         }
         return;
--- a/src/oleanderwick/jobs/orders.hpp
+++ b/src/oleanderwick/jobs/orders.hpp
@@ -73,6 +73,7 @@
     std::int64_t workers{0}; /**< Open workers. */
     std::int64_t capacity{0}; /**< Thousandths of a core that they have. */
     std::int64_t continuous{0}; /**< Thousandths of a core of continuous tasks, running and waiting. */
+    std::int64_t unplaced{0}; /**< Continuous tasks that wait for a worker. */
     std::int64_t running{0}; /**< Thousandths of a core of other tasks that run. */
     std::int64_t waiting{0}; /**< Thousandths of a core of other tasks that could start, of jobs that can meet their objective. */
     std::int64_t waitingLate{0}; /**< The same of jobs that miss it. */
--- a/src/oleanderwick/jobs/placement.cpp
+++ b/src/oleanderwick/jobs/placement.cpp
@@ -468,6 +468,9 @@
         const std::int64_t cpu = demandOf(step).cpu;
         if (step.continuous) {
             load.continuous += cpu * step.count;
+            for (const Task &task : occurrence.steps[index].tasks) {
+                load.unplaced += task.phase == TaskPhase::Waiting ? 1 : 0;
+            }
             const std::int64_t apart = step.maxPerWorker > 0 ? (step.count + step.maxPerWorker - 1) / step.maxPerWorker : 1;
             load.leastWorkers = std::max(load.leastWorkers, apart);
             continue;
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -75,14 +75,22 @@
     const double work = static_cast<double>(load.continuous) + soon + late;
     const double usable = static_cast<double>(std::max<std::int64_t>(perInstance, 1)) * internal::usableShare;
     const std::int64_t byWork = static_cast<std::int64_t>(std::ceil(work / usable));
-    return std::max(byWork, load.leastWorkers);
+    const std::int64_t least = std::max(byWork, load.leastWorkers);
+    // What cannot be placed on all these workers, for memory or for tasks that must be apart, needs another one.
+    return load.unplaced > 0 ? std::max(least, load.workers + 1) : least;
 }
 
-void PoolBalancer::countInstances(const Scheduler &scheduler, core::TimePoint now)
+void PoolBalancer::countInstances(Scheduler &scheduler, core::TimePoint now)
 {
-    std::erase_if(m_moving, [now](const std::pair<const std::string, Moving> &item) {
-        return !item.second.orderOut && now - item.second.since > internal::moveTimeout;
-    });
+    for (auto item = m_moving.begin(); item != m_moving.end();) {
+        if (item->second.orderOut || now - item->second.since <= internal::moveTimeout) {
+            ++item;
+            continue;
+        }
+        // The order was lost: the worker is still where it was.
+        scheduler.closeWorker(item->second.worker, false);
+        item = m_moving.erase(item);
+    }
     for (std::pair<const std::string, PoolState> &pool : m_pools) {
         pool.second.have = 0;
     }
@@ -145,7 +153,7 @@
 void PoolBalancer::order(const InstanceEntry &instance, const std::string &to, Scheduler &scheduler, core::TimePoint now)
 {
     m_orders.push_back(MoveOrder{instance.id, to, instance.worker, instance.pool});
-    m_moving[instance.id] = Moving{to, now, true};
+    m_moving[instance.id] = Moving{to, instance.worker, now, true};
     scheduler.closeWorker(instance.worker, true);
 }
 
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -82,11 +82,12 @@
 
     struct Moving {
         std::string to;
+        std::string worker; /**< Worker that was closed for it. */
         core::TimePoint since;
         bool orderOut{false};
     };
 
-    void countInstances(const Scheduler &scheduler, core::TimePoint now);
+    void countInstances(Scheduler &scheduler, core::TimePoint now);
     void updateNeeds(const Scheduler &scheduler, core::TimePoint now);
     [[nodiscard]] bool lendOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
     void parkIdle(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -95,6 +95,7 @@
 void Scheduler::addJob(Job job, const std::optional<JobRecord> &record, bool predatesTenure, core::TimePoint now)
 {
     if (m_jobs.contains(job.id) || (record.has_value() && isFinal(record->state))) {
+        m_earlyCancels.erase(job.id);
         return;
     }
     JobEntry &entry = m_jobs[job.id];
@@ -114,6 +115,11 @@
     } else if (!predatesTenure) {
         noteArrival(entry.job, now);
     }
+    const auto cancelled = m_earlyCancels.find(entry.job.id);
+    if (cancelled != m_earlyCancels.end()) {
+        endJob(entry, JobState::Cancelled, cancelled->second, now);
+        m_earlyCancels.erase(cancelled);
+    }
     m_placementDue = true;
 }
 
@@ -158,10 +164,14 @@
 void Scheduler::cancelJob(const std::string &id, std::int64_t wallMs, core::TimePoint now)
 {
     JobEntry *entry = findEntry(id);
-    if (entry == nullptr || isFinal(entry->state)) {
+    if (entry == nullptr) {
+        // A list gives the cancellation before the job.
+        m_earlyCancels[id] = wallMs;
         return;
     }
-    endJob(*entry, JobState::Cancelled, wallMs, now);
+    if (!isFinal(entry->state)) {
+        endJob(*entry, JobState::Cancelled, wallMs, now);
+    }
 }
 
 void Scheduler::takeReport(const std::string &id, const WorkerReport &report, core::TimePoint sentAt, core::TimePoint now, std::int64_t wallMs)
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -77,7 +77,7 @@
     void addJob(Job job, const std::optional<JobRecord> &record, bool predatesTenure, core::TimePoint now);
 
     /**
-     * @brief Cancels a job.
+     * @brief Cancels a job, also one that is taken in later.
      * @param id Name of the job.
      * @param wallMs Unix time.
      * @param now Present time.
@@ -330,6 +330,7 @@
     std::map<std::string, std::deque<Arrival>> m_arrivals; /**< Jobs of the last moments by pool, oldest first. */
     std::set<std::string> m_unsaved; /**< Jobs with a state that is neither stored nor being stored. */
     std::set<std::string> m_unsavedEnds; /**< Those of them that have ended. */
+    std::map<std::string, std::int64_t> m_earlyCancels; /**< Jobs that were cancelled before they were taken in, with the Unix time. */
     std::set<std::string> m_restored; /**< Jobs taken in with a stored state: the last end may be stored without the job's. */
     std::set<std::string> m_ended; /**< Ended jobs that are still held. */
     std::map<std::string, std::string> m_usedWorkers;
--- a/src/oleanderwick/jobs/upkeep.cpp
+++ b/src/oleanderwick/jobs/upkeep.cpp
@@ -73,6 +73,7 @@
         m_unsaved.insert(order.wave);
     } else if (answer == InstanceAnswer::NoSuchInstance || answer == InstanceAnswer::NotInWave) {
         member.phase = Phase::Finished;
+        m_reopen.push_back(member.drainedWorker);
     } else if (answer == InstanceAnswer::Busy || answer == InstanceAnswer::Refused) {
         // Nothing was done. An order whose answer was lost before may have been, and then the list shows it.
         member.phase = Phase::Draining;
@@ -125,6 +126,10 @@
 
 void Upkeep::advance(Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs)
 {
+    for (const std::string &worker : m_reopen) {
+        scheduler.closeWorker(worker, false);
+    }
+    m_reopen.clear();
     if (m_instances.empty()) {
         return;
     }
--- a/src/oleanderwick/jobs/upkeep.hpp
+++ b/src/oleanderwick/jobs/upkeep.hpp
@@ -167,6 +167,7 @@
     core::TimePoint m_listedAt;
     std::vector<MaintainOrder> m_orders;
     std::set<std::int64_t> m_unsaved;
+    std::vector<std::string> m_reopen; /**< Workers that were drained for nothing. */
 };
 
 } // namespace oleanderwick::jobs
--- a/test/oleanderwick/jobs/scheduler.cpp
+++ b/test/oleanderwick/jobs/scheduler.cpp
@@ -288,3 +288,13 @@
     CHECK(starts[0].task.job == "job0");
     CHECK(starts[1].task.job == "job1");
 }
+
+TEST_CASE("a job that was cancelled before it was taken in never starts", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    fleet.scheduler.cancelJob("a", fleet.wallMs(), fleet.now);
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    CHECK(fleet.advance().empty());
+    CHECK(fleet.save().at("a").state == jobs::JobState::Cancelled);
+}
--- a/test/oleanderwick/jobs/upkeep.cpp
+++ b/test/oleanderwick/jobs/upkeep.cpp
@@ -155,3 +155,46 @@
     }
     CHECK(parked);
 }
+
+TEST_CASE("a continuous task that fits on none of a pool's workers makes the pool grow", "[balancer]")
+{
+    jobs::PoolLoad load;
+    load.workers = 5;
+    load.leastWorkers = 5;
+    CHECK(jobs::PoolBalancer::needOf(load, 16'000) == 5);
+    load.unplaced = 1;
+    CHECK(jobs::PoolBalancer::needOf(load, 16'000) == 6);
+}
+
+TEST_CASE("an instance whose move was lost is not kept out of service, and can be moved again", "[balancer]")
+{
+    JobFleet fleet;
+    jobs::FleetConfig config;
+    config.queues["queue"].pool = "pool";
+    config.pools["pool"] = {};
+    config.pools["standby"].standby = true;
+    fleet.scheduler.configure(config);
+    fleet.addWorker("w1");
+    fleet.addWorker("w2");
+    const std::map<std::string, jobs::InstanceEntry> listed{
+        {"m1", makeInstance("m1", "w1")}, {"m2", makeInstance("m2", "w2")}, {"m3", makeInstance("m3", "", "standby")}};
+    jobs::Upkeep upkeep{fleet.now};
+    jobs::PoolBalancer balancer{fleet.now};
+    balancer.takeInstances(listed, fleet.now);
+    std::vector<jobs::MoveOrder> orders;
+    for (int round = 0; round < 100 && orders.empty(); ++round) {
+        (void)fleet.advance();
+        balancer.advance(fleet.scheduler, upkeep, fleet.now);
+        orders = balancer.takeOrders();
+    }
+    REQUIRE(orders.size() == 1);
+    CHECK(fleet.scheduler.workers().at(orders[0].worker).closed);
+    balancer.takeAnswer(orders[0], jobs::InstanceAnswer::Unknown, fleet.scheduler, fleet.now);
+    (void)fleet.advance(std::chrono::seconds{7});
+    balancer.advance(fleet.scheduler, upkeep, fleet.now);
+    // Still idle: it is ordered anew, from where it is.
+    const std::vector<jobs::MoveOrder> again = balancer.takeOrders();
+    REQUIRE(again.size() == 1);
+    balancer.takeAnswer(again[0], jobs::InstanceAnswer::Busy, fleet.scheduler, fleet.now);
+    CHECK_FALSE(fleet.scheduler.workers().at(orders[0].worker).closed);
+}
