--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -12,10 +12,12 @@
 {
 
 constexpr core::Duration readTimeout = std::chrono::milliseconds{1200};
+/** A page is up to 1 MB, and a node's link may carry 10 Mbit/s. */
+constexpr core::Duration listTimeout = std::chrono::milliseconds{2500};
 constexpr core::Duration commitTimeout = std::chrono::milliseconds{1500};
 constexpr core::Duration renewTimeout = std::chrono::milliseconds{900};
 /** Added to the wait of a watch for the answer's way. */
-constexpr core::Duration watchMargin = std::chrono::milliseconds{600};
+constexpr core::Duration watchMargin = std::chrono::milliseconds{1000};
 
 /** Escapes what a query must not hold; keys are short and mostly plain. */
 std::string escape(const std::string &text)
@@ -130,7 +132,7 @@
     if (!after.empty()) {
         absl::StrAppend(&target, "&after=", internal::escape(after));
     }
-    call(makeExchange(m_address, "GET", std::move(target), {}, internal::readTimeout), std::move(onAnswer));
+    call(makeExchange(m_address, "GET", std::move(target), {}, internal::listTimeout), std::move(onAnswer));
 }
 
 void StoreClient::watch(const std::string &prefix, std::int64_t after, core::Duration wait, OnAnswer onAnswer)
