Limit the pause between owners to instances that the last one ordered, and stop runs that stand still

Change: a resigning owner stores which instances it ordered of late, its successor removes that record and waits for those alone; a run without progress for 5 s is stopped and counts against its worker; tickets are not used in their last 0.2 s; settings and fields that nothing read are gone. Tests for the pause and the standstill.

--- a/src/oleanderwick/jobnode/job_node.cpp
+++ b/src/oleanderwick/jobnode/job_node.cpp
@@ -113,7 +113,7 @@
     m_stopping = true;
     m_stopStart = core::BootClock::now();
     if (m_tenure == nullptr) {
-        m_ownership->resign();
+        m_ownership->resign({});
         return;
     }
     m_tenure->wind();
@@ -124,7 +124,7 @@
 {
     const bool late = core::BootClock::now() - m_stopStart >= internal::longestWind;
     if (m_tenure == nullptr || m_tenure->isWound() || late) {
-        m_ownership->resign();
+        m_ownership->resign(m_tenure == nullptr ? std::vector<jobs::StoreChange::Write>{} : m_tenure->handover());
         return;
     }
     m_loop.after(internal::stopPoll, [this] {
--- a/src/oleanderwick/jobnode/ownership.cpp
+++ b/src/oleanderwick/jobnode/ownership.cpp
@@ -227,13 +227,13 @@
     m_state->lose("condition_failed");
 }
 
-void Ownership::resign()
+void Ownership::resign(std::vector<jobs::StoreChange::Write> writes)
 {
     m_state->resigned = true;
     if (m_state->token == 0) {
         return;
     }
-    const jobs::StoreChange change{{{keys::owner, m_state->token}}, {}, {keys::owner}};
+    const jobs::StoreChange change{{{keys::owner, m_state->token}}, std::move(writes), {keys::owner}};
     m_state->lose("resigned");
     m_state->store.commit(change, [](const jobs::StoreAnswer &) {
         // A lost answer leaves the key to its lease.
--- a/src/oleanderwick/jobnode/ownership.hpp
+++ b/src/oleanderwick/jobnode/ownership.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "../http/loop.hpp"
 #include "../jobs/ports.hpp"
@@ -47,8 +48,11 @@
     /** @return The fencing token; 0 if this node is not the owner. */
     [[nodiscard]] std::int64_t token() const noexcept;
 
-    /** @brief Competes no more, and gives the key up if it is held. */
-    void resign();
+    /**
+     * @brief Competes no more, and gives the key up if it is held.
+     * @param writes What the successor should find; stored with the resignation or not at all.
+     */
+    void resign(std::vector<jobs::StoreChange::Write> writes);
 
     /** @brief Takes in that the key was seen to belong to another owner. */
     void lose();
--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -28,8 +28,9 @@
     , limits{itsLimits}
     , log{itsLog}
     , scheduler{itsLimits.scheduler, core::BootClock::now()}
-    , upkeep{core::BootClock::now() + itsLimits.orderPause}
-    , balancer{core::BootClock::now() + itsLimits.orderPause}
+    , pause{core::BootClock::now() + itsLimits.orderPause}
+    , upkeep{pause}
+    , balancer{pause}
     , startedAt{core::BootClock::now()}
 {
 }
@@ -65,10 +66,47 @@
             self->revisions[keys::usedWorkers] = answer.items.front().revision;
             self->takeUsedWorkers(answer.items.front().value);
         }
+        self->loadHandover();
+    });
+}
+
+void Tenure::State::loadHandover()
+{
+    ports.store.read(keys::handover, [self = shared_from_this()](const jobs::StoreAnswer &answer) {
+        if (!self->active()) {
+            return;
+        }
+        if (answer.outcome == jobs::StoreOutcome::Done && !answer.items.empty()) {
+            self->takeHandover(answer.items.front());
+        }
+        // Without it the pause holds for all instances.
         self->loadWaves("");
     });
 }
 
+void Tenure::State::takeHandover(const jobs::StoreItem &item)
+{
+    const nlohmann::json value = nlohmann::json::parse(item.value, nullptr, false);
+    if (!value.is_array()) {
+        log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("key", keys::handover));
+        return;
+    }
+    std::set<std::string> ordered;
+    for (const nlohmann::json &instance : value) {
+        if (instance.is_string()) {
+            ordered.insert(instance.get<std::string>());
+        }
+    }
+    // It holds for one successor: it must be gone before this owner gives orders that it does not name.
+    const jobs::StoreChange change{{{keys::owner, token}, {keys::handover, item.revision}}, {}, {keys::handover}};
+    ports.store.commit(change, [self = shared_from_this(), ordered](const jobs::StoreAnswer &answer) {
+        if (self->active() && answer.outcome == jobs::StoreOutcome::Done) {
+            self->log.add("handover", telemetry::Event{"handover_taken"}.with("instances", static_cast<std::int64_t>(ordered.size())));
+            self->pause.limitTo(ordered);
+        }
+    });
+}
+
 void Tenure::State::takeUsedWorkers(const std::string &text)
 {
     const nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
@@ -337,6 +375,22 @@
     }
 }
 
+std::vector<jobs::StoreChange::Write> Tenure::handover() const
+{
+    nlohmann::json recent = nlohmann::json::array();
+    const core::TimePoint now = core::BootClock::now();
+    for (const std::pair<const std::string, core::TimePoint> &ordered : m_state->orderedInstances) {
+        if (now - ordered.second <= m_state->limits.orderPause) {
+            recent.push_back(ordered.first);
+        }
+    }
+    // An owner whose own pause is not over cannot speak for its predecessor.
+    if (now - m_state->startedAt < m_state->limits.orderPause) {
+        return {};
+    }
+    return {{keys::handover, recent.dump(), 0}};
+}
+
 void Tenure::wind()
 {
     m_state->winding = true;
--- a/src/oleanderwick/jobnode/tenure.hpp
+++ b/src/oleanderwick/jobnode/tenure.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "log_sink.hpp"
 #include "ownership.hpp"
@@ -49,6 +50,9 @@
     /** @brief Gives no new starts any more, and stores what is not stored. */
     void wind();
 
+    /** @return What the successor should find: the instances that were ordered of late. */
+    [[nodiscard]] std::vector<jobs::StoreChange::Write> handover() const;
+
     /** @return True once nothing is left to be stored. */
     [[nodiscard]] bool isWound() const;
 
--- a/src/oleanderwick/jobnode/tenure_orders.cpp
+++ b/src/oleanderwick/jobnode/tenure_orders.cpp
@@ -176,6 +176,7 @@
         upkeep.takeAnswer(order, jobs::InstanceAnswer::Refused, core::BootClock::now());
         return;
     }
+    orderedInstances[order.instance] = core::BootClock::now();
     ports.instances.maintain(order, token, [self = shared_from_this(), order](jobs::InstanceAnswer answer) {
         telemetry::Event event{"maintenance_ordered"};
         event.with("instance", order.instance).with("wave", order.wave).with("answer", static_cast<std::int64_t>(answer));
@@ -198,6 +199,7 @@
         balancer.takeAnswer(order, jobs::InstanceAnswer::Refused, scheduler, core::BootClock::now());
         return;
     }
+    orderedInstances[order.instance] = core::BootClock::now();
     ports.instances.move(order, token, [self = shared_from_this(), order](jobs::InstanceAnswer answer) {
         telemetry::Event event{"move_ordered"};
         event.with("instance", order.instance).with("from", order.from).with("to", order.pool).with("answer", static_cast<std::int64_t>(answer));
--- a/src/oleanderwick/jobnode/tenure_state.hpp
+++ b/src/oleanderwick/jobnode/tenure_state.hpp
@@ -15,6 +15,8 @@
     void loadStates(const std::string &after);
     void loadWaves(const std::string &after);
     void loadUsedWorkers();
+    void loadHandover();
+    void takeHandover(const jobs::StoreItem &item);
     void takeUsedWorkers(const std::string &text);
     void follow();
     void restored();
@@ -67,6 +69,7 @@
     TenureLimits limits;
     LogSink &log;
     jobs::Scheduler scheduler;
+    jobs::OrderPause pause;
     jobs::Upkeep upkeep;
     jobs::PoolBalancer balancer;
     core::TimePoint startedAt;
@@ -85,6 +88,8 @@
     std::map<std::string, std::int64_t> revisions; /**< Of the keys that the owner writes. */
     std::map<std::string, std::int64_t> endedJobs; /**< Unix time of the end by job, until their records are removed. */
 
+    std::map<std::string, core::TimePoint> orderedInstances; /**< When each instance was last ordered. */
+
     bool saving{false};
     core::TimePoint savedAt;
     core::TimePoint saveRetryAt;
--- a/src/oleanderwick/jobs/leases.cpp
+++ b/src/oleanderwick/jobs/leases.cpp
@@ -24,8 +24,6 @@
 constexpr core::Duration unstoredPause = std::chrono::milliseconds{1000};
 /** An idle worker is told late that its ends are stored, so that several share one look. */
 constexpr core::Duration idleAckPause = std::chrono::milliseconds{500};
-/** A run whose progress does not change for this long hangs. */
-constexpr core::Duration stallTimeout = std::chrono::seconds{4};
 
 bool isServing(const Step &step)
 {
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -26,8 +26,8 @@
 
 } // namespace internal
 
-PoolBalancer::PoolBalancer(core::TimePoint firstOrderAt)
-    : m_firstOrderAt{firstOrderAt}
+PoolBalancer::PoolBalancer(const OrderPause &pause)
+    : m_pause{pause}
 {
 }
 
@@ -129,12 +129,16 @@
     }
 }
 
-const InstanceEntry *PoolBalancer::findIdle(const std::string &pool, const std::string &to, const Scheduler &scheduler, const Upkeep &upkeep) const
+const InstanceEntry *PoolBalancer::findIdle(const std::string &pool,
+                                            const std::string &to,
+                                            const Scheduler &scheduler,
+                                            const Upkeep &upkeep,
+                                            core::TimePoint now) const
 {
     for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
         const InstanceEntry &instance = item.second;
         const bool here = instance.pool == pool && instance.state == InstanceState::Up && !m_moving.contains(item.first);
-        if (!here || upkeep.isMaintaining(item.first) || m_impossible.contains({item.first, to})) {
+        if (!here || !m_pause.isOver(item.first, now) || upkeep.isMaintaining(item.first) || m_impossible.contains({item.first, to})) {
             continue;
         }
         if (scheduler.isStandby(pool)) {
@@ -178,7 +182,7 @@
         lenders.emplace_back(0, pool);
     }
     for (const std::pair<std::int64_t, std::string> &lender : lenders) {
-        const InstanceEntry *instance = findIdle(lender.second, to, scheduler, upkeep);
+        const InstanceEntry *instance = findIdle(lender.second, to, scheduler, upkeep, now);
         if (instance != nullptr) {
             if (!scheduler.isStandby(lender.second)) {
                 --m_pools[lender.second].have;
@@ -205,7 +209,7 @@
         if (surplus <= 0 || now - pool.second.surplusSince < internal::parkAfter) {
             continue;
         }
-        const InstanceEntry *instance = findIdle(pool.first, to, scheduler, upkeep);
+        const InstanceEntry *instance = findIdle(pool.first, to, scheduler, upkeep, now);
         if (instance != nullptr) {
             --pool.second.have;
             order(*instance, to, scheduler, now);
@@ -220,7 +224,7 @@
         return;
     }
     m_balancedAt = now;
-    if (m_instances.empty() || now < m_firstOrderAt) {
+    if (m_instances.empty()) {
         return;
     }
     countInstances(scheduler, now);
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "../core/core.hpp"
+#include "order_pause.hpp"
 #include "scheduler.hpp"
 #include "upkeep.hpp"
 
@@ -33,9 +34,9 @@
 public:
     /**
      * @brief Starts the tenure of an owner.
-     * @param firstOrderAt No order is given before: a former owner's may still be under way.
+     * @param pause Holds back orders that could cross a former owner's; has to outlive this.
      */
-    explicit PoolBalancer(core::TimePoint firstOrderAt);
+    explicit PoolBalancer(const OrderPause &pause);
 
     /**
      * @brief Takes in the platform's list of instances.
@@ -91,10 +92,14 @@
     void updateNeeds(const Scheduler &scheduler, core::TimePoint now);
     [[nodiscard]] bool lendOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
     void parkIdle(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
-    [[nodiscard]] const InstanceEntry *findIdle(const std::string &pool, const std::string &to, const Scheduler &scheduler, const Upkeep &upkeep) const;
+    [[nodiscard]] const InstanceEntry *findIdle(const std::string &pool,
+                                                const std::string &to,
+                                                const Scheduler &scheduler,
+                                                const Upkeep &upkeep,
+                                                core::TimePoint now) const;
     void order(const InstanceEntry &instance, const std::string &to, Scheduler &scheduler, core::TimePoint now);
 
-    core::TimePoint m_firstOrderAt;
+    const OrderPause &m_pause;
     std::map<std::string, InstanceEntry> m_instances;
     core::TimePoint m_listedAt;
     core::TimePoint m_balancedAt;
--- a/src/oleanderwick/jobs/runs.cpp
+++ b/src/oleanderwick/jobs/runs.cpp
@@ -10,12 +10,14 @@
 namespace internal
 {
 
-/** Failures in a row after which a worker gets no more than one task at a time. */
+/** Failures in a row after which a worker rests, and is then probed with one task at a time. */
 constexpr std::int64_t strikesForQuarantine = 3;
 constexpr core::Duration quarantine = std::chrono::seconds{3};
 /** A run that has no successor after an end is started again no sooner, so that a sick worker is not asked at once. */
 constexpr core::Duration restartPause = std::chrono::milliseconds{20};
 constexpr core::Duration stopAgainAfter = std::chrono::milliseconds{700};
+/** A run whose progress stays the same for this long hangs; a look shows it every 2 s at least. */
+constexpr core::Duration stallTimeout = std::chrono::seconds{5};
 
 } // namespace internal
 
@@ -37,7 +39,6 @@
     task.percent = 0;
     task.figure = 0;
     task.pace = 100;
-    task.overTargetSince = {};
     task.stopAcknowledged = false;
     task.orderedAt = {};
     task.record.lastRun = std::max(task.record.lastRun, run);
@@ -315,9 +316,6 @@
     if (listed.percent != task->percent) {
         task->progressAt = now;
     }
-    if (listed.percent >= 100 && task->percent < 100) {
-        task->atWorkAt = now;
-    }
     task->percent = listed.percent;
     task->figure = listed.figure;
     if (!listed.checkpoint.empty() && listed.checkpoint != task->record.checkpoint) {
@@ -368,6 +366,14 @@
             if (task == nullptr) {
                 continue;
             }
+            const Step *step = findStep(run.first);
+            const bool watched = step != nullptr && !step->continuous && !step->gang && !step->fills && !item.second.silent;
+            if (watched && task->phase == TaskPhase::Running && now - task->progressAt >= internal::stallTimeout) {
+                decide("run_stalled", toText(run.first), item.first, absl::StrCat("run=", run.second, " percent=", task->percent));
+                judgeWorker(item.second, EndKind::Failed, now);
+                stopTask(run.first, *task, now);
+                continue;
+            }
             const bool again = task->phase == TaskPhase::Stopping && now - task->orderedAt >= internal::stopAgainAfter && !item.second.silent;
             if (again && !task->stopAcknowledged) {
                 stopTask(run.first, *task, now);
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -13,6 +13,8 @@
 
 /** Runs that a former owner may have ordered and not recorded; numbers start above them. */
 constexpr std::int64_t unseenRuns = 8;
+/** A ticket is not used in the last moments of its time: the start has to arrive within it. */
+constexpr core::Duration ticketMargin = std::chrono::milliseconds{200};
 /** Most decisions kept between two calls; the rest is counted by the log. */
 constexpr std::size_t maxDecisions = 4096;
 
@@ -335,7 +337,7 @@
             advice.tickets[worker] = ticket->second;
         }
         // A worker that may not run the step never may: the step does not change.
-        advice.askedFor[worker] = ticket != tickets->end() ? now + validFor : core::TimePoint::max();
+        advice.askedFor[worker] = ticket != tickets->end() ? now + validFor - internal::ticketMargin : core::TimePoint::max();
     }
     m_placementDue = true;
 }
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -17,8 +17,6 @@
 /** @brief Bounds that the scheduler keeps to; from the platform's settings where they name them. */
 struct SchedulerLimits {
     core::Duration longestLease{std::chrono::seconds{6}}; /**< Longest lease that a worker grants. */
-    core::Duration gangWait{std::chrono::seconds{3}}; /**< How long a worker lets the members of a gang wait for each other. */
-    core::Duration atWorkNotice{std::chrono::milliseconds{4500}}; /**< A task that is not at work for this long counts as taken down. */
 
     [[nodiscard]] bool operator==(const SchedulerLimits &) const = default;
 };
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -35,8 +35,6 @@
     core::TimePoint notBefore; /**< Not started again before. */
     core::TimePoint progressAt; /**< When its progress last changed. */
     core::TimePoint orderedAt; /**< When a stop was last sent. */
-    core::TimePoint atWorkAt; /**< When a continuous task last came to full work. */
-    core::TimePoint overTargetSince; /**< Since when a serving task is over its target; zero while it is not. */
     std::int64_t percent{0};
     std::int64_t figure{0};
     std::int64_t pace{100}; /**< Share of the time for which it may work. */
--- a/src/oleanderwick/jobs/upkeep.cpp
+++ b/src/oleanderwick/jobs/upkeep.cpp
@@ -21,8 +21,8 @@
 
 } // namespace internal
 
-Upkeep::Upkeep(core::TimePoint firstOrderAt)
-    : m_firstOrderAt{firstOrderAt}
+Upkeep::Upkeep(const OrderPause &pause)
+    : m_pause{pause}
 {
 }
 
@@ -183,7 +183,8 @@
     const bool empty = worker == scheduler.workers().end() || (worker->second.runs.empty() && worker->second.pendingEnds.empty());
     const std::size_t down = countPhase(state, Phase::Down) + countPhase(state, Phase::Ordered) - (member.phase == Phase::Ordered ? 1 : 0);
     const bool room = static_cast<std::int64_t>(down) < state.wave.mostAtOnce;
-    const bool due = now >= m_firstOrderAt && now - member.since >= (member.phase == Phase::Ordered ? internal::orderAgainAfter : core::Duration::zero());
+    const bool due =
+        m_pause.isOver(instance, now) && now - member.since >= (member.phase == Phase::Ordered ? internal::orderAgainAfter : core::Duration::zero());
     if (empty && room && due && (entry->state == InstanceState::Up || member.phase == Phase::Ordered)) {
         member.phase = Phase::Ordered;
         member.orderOut = true;
--- a/src/oleanderwick/jobs/upkeep.hpp
+++ b/src/oleanderwick/jobs/upkeep.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "../core/core.hpp"
+#include "order_pause.hpp"
 #include "scheduler.hpp"
 
 namespace oleanderwick::jobs
@@ -73,9 +74,9 @@
 public:
     /**
      * @brief Starts the tenure of an owner.
-     * @param firstOrderAt No order is given before: a former owner's may still be under way.
+     * @param pause Holds back orders that could cross a former owner's; has to outlive this.
      */
-    explicit Upkeep(core::TimePoint firstOrderAt);
+    explicit Upkeep(const OrderPause &pause);
 
     /**
      * @brief Takes in a wave.
@@ -161,7 +162,7 @@
     [[nodiscard]] double drainCost(const InstanceEntry &instance, const Scheduler &scheduler) const;
     void finishIfComplete(WaveState &state);
 
-    core::TimePoint m_firstOrderAt;
+    const OrderPause &m_pause;
     std::map<std::int64_t, WaveState> m_waves;
     std::map<std::string, InstanceEntry> m_instances;
     core::TimePoint m_listedAt;
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -73,8 +73,6 @@
         {"processorShare", readProcessorShare},
         {"longestLeaseMs", milliseconds(&JobSettings::longestLease)},
         {"orderPauseMs", milliseconds(&JobSettings::orderPause)},
-        {"gangWaitMs", milliseconds(&JobSettings::gangWait)},
-        {"atWorkNoticeMs", milliseconds(&JobSettings::atWorkNotice)},
         {"keepEndedS", seconds(&JobSettings::keepEnded)},
         {"stopTimeoutS", seconds(&JobSettings::stopTimeout)},
     };
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -25,8 +25,6 @@
     double processorShare{1.0}; /**< Cores that the node may use; larger nodes become owner first. */
     core::Duration longestLease{std::chrono::seconds{6}}; /**< Longest lease that a worker grants. */
     core::Duration orderPause{std::chrono::seconds{3}}; /**< Pause between the orders of two owners for one instance. */
-    core::Duration gangWait{std::chrono::seconds{3}}; /**< How long members of a gang wait for each other. */
-    core::Duration atWorkNotice{std::chrono::milliseconds{4500}}; /**< A task that is not at work for this long counts as taken down. */
     core::Duration keepEnded{std::chrono::seconds{120}}; /**< How long the state of an ended job can be read. */
     core::Duration stopTimeout{std::chrono::seconds{6}}; /**< Time that a stopping node has until it is killed. */
 
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -37,8 +37,6 @@
 {
     jobnode::TenureLimits limits;
     limits.scheduler.longestLease = settings.longestLease;
-    limits.scheduler.gangWait = settings.gangWait;
-    limits.scheduler.atWorkNotice = settings.atWorkNotice;
     limits.orderPause = settings.orderPause;
     // An owner needs more processor than the others; nodes do not know each other's share.
     limits.handicap = std::chrono::milliseconds{static_cast<std::int64_t>(std::max(0.0, ampleShare - settings.processorShare) * handicapMsPerCore)};
--- a/test/oleanderwick/jobs/scheduler.cpp
+++ b/test/oleanderwick/jobs/scheduler.cpp
@@ -298,3 +298,29 @@
     CHECK(fleet.advance().empty());
     CHECK(fleet.save().at("a").state == jobs::JobState::Cancelled);
 }
+
+TEST_CASE("a run whose progress stands still is stopped and its task starts anew", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartOrder> first = fleet.advance();
+    REQUIRE(first.size() == 1);
+    fleet.accept(first);
+    for (int second = 0; second < 4; ++second) {
+        (void)fleet.scheduler.takeHolds(fleet.now);
+        fleet.report("w1", fleet.running["w1"], {});
+        (void)fleet.advance(std::chrono::seconds{1});
+    }
+    CHECK(fleet.stops.empty());
+    for (int second = 0; second < 2; ++second) {
+        (void)fleet.scheduler.takeHolds(fleet.now);
+        fleet.report("w1", fleet.running["w1"], {});
+        (void)fleet.advance(std::chrono::seconds{1});
+    }
+    REQUIRE_FALSE(fleet.stops.empty());
+    fleet.end(first[0], jobs::EndKind::Stopped);
+    const std::vector<jobs::StartOrder> second = fleet.advance();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].run == 2);
+}
--- a/test/oleanderwick/jobs/upkeep.cpp
+++ b/test/oleanderwick/jobs/upkeep.cpp
@@ -33,7 +33,8 @@
     const std::vector<jobs::StartOrder> starts = fleet.advance();
     REQUIRE(starts.size() == 1);
     fleet.accept(starts);
-    jobs::Upkeep upkeep{fleet.now};
+    const jobs::OrderPause pause{fleet.now};
+    jobs::Upkeep upkeep{pause};
     upkeep.addWave(makeWave({"m1"}, 1), std::nullopt, fleet.wallMs());
     upkeep.takeInstances({{"m1", makeInstance("m1", "w1")}}, fleet.now);
     upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
@@ -47,7 +48,8 @@
 TEST_CASE("a wave never has more down than it may", "[upkeep]")
 {
     JobFleet fleet;
-    jobs::Upkeep upkeep{fleet.now};
+    const jobs::OrderPause pause{fleet.now};
+    jobs::Upkeep upkeep{pause};
     upkeep.addWave(makeWave({"m1", "m2", "m3"}, 1), std::nullopt, fleet.wallMs());
     upkeep.takeInstances({{"m1", makeInstance("m1", "")}, {"m2", makeInstance("m2", "")}, {"m3", makeInstance("m3", "")}}, fleet.now);
     upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
@@ -62,7 +64,8 @@
 TEST_CASE("an instance on standby, on which no worker runs, counts as back once it is up", "[upkeep]")
 {
     JobFleet fleet;
-    jobs::Upkeep upkeep{fleet.now};
+    const jobs::OrderPause pause{fleet.now};
+    jobs::Upkeep upkeep{pause};
     upkeep.addWave(makeWave({"m1", "m2"}, 1), std::nullopt, fleet.wallMs());
     const std::map<std::string, jobs::InstanceEntry> listed{{"m1", makeInstance("m1", "")}, {"m2", makeInstance("m2", "")}};
     upkeep.takeInstances(listed, fleet.now);
@@ -84,7 +87,8 @@
 TEST_CASE("a wave is completed only when the maintenance of each instance that stays has begun", "[upkeep]")
 {
     JobFleet fleet;
-    jobs::Upkeep upkeep{fleet.now};
+    const jobs::OrderPause pause{fleet.now};
+    jobs::Upkeep upkeep{pause};
     upkeep.addWave(makeWave({"m1", "gone"}, 2), std::nullopt, fleet.wallMs());
     fleet.now += std::chrono::seconds{1};
     upkeep.takeInstances({{"m1", makeInstance("m1", "")}}, fleet.now);
@@ -121,8 +125,9 @@
         listed[std::string{"m"} + id] = makeInstance(std::string{"m"} + id, entry.id, "other");
     }
     listed["m5"] = makeInstance("m5", "", "standby");
-    jobs::Upkeep upkeep{fleet.now};
-    jobs::PoolBalancer balancer{fleet.now};
+    const jobs::OrderPause pause{fleet.now};
+    jobs::Upkeep upkeep{pause};
+    jobs::PoolBalancer balancer{pause};
     balancer.takeInstances(listed, fleet.now);
     jobs::Job job = JobFleet::makeJob("a", {JobFleet::makeStep(40)});
     job.submittedMs = fleet.wallMs();
@@ -178,8 +183,9 @@
     fleet.addWorker("w2");
     const std::map<std::string, jobs::InstanceEntry> listed{
         {"m1", makeInstance("m1", "w1")}, {"m2", makeInstance("m2", "w2")}, {"m3", makeInstance("m3", "", "standby")}};
-    jobs::Upkeep upkeep{fleet.now};
-    jobs::PoolBalancer balancer{fleet.now};
+    const jobs::OrderPause pause{fleet.now};
+    jobs::Upkeep upkeep{pause};
+    jobs::PoolBalancer balancer{pause};
     balancer.takeInstances(listed, fleet.now);
     std::vector<jobs::MoveOrder> orders;
     for (int round = 0; round < 100 && orders.empty(); ++round) {
@@ -198,3 +204,26 @@
     balancer.takeAnswer(again[0], jobs::InstanceAnswer::Busy, fleet.scheduler, fleet.now);
     CHECK_FALSE(fleet.scheduler.workers().at(orders[0].worker).closed);
 }
+
+TEST_CASE("a new owner waits before it orders an instance, but only for those that its predecessor names", "[upkeep]")
+{
+    JobFleet fleet;
+    jobs::OrderPause pause{fleet.now + std::chrono::seconds{3}};
+    jobs::Upkeep upkeep{pause};
+    upkeep.addWave(makeWave({"m1", "m2"}, 2), std::nullopt, fleet.wallMs());
+    upkeep.takeInstances({{"m1", makeInstance("m1", "")}, {"m2", makeInstance("m2", "")}}, fleet.now);
+    const auto advance = [&] {
+        upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+        upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+        return upkeep.takeOrders();
+    };
+    CHECK(advance().empty());
+    pause.limitTo({"m1"});
+    const std::vector<jobs::MaintainOrder> early = advance();
+    REQUIRE(early.size() == 1);
+    CHECK(early[0].instance == "m2");
+    fleet.now += std::chrono::seconds{3};
+    const std::vector<jobs::MaintainOrder> later = advance();
+    REQUIRE(later.size() == 1);
+    CHECK(later[0].instance == "m1");
+}
