Count only instances that take work for their pool

Ruled out: memory, quarantine, lost moves (none in the logs). Change: PoolBalancer counts open workers, instances on their way and those that have just come. Test fails without it.

--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -80,6 +80,16 @@
     return load.unplaced > 0 ? std::max(least, load.workers + 1) : least;
 }
 
+bool PoolBalancer::inService(const InstanceEntry &instance, const Scheduler &scheduler)
+{
+    if (instance.state != InstanceState::Up) {
+        return instance.state == InstanceState::Moving;
+    }
+    const auto worker = scheduler.workers().find(instance.worker);
+    // One that the registry does not name yet has just come.
+    return worker == scheduler.workers().end() || (worker->second.listed && !worker->second.closed && !worker->second.silent && !worker->second.entry.draining);
+}
+
 void PoolBalancer::countInstances(Scheduler &scheduler, core::TimePoint now)
 {
     for (auto item = m_moving.begin(); item != m_moving.end();) {
@@ -97,7 +107,7 @@
     for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
         const auto moving = m_moving.find(item.first);
         const std::string &pool = moving != m_moving.end() ? moving->second.to : item.second.pool;
-        if (item.second.state != InstanceState::Down && !scheduler.isStandby(pool)) {
+        if (!scheduler.isStandby(pool) && (moving != m_moving.end() || inService(item.second, scheduler))) {
             ++m_pools[pool].have;
         }
     }
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -75,7 +75,7 @@
 
 private:
     struct PoolState {
-        std::int64_t have{0}; /**< Instances in service and on their way. */
+        std::int64_t have{0}; /**< Instances that take work, and those on their way. */
         std::int64_t need{0}; /**< Highest need of late. */
         core::TimePoint needAt; /**< When the need was last this high. */
         core::TimePoint surplusSince; /**< Since when it has had more than it needs. */
@@ -88,6 +88,7 @@
         bool orderOut{false};
     };
 
+    [[nodiscard]] static bool inService(const InstanceEntry &instance, const Scheduler &scheduler);
     void countInstances(Scheduler &scheduler, core::TimePoint now);
     void updateNeeds(const Scheduler &scheduler, core::TimePoint now);
     [[nodiscard]] bool lendOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
--- a/test/oleanderwick/jobs/upkeep.cpp
+++ b/test/oleanderwick/jobs/upkeep.cpp
@@ -227,3 +227,34 @@
     REQUIRE(later.size() == 1);
     CHECK(later[0].instance == "m1");
 }
+
+TEST_CASE("an instance that is drained does not count for its pool, so that its tasks find another", "[balancer]")
+{
+    JobFleet fleet;
+    jobs::FleetConfig config;
+    config.queues["queue"].pool = "pool";
+    config.pools["pool"] = {};
+    config.pools["standby"].standby = true;
+    fleet.scheduler.configure(config);
+    fleet.addWorker("w1");
+    fleet.addWorker("w2");
+    jobs::Step step = JobFleet::makeStep(2);
+    step.continuous = true;
+    step.maxPerWorker = 1;
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false, fleet.now);
+    fleet.accept(fleet.advance());
+    const jobs::OrderPause pause{fleet.now};
+    jobs::Upkeep upkeep{pause};
+    jobs::PoolBalancer balancer{pause};
+    balancer.takeInstances({{"m1", makeInstance("m1", "w1")}, {"m2", makeInstance("m2", "w2")}, {"m3", makeInstance("m3", "", "standby")}}, fleet.now);
+    (void)fleet.advance();
+    balancer.advance(fleet.scheduler, upkeep, fleet.now);
+    CHECK(balancer.takeOrders().empty());
+    fleet.scheduler.closeWorker("w1", true);
+    (void)fleet.advance();
+    balancer.advance(fleet.scheduler, upkeep, fleet.now);
+    const std::vector<jobs::MoveOrder> orders = balancer.takeOrders();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].instance == "m3");
+    CHECK(orders[0].pool == "pool");
+}
