Say once what the scheduling code said twice

Behaviour stays as it was; no test changed. - telemetry/times serves both sets of metrics: histogram and Prometheus text stood in metrics and job_metrics. - Scheduler::chainMs: the longest chain of a job stood once for the whole job and once for what is left. - Worker::isOpen: one condition stood in placement, loads, advice and the balancer. - Tenure::loadAll pages waves and states, JobDesk::makeCall opens calls, respondTo answers all submitters' calls, startWith starts both kinds of node, formerLeasesEnd is said once. - measureLoads is private: others only read the last measure. Task::startedAt, which nothing read, is gone.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -23,10 +23,10 @@
     return std::string{std::istreambuf_iterator<char>{file}, std::istreambuf_iterator<char>{}};
 }
 
-/** Runs a node that schedules jobs for a platform. */
-int startScheduler(const std::string &path, const std::string &text, bool checkOnly)
+/** Runs a node with its settings, or only says whether they are right. */
+template <typename Settings, typename Run>
+int startWith(const std::string &path, const absl::StatusOr<Settings> &settings, bool checkOnly, Run run)
 {
-    const absl::StatusOr<oleanderwick::settings::JobSettings> settings = oleanderwick::settings::parseJobSettings(text);
     if (!settings.ok()) {
         std::cerr << path << ":\n" << settings.status().message() << '\n';
         return exitUsage;
@@ -35,7 +35,7 @@
         std::cout << path << ": ok\n";
         return EXIT_SUCCESS;
     }
-    const absl::Status ended = oleanderwick::platform::run(*settings);
+    const absl::Status ended = run(*settings);
     if (!ended.ok()) {
         std::cerr << ended.message() << '\n';
         return EXIT_FAILURE;
@@ -43,29 +43,20 @@
     return EXIT_SUCCESS;
 }
 
+absl::Status runNode(const oleanderwick::settings::Settings &settings)
+{
+    oleanderwick::telemetry::startLog();
+    oleanderwick::node::Node node{settings};
+    return node.run();
+}
+
 int start(const std::string &path, bool checkOnly)
 {
     const std::string text = readFile(path);
     if (oleanderwick::settings::isJobSettings(text)) {
-        return startScheduler(path, text, checkOnly);
-    }
-    const absl::StatusOr<oleanderwick::settings::Settings> settings = oleanderwick::settings::load(path);
-    if (!settings.ok()) {
-        std::cerr << path << ":\n" << settings.status().message() << '\n';
-        return exitUsage;
-    }
-    if (checkOnly) {
-        std::cout << path << ": ok\n";
-        return EXIT_SUCCESS;
+        return startWith(path, oleanderwick::settings::parseJobSettings(text), checkOnly, oleanderwick::platform::run);
     }
-    oleanderwick::telemetry::startLog();
-    oleanderwick::node::Node node{*settings};
-    const absl::Status ended = node.run();
-    if (!ended.ok()) {
-        std::cerr << ended.message() << '\n';
-        return EXIT_FAILURE;
-    }
-    return EXIT_SUCCESS;
+    return startWith(path, oleanderwick::settings::load(path), checkOnly, runNode);
 }
 
 } // namespace
--- a/src/oleanderwick/jobnode/job_desk.cpp
+++ b/src/oleanderwick/jobnode/job_desk.cpp
@@ -40,14 +40,20 @@
 {
 }
 
-void JobDesk::submit(const jobs::Job &job, core::TimePoint deadline, OnAnswer onAnswer)
+std::shared_ptr<JobDesk::Call> JobDesk::makeCall(std::string kind, std::string id, core::TimePoint deadline, OnAnswer onAnswer)
 {
-    const std::shared_ptr<Call> call = std::make_shared<Call>();
-    call->kind = "submit";
-    call->id = job.id;
+    std::shared_ptr<Call> call = std::make_shared<Call>();
+    call->kind = std::move(kind);
+    call->id = std::move(id);
     call->startedAt = core::BootClock::now();
     call->deadline = deadline;
     call->onAnswer = std::move(onAnswer);
+    return call;
+}
+
+void JobDesk::submit(const jobs::Job &job, core::TimePoint deadline, OnAnswer onAnswer)
+{
+    const std::shared_ptr<Call> call = makeCall("submit", job.id, deadline, std::move(onAnswer));
     call->change.conditions.push_back({keys::jobs + job.id, 0});
     call->change.writes.push_back({keys::jobs + job.id, jobs::toRecord(job), 0});
     commit(call);
@@ -116,12 +122,7 @@
 
 void JobDesk::cancel(const std::string &id, core::TimePoint deadline, OnAnswer onAnswer)
 {
-    const std::shared_ptr<Call> call = std::make_shared<Call>();
-    call->kind = "cancel";
-    call->id = id;
-    call->startedAt = core::BootClock::now();
-    call->deadline = deadline;
-    call->onAnswer = std::move(onAnswer);
+    const std::shared_ptr<Call> call = makeCall("cancel", id, deadline, std::move(onAnswer));
     read(call, keys::jobs + id, [this, call](const jobs::StoreAnswer &answer) {
         if (answer.outcome == jobs::StoreOutcome::NotFound) {
             finish(*call, DeskAnswer{DeskOutcome::NotFound, {}, 0});
@@ -135,12 +136,7 @@
 
 void JobDesk::status(const std::string &id, core::TimePoint deadline, OnAnswer onAnswer)
 {
-    const std::shared_ptr<Call> call = std::make_shared<Call>();
-    call->kind = "status";
-    call->id = id;
-    call->startedAt = core::BootClock::now();
-    call->deadline = deadline;
-    call->onAnswer = std::move(onAnswer);
+    const std::shared_ptr<Call> call = makeCall("status", id, deadline, std::move(onAnswer));
     read(call, keys::states + id, [this, call](const jobs::StoreAnswer &answer) {
         if (answer.outcome == jobs::StoreOutcome::Done && !answer.items.empty()) {
             const absl::StatusOr<jobs::JobRecord> record = jobs::progressFromRecord(answer.items.front().value);
@@ -160,12 +156,7 @@
 
 void JobDesk::pending(const std::string &queue, core::TimePoint deadline, OnAnswer onAnswer)
 {
-    const std::shared_ptr<Call> call = std::make_shared<Call>();
-    call->kind = "pending";
-    call->id = queue;
-    call->startedAt = core::BootClock::now();
-    call->deadline = deadline;
-    call->onAnswer = std::move(onAnswer);
+    const std::shared_ptr<Call> call = makeCall("pending", queue, deadline, std::move(onAnswer));
     read(call, keys::pending, [this, call](const jobs::StoreAnswer &answer) {
         DeskAnswer result{DeskOutcome::Done, {}, 0};
         if (answer.outcome == jobs::StoreOutcome::Done && !answer.items.empty()) {
--- a/src/oleanderwick/jobnode/job_desk.hpp
+++ b/src/oleanderwick/jobnode/job_desk.hpp
@@ -78,6 +78,7 @@
 private:
     struct Call;
 
+    [[nodiscard]] static std::shared_ptr<Call> makeCall(std::string kind, std::string id, core::TimePoint deadline, OnAnswer onAnswer);
     void commit(const std::shared_ptr<Call> &call);
     void read(const std::shared_ptr<Call> &call, const std::string &key, std::function<void(const jobs::StoreAnswer &)> onFound);
     void finish(Call &call, DeskAnswer answer);
--- a/src/oleanderwick/jobnode/job_metrics.cpp
+++ b/src/oleanderwick/jobnode/job_metrics.cpp
@@ -3,7 +3,8 @@
 #include <map>
 
 #include <absl/strings/str_cat.h>
-#include <boost/histogram.hpp>
+
+#include "../telemetry/times.hpp"
 
 namespace oleanderwick::jobnode
 {
@@ -11,17 +12,12 @@
 namespace internal
 {
 
-namespace histogram = boost::histogram;
-
-using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
-using Times = decltype(histogram::make_histogram(Axis{}));
-
 constexpr unsigned bins = 24;
 constexpr double shortestSeconds = 0.05;
 constexpr double longestSeconds = 200.0;
 
 struct Series {
-    Times ages{histogram::make_histogram(Axis{bins, shortestSeconds, longestSeconds, "seconds"})};
+    telemetry::Times ages{telemetry::makeTimes(bins, shortestSeconds, longestSeconds)};
     double sum{0.0};
 };
 
@@ -69,15 +65,7 @@
     }
     for (const std::pair<const std::pair<std::string, std::string>, internal::Series> &entry : m_state->series) {
         const std::string labels = absl::StrCat("team=\"", entry.first.first, "\",queue=\"", entry.first.second, "\"");
-        double count = entry.second.ages.at(-1);
-        for (const auto &bin : internal::histogram::indexed(entry.second.ages)) {
-            count += *bin;
-            absl::StrAppend(&text, "oleanderwick_job_seconds_bucket{", labels, ",le=\"", bin.bin().upper(), "\"} ", count, "\n");
-        }
-        count += entry.second.ages.at(static_cast<int>(internal::bins));
-        absl::StrAppend(&text, "oleanderwick_job_seconds_bucket{", labels, ",le=\"+Inf\"} ", count, "\n");
-        absl::StrAppend(&text, "oleanderwick_job_seconds_sum{", labels, "} ", entry.second.sum, "\n");
-        absl::StrAppend(&text, "oleanderwick_job_seconds_count{", labels, "} ", count, "\n");
+        telemetry::appendTimes(text, "oleanderwick_job_seconds", labels, entry.second.ages, entry.second.sum);
     }
     return text;
 }
--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -80,7 +80,7 @@
             self->takeHandover(answer.items.front());
         }
         // Without it the pause holds for all instances.
-        self->loadWaves("");
+        self->loadRecords();
     });
 }
 
@@ -122,67 +122,68 @@
     }
 }
 
-void Tenure::State::loadWaves(const std::string &after)
+void Tenure::State::loadAll(const std::string &prefix, const std::string &after, const OnItem &onItem, const std::function<void()> &then)
 {
-    ports.store.list(keys::waves, after, [self = shared_from_this(), after](const jobs::StoreAnswer &answer) {
+    ports.store.list(prefix, after, [self = shared_from_this(), prefix, after, onItem, then](const jobs::StoreAnswer &answer) {
         if (!self->active()) {
             return;
         }
         if (answer.outcome != jobs::StoreOutcome::Done) {
-            self->loop.after(internal::retryLoad, [self, after] {
-                self->loadWaves(after);
+            self->loop.after(internal::retryLoad, [self, prefix, after, onItem, then] {
+                self->loadAll(prefix, after, onItem, then);
             });
             return;
         }
         for (const jobs::StoreItem &item : answer.items) {
             self->revisions[item.key] = item.revision;
-            const nlohmann::json value = nlohmann::json::parse(item.value, nullptr, false);
-            const std::int64_t number = std::strtoll(item.key.c_str() + keys::waves.size(), nullptr, 10);
-            if (value.is_object()) {
-                jobs::WaveProgress &progress = self->storedWaves[number];
-                progress.completed = value.value("completed", false);
-                progress.deadlineMs = value.value("deadline", std::int64_t{0});
-                progress.begun = value.value("begun", std::set<std::string>{});
-            }
+            onItem(item);
         }
         if (answer.more && !answer.items.empty()) {
-            self->loadWaves(answer.items.back().key);
+            self->loadAll(prefix, answer.items.back().key, onItem, then);
         } else {
-            self->loadStates("");
+            then();
         }
     });
 }
 
-void Tenure::State::loadStates(const std::string &after)
+void Tenure::State::loadRecords()
 {
-    ports.store.list(keys::states, after, [self = shared_from_this(), after](const jobs::StoreAnswer &answer) {
-        if (!self->active()) {
-            return;
-        }
-        if (answer.outcome != jobs::StoreOutcome::Done) {
-            self->loop.after(internal::retryLoad, [self, after] {
-                self->loadStates(after);
-            });
-            return;
-        }
-        for (const jobs::StoreItem &item : answer.items) {
-            const std::string id = item.key.substr(keys::states.size());
-            self->revisions[item.key] = item.revision;
-            absl::StatusOr<jobs::JobRecord> record = jobs::progressFromRecord(item.value);
-            if (record.ok()) {
-                self->storedStates[id] = *std::move(record);
-            } else {
-                self->log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("job", id).with("error", std::string{record.status().message()}));
-            }
-        }
-        if (answer.more && !answer.items.empty()) {
-            self->loadStates(answer.items.back().key);
-        } else {
-            self->follow();
-        }
+    const OnItem onWave = [this](const jobs::StoreItem &item) {
+        takeWave(item);
+    };
+    const OnItem onState = [this](const jobs::StoreItem &item) {
+        takeState(item);
+    };
+    loadAll(keys::waves, "", onWave, [this, onState] {
+        loadAll(keys::states, "", onState, [this] {
+            follow();
+        });
     });
 }
 
+void Tenure::State::takeWave(const jobs::StoreItem &item)
+{
+    const nlohmann::json value = nlohmann::json::parse(item.value, nullptr, false);
+    const std::int64_t number = std::strtoll(item.key.c_str() + keys::waves.size(), nullptr, 10);
+    if (value.is_object()) {
+        jobs::WaveProgress &progress = storedWaves[number];
+        progress.completed = value.value("completed", false);
+        progress.deadlineMs = value.value("deadline", std::int64_t{0});
+        progress.begun = value.value("begun", std::set<std::string>{});
+    }
+}
+
+void Tenure::State::takeState(const jobs::StoreItem &item)
+{
+    const std::string id = item.key.substr(keys::states.size());
+    absl::StatusOr<jobs::JobRecord> record = jobs::progressFromRecord(item.value);
+    if (record.ok()) {
+        storedStates[id] = *std::move(record);
+    } else {
+        log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("job", id).with("error", std::string{record.status().message()}));
+    }
+}
+
 void Tenure::State::follow()
 {
     // The watchers are owned by this state, and end before it does.
--- a/src/oleanderwick/jobnode/tenure_state.hpp
+++ b/src/oleanderwick/jobnode/tenure_state.hpp
@@ -9,11 +9,16 @@
 struct Tenure::State : std::enable_shared_from_this<Tenure::State> {
     State(http::Loop &itsLoop, const Ports &itsPorts, Ownership &itsOwnership, std::int64_t itsToken, const TenureLimits &itsLimits, LogSink &itsLog);
 
+    /** Takes an item that is read while taking over; only called while the state lives. */
+    using OnItem = std::function<void(const jobs::StoreItem &)>;
+
     /** @name Taking over */
     /** @{ */
     void begin();
-    void loadStates(const std::string &after);
-    void loadWaves(const std::string &after);
+    void loadAll(const std::string &prefix, const std::string &after, const OnItem &onItem, const std::function<void()> &then);
+    void loadRecords();
+    void takeWave(const jobs::StoreItem &item);
+    void takeState(const jobs::StoreItem &item);
     void loadUsedWorkers();
     void loadHandover();
     void takeHandover(const jobs::StoreItem &item);
--- a/src/oleanderwick/jobs/leases.cpp
+++ b/src/oleanderwick/jobs/leases.cpp
@@ -1,6 +1,7 @@
 #include "scheduler.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include <absl/strings/str_cat.h>
 
@@ -46,6 +47,11 @@
     return std::chrono::milliseconds{static_cast<std::int64_t>(longestMs)} + internal::expiryMargin;
 }
 
+core::TimePoint Scheduler::formerLeasesEnd() const noexcept
+{
+    return m_tenureStart + longestLeaseHere();
+}
+
 std::int64_t Scheduler::leaseFor(Worker &worker, core::TimePoint now)
 {
     if (worker.clockMs == 0) {
@@ -115,30 +121,24 @@
 void Scheduler::sweepWorkers(core::TimePoint now)
 {
     constexpr core::Duration forgetAfter = std::chrono::seconds{20};
-    const core::TimePoint unknownBound = m_tenureStart + longestLeaseHere();
     for (auto item = m_workers.begin(); item != m_workers.end();) {
         Worker &worker = item->second;
-        const core::TimePoint bound = worker.reported ? worker.leaseBound : std::max(worker.leaseBound, unknownBound);
+        const core::TimePoint bound = worker.reported ? worker.leaseBound : std::max(worker.leaseBound, formerLeasesEnd());
         if (!worker.runs.empty() && now > bound) {
             dropRuns(worker, "lease_over", now);
         }
         const bool useless = !worker.listed && worker.runs.empty() && !worker.holdOut && now > bound;
-        if (useless && now - std::max(worker.seenAt, m_tenureStart) > forgetAfter) {
-            m_usedWorkers.erase(item->first);
-            item = m_workers.erase(item);
-            continue;
-        }
         if (useless) {
             m_usedWorkers.erase(item->first);
         }
-        ++item;
+        const bool forgotten = useless && now - std::max(worker.seenAt, m_tenureStart) > forgetAfter;
+        item = forgotten ? m_workers.erase(item) : std::next(item);
     }
 }
 
 bool Scheduler::settled(const std::string &pool, core::TimePoint now) const
 {
-    const core::TimePoint unknownBound = m_tenureStart + longestLeaseHere();
-    if (now > unknownBound) {
+    if (now > formerLeasesEnd()) {
         return true;
     }
     return std::all_of(m_workers.begin(), m_workers.end(), [&pool](const std::pair<const std::string, Worker> &item) {
@@ -178,7 +178,7 @@
     forgetEnded();
     if (now - m_loadsAt >= measureEvery) {
         m_loadsAt = now;
-        m_loads = poolLoads(now, wallMs);
+        m_loads = measureLoads(now, wallMs);
     }
     constexpr core::Duration placeAtLeastEvery = std::chrono::milliseconds{100};
     if (m_placementDue || now - m_lastPlacement >= placeAtLeastEvery) {
--- a/src/oleanderwick/jobs/placement.cpp
+++ b/src/oleanderwick/jobs/placement.cpp
@@ -39,17 +39,17 @@
     });
 }
 
-double Scheduler::remainingChainMs(const JobEntry &entry, const Occurrence &occurrence) const
+double Scheduler::chainMs(const Job &job, const Occurrence *progress)
 {
-    std::vector<double> ends(entry.job.steps.size(), 0.0);
+    std::vector<double> ends(job.steps.size(), 0.0);
     double longest = 0.0;
-    for (std::size_t index = 0; index < entry.job.steps.size(); ++index) {
+    for (std::size_t index = 0; index < job.steps.size(); ++index) {
         double start = 0.0;
-        for (const std::size_t before : entry.job.steps[index].after) {
+        for (const std::size_t before : job.steps[index].after) {
             start = std::max(start, before < index ? ends[before] : 0.0);
         }
-        const bool done = occurrence.steps[index].remaining == 0;
-        ends[index] = done ? 0.0 : start + static_cast<double>(entry.job.steps[index].estimateMs);
+        const bool done = progress != nullptr && progress->steps[index].remaining == 0;
+        ends[index] = done ? 0.0 : start + static_cast<double>(job.steps[index].estimateMs);
         longest = std::max(longest, ends[index]);
     }
     return longest;
@@ -61,7 +61,7 @@
     const QueuePolicy policy = queue == m_config.queues.end() ? QueuePolicy{} : queue->second;
     const std::int64_t bornMs = occurrence.dueMs > 0 ? occurrence.dueMs : entry.job.submittedMs;
     const double objective = policy.stretch * entry.chainMs + static_cast<double>(policy.objectiveMs);
-    return static_cast<double>(bornMs - wallMs) + objective - remainingChainMs(entry, occurrence);
+    return static_cast<double>(bornMs - wallMs) + objective - chainMs(entry.job, &occurrence);
 }
 
 void Scheduler::addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found)
@@ -137,7 +137,7 @@
     m_unplaceable.clear();
     for (std::pair<const std::string, Worker> &item : m_workers) {
         const Worker &worker = item.second;
-        if (worker.listed && worker.reported && !worker.silent && !worker.closed && !worker.entry.draining && worker.clockMs > 0) {
+        if (worker.isOpen() && worker.reported && worker.clockMs > 0) {
             m_poolWorkers[worker.entry.pool].push_back(&item.second);
         }
     }
@@ -380,7 +380,7 @@
         const Worker &worker = item.second;
         const auto asked = advice.askedFor.find(item.first);
         const bool known = asked != advice.askedFor.end() && asked->second > now;
-        const bool usable = worker.listed && !worker.silent && !worker.closed && !worker.entry.draining && worker.entry.pool == candidate.entry->job.pool;
+        const bool usable = worker.isOpen() && worker.entry.pool == candidate.entry->job.pool;
         if (usable && !known && order.workers.size() < internal::workersAtOnce) {
             order.workers.push_back(item.first);
         }
@@ -427,12 +427,12 @@
     return jobs < internal::arrivalsForTrend ? 0 : work / core::milliseconds(internal::arrivalWindow);
 }
 
-const std::map<std::string, PoolLoad> &Scheduler::lastPoolLoads() const noexcept
+const std::map<std::string, PoolLoad> &Scheduler::poolLoads() const noexcept
 {
     return m_loads;
 }
 
-std::map<std::string, PoolLoad> Scheduler::poolLoads(core::TimePoint now, std::int64_t wallMs) const
+std::map<std::string, PoolLoad> Scheduler::measureLoads(core::TimePoint now, std::int64_t wallMs) const
 {
     std::map<std::string, PoolLoad> loads;
     for (const std::pair<const std::string, PoolPolicy> &pool : m_config.pools) {
@@ -443,7 +443,7 @@
     for (const std::pair<const std::string, Worker> &item : m_workers) {
         const Worker &worker = item.second;
         const auto load = loads.find(worker.entry.pool);
-        if (load != loads.end() && worker.listed && !worker.closed && !worker.silent && !worker.entry.draining) {
+        if (load != loads.end() && worker.isOpen()) {
             ++load->second.workers;
             load->second.capacity += worker.entry.capacity.cpu;
         }
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -87,7 +87,7 @@
     }
     const auto worker = scheduler.workers().find(instance.worker);
     // One that the registry does not name yet has just come.
-    return worker == scheduler.workers().end() || (worker->second.listed && !worker->second.closed && !worker->second.silent && !worker->second.entry.draining);
+    return worker == scheduler.workers().end() || worker->second.isOpen();
 }
 
 void PoolBalancer::countInstances(Scheduler &scheduler, core::TimePoint now)
@@ -117,7 +117,7 @@
 {
     std::int64_t capacity = 0;
     std::int64_t workers = 0;
-    const std::map<std::string, PoolLoad> &loads = scheduler.lastPoolLoads();
+    const std::map<std::string, PoolLoad> &loads = scheduler.poolLoads();
     for (const std::pair<const std::string, PoolLoad> &load : loads) {
         capacity += load.second.capacity;
         workers += load.second.workers;
--- a/src/oleanderwick/jobs/runs.cpp
+++ b/src/oleanderwick/jobs/runs.cpp
@@ -34,7 +34,6 @@
     task.worker = worker.entry.id;
     task.run = run;
     task.since = now;
-    task.startedAt = now;
     task.progressAt = now;
     task.percent = 0;
     task.figure = 0;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -18,21 +18,6 @@
 /** Most decisions kept between two calls; the rest is counted by the log. */
 constexpr std::size_t maxDecisions = 4096;
 
-double longestChainMs(const Job &job)
-{
-    std::vector<double> ends(job.steps.size(), 0.0);
-    double longest = 0.0;
-    for (std::size_t index = 0; index < job.steps.size(); ++index) {
-        double start = 0.0;
-        for (const std::size_t before : job.steps[index].after) {
-            start = std::max(start, before < index ? ends[before] : 0.0);
-        }
-        ends[index] = start + static_cast<double>(job.steps[index].estimateMs);
-        longest = std::max(longest, ends[index]);
-    }
-    return longest;
-}
-
 } // namespace internal
 
 std::string_view toText(StartAnswer answer) noexcept
@@ -103,7 +88,7 @@
     JobEntry &entry = m_jobs[job.id];
     entry.job = std::move(job);
     entry.predatesTenure = predatesTenure;
-    entry.chainMs = internal::longestChainMs(entry.job);
+    entry.chainMs = chainMs(entry.job, nullptr);
     entry.allSpeculative = std::all_of(entry.job.steps.begin(), entry.job.steps.end(), [](const Step &step) {
         return step.speculative;
     });
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -218,16 +218,8 @@
      */
     [[nodiscard]] bool isStandby(const std::string &pool) const;
 
-    /**
-     * @brief Measures the load of the pools that are not on standby.
-     * @param now Present time.
-     * @param wallMs Unix time.
-     * @return Load by pool.
-     */
-    [[nodiscard]] std::map<std::string, PoolLoad> poolLoads(core::TimePoint now, std::int64_t wallMs) const;
-
-    /** @return Load of the pools as it was measured last by `advance`. */
-    [[nodiscard]] const std::map<std::string, PoolLoad> &lastPoolLoads() const noexcept;
+    /** @return Load of the pools that are not on standby, as `advance` measured it last. */
+    [[nodiscard]] const std::map<std::string, PoolLoad> &poolLoads() const noexcept;
 
     /** @return Pool by worker, for the workers on which something may run. */
     [[nodiscard]] const std::map<std::string, std::string> &usedWorkers() const noexcept;
@@ -288,6 +280,8 @@
     [[nodiscard]] std::int64_t leaseFor(Worker &worker, core::TimePoint now);
     void learnClock(Worker &worker, std::int64_t clockMs, core::TimePoint now) const;
     [[nodiscard]] core::Duration longestLeaseHere() const noexcept;
+    /** When the leases that a former owner gave are over. */
+    [[nodiscard]] core::TimePoint formerLeasesEnd() const noexcept;
     void moveAcks(Worker &worker);
     void sweepWorkers(core::TimePoint now);
     void sweepTasks(core::TimePoint now);
@@ -299,10 +293,12 @@
     [[nodiscard]] std::vector<Candidate> candidates(core::TimePoint now, std::int64_t wallMs);
     void addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found);
     [[nodiscard]] bool stepReady(const JobEntry &entry, const Occurrence &occurrence, std::size_t step) const;
-    [[nodiscard]] double remainingChainMs(const JobEntry &entry, const Occurrence &occurrence) const;
+    /** Longest chain of work by the estimates, without the steps that are done; `progress` may be null. */
+    [[nodiscard]] static double chainMs(const Job &job, const Occurrence *progress);
     void place(core::TimePoint now, std::int64_t wallMs);
     void placeStep(const Candidate &candidate, core::TimePoint now);
     void placeGang(const Candidate &candidate, core::TimePoint now);
+    [[nodiscard]] std::map<std::string, PoolLoad> measureLoads(core::TimePoint now, std::int64_t wallMs) const;
     void addLoad(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, PoolLoad &load) const;
     [[nodiscard]] double slackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const;
     [[nodiscard]] bool teamHasRoom(const JobEntry &entry, const Resources &demand) const;
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -31,7 +31,6 @@
     std::string worker; /**< Worker that it is on, unless it waits or is done. */
     std::int64_t run{0}; /**< Number of the run that is out. */
     core::TimePoint since; /**< Start of its phase. */
-    core::TimePoint startedAt; /**< When its present run was ordered. */
     core::TimePoint notBefore; /**< Not started again before. */
     core::TimePoint progressAt; /**< When its progress last changed. */
     core::TimePoint orderedAt; /**< When a stop was last sent. */
@@ -113,6 +112,12 @@
     std::int64_t ackedEnd{0}; /**< Ends up to this one are durable. */
     std::int64_t sentAck{0}; /**< Ends up to this one were acknowledged to the worker. */
     std::deque<PendingEnd> pendingEnds;
+
+    /** @return True if the registry names it, it answers, and nothing takes it out of service. */
+    [[nodiscard]] bool isOpen() const noexcept
+    {
+        return listed && !closed && !silent && !entry.draining;
+    }
 };
 
 /** @brief Step of an occurrence of a job. */
--- a/src/oleanderwick/telemetry/metrics.cpp
+++ b/src/oleanderwick/telemetry/metrics.cpp
@@ -6,7 +6,8 @@
 #include <mutex>
 
 #include <absl/strings/str_cat.h>
-#include <boost/histogram.hpp>
+
+#include "times.hpp"
 
 namespace oleanderwick::telemetry
 {
@@ -14,20 +15,10 @@
 namespace internal
 {
 
-namespace histogram = boost::histogram;
-
-using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
-using Times = decltype(histogram::make_histogram(Axis{}));
-
 constexpr unsigned bins = 28;
 constexpr double shortest = 0.0005;
 constexpr double longest = 131.072;
 
-Times makeTimes()
-{
-    return histogram::make_histogram(Axis{bins, shortest, longest, "seconds"});
-}
-
 double seconds(core::Duration span)
 {
     return std::chrono::duration<double>{span}.count();
@@ -35,24 +26,12 @@
 
 /** @brief Times of one team on one queue. */
 struct Series {
-    Times wait{makeTimes()};
-    Times run{makeTimes()};
-    Times total{makeTimes()};
+    Times wait{makeTimes(bins, shortest, longest)};
+    Times run{makeTimes(bins, shortest, longest)};
+    Times total{makeTimes(bins, shortest, longest)};
     std::array<double, 3> sums{};
 };
 
-void write(std::string &text, const std::string &name, const std::string &labels, const Times &times, double sum)
-{
-    double count = times.at(-1);
-    for (const auto &bin : histogram::indexed(times)) {
-        count += *bin;
-        absl::StrAppend(&text, name, "_bucket{", labels, ",le=\"", bin.bin().upper(), "\"} ", count, "\n");
-    }
-    count += times.at(static_cast<int>(bins));
-    absl::StrAppend(&text, name, "_bucket{", labels, ",le=\"+Inf\"} ", count, "\n");
-    absl::StrAppend(&text, name, "_sum{", labels, "} ", sum, "\n", name, "_count{", labels, "} ", count, "\n");
-}
-
 } // namespace internal
 
 struct Metrics::State {
@@ -110,9 +89,9 @@
     }
     for (const std::pair<const State::Key, internal::Series> &entry : m_state->series) {
         const std::string labels = absl::StrCat("team=\"", entry.first.first.text(), "\",queue=\"", entry.first.second.text(), "\"");
-        internal::write(text, "oleanderwick_wait_seconds", labels, entry.second.wait, entry.second.sums[0]);
-        internal::write(text, "oleanderwick_run_seconds", labels, entry.second.run, entry.second.sums[1]);
-        internal::write(text, "oleanderwick_total_seconds", labels, entry.second.total, entry.second.sums[2]);
+        appendTimes(text, "oleanderwick_wait_seconds", labels, entry.second.wait, entry.second.sums[0]);
+        appendTimes(text, "oleanderwick_run_seconds", labels, entry.second.run, entry.second.sums[1]);
+        appendTimes(text, "oleanderwick_total_seconds", labels, entry.second.total, entry.second.sums[2]);
     }
     return text;
 }
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -34,6 +34,22 @@
     return response;
 }
 
+/** Answers a call of which the desk says what became of it; `done` is the body of a success. */
+http::Response respondTo(const jobnode::DeskAnswer &result, const json &done)
+{
+    switch (result.outcome) {
+    case jobnode::DeskOutcome::Done:
+        return respondJson(200, done);
+    case jobnode::DeskOutcome::NotFound:
+        return respondJson(410, {});
+    case jobnode::DeskOutcome::NotRun:
+        return unavailable(503);
+    case jobnode::DeskOutcome::Unknown:
+        break;
+    }
+    return unavailable(504);
+}
+
 std::int64_t deadlineOf(const http::Request &request)
 {
     const std::string *text = http::findHeader(request.headers, deadlineHeader);
@@ -181,48 +197,28 @@
     job->team = team;
     job->submittedMs = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     m_node.desk().submit(*job, deadline, [answer = std::move(respond)](const jobnode::DeskAnswer &result) {
-        if (result.outcome == jobnode::DeskOutcome::Done) {
-            answer(internal::respondJson(200, json::object()));
-        } else {
-            answer(internal::unavailable(result.outcome == jobnode::DeskOutcome::NotRun ? 503 : 504));
-        }
+        answer(internal::respondTo(result, json::object()));
     });
 }
 
 void Ingress::status(const std::string &id, core::TimePoint deadline, const http::Responder &respond)
 {
     m_node.desk().status(id, deadline, [respond](const jobnode::DeskAnswer &result) {
-        if (result.outcome == jobnode::DeskOutcome::Done) {
-            respond(internal::respondJson(200, json{{"state", jobs::toText(result.state)}}));
-        } else if (result.outcome == jobnode::DeskOutcome::NotFound) {
-            respond(internal::respondJson(410, {}));
-        } else {
-            respond(internal::unavailable(504));
-        }
+        respond(internal::respondTo(result, json{{"state", jobs::toText(result.state)}}));
     });
 }
 
 void Ingress::cancel(const std::string &id, core::TimePoint deadline, const http::Responder &respond)
 {
     m_node.desk().cancel(id, deadline, [respond](const jobnode::DeskAnswer &result) {
-        if (result.outcome == jobnode::DeskOutcome::Done) {
-            respond(internal::respondJson(200, json::object()));
-        } else if (result.outcome == jobnode::DeskOutcome::NotFound) {
-            respond(internal::respondJson(410, {}));
-        } else {
-            respond(internal::unavailable(504));
-        }
+        respond(internal::respondTo(result, json::object()));
     });
 }
 
 void Ingress::pending(const std::string &queue, core::TimePoint deadline, const http::Responder &respond)
 {
     m_node.desk().pending(queue, deadline, [respond](const jobnode::DeskAnswer &result) {
-        if (result.outcome == jobnode::DeskOutcome::Done) {
-            respond(internal::respondJson(200, json{{"pending", result.pending}}));
-        } else {
-            respond(internal::unavailable(504));
-        }
+        respond(internal::respondTo(result, json{{"pending", result.pending}}));
     });
 }
 
