--- a/src/oleanderwick/core/core.hpp
+++ b/src/oleanderwick/core/core.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
 /** @file
- * @brief Identifiers, time, outcomes, the assertion macro and the bounded ring.
+ * @brief Identifiers, time, the executor, outcomes, the assertion macro and the bounded ring.
  */
 
 #include "assert.hpp"
 #include "clock.hpp"
+#include "executor.hpp"
 #include "fwd.hpp"
 #include "id.hpp"
 #include "outcome.hpp"
--- a/src/oleanderwick/core/fwd.hpp
+++ b/src/oleanderwick/core/fwd.hpp
@@ -31,6 +31,7 @@
 enum class Outcome : std::uint8_t;
 struct Refusal;
 class Clock;
+class Executor;
 template <typename Type>
 class BoundedRing;
 
--- a/src/oleanderwick/http/loop.cpp
+++ b/src/oleanderwick/http/loop.cpp
@@ -122,6 +122,16 @@
     repeater->arm();
 }
 
+core::TimePoint Loop::now() const noexcept
+{
+    return core::BootClock::now();
+}
+
+std::int64_t Loop::wallMs() const noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 void Loop::onStopSignal(std::function<void()> work)
 {
     std::make_shared<internal::SignalWaiter>(m_state->context, std::move(work))->arm();
--- a/src/oleanderwick/jobnode/job_desk.cpp
+++ b/src/oleanderwick/jobnode/job_desk.cpp
@@ -33,19 +33,19 @@
     OnAnswer onAnswer;
 };
 
-JobDesk::JobDesk(http::Loop &loop, jobs::CoordinationStore &store, LogSink &log)
-    : m_loop{loop}
+JobDesk::JobDesk(core::Executor &executor, jobs::CoordinationStore &store, LogSink &log)
+    : m_executor{executor}
     , m_store{store}
     , m_log{log}
 {
 }
 
-std::shared_ptr<JobDesk::Call> JobDesk::makeCall(std::string kind, std::string id, core::TimePoint deadline, OnAnswer onAnswer)
+std::shared_ptr<JobDesk::Call> JobDesk::makeCall(std::string kind, std::string id, core::TimePoint deadline, OnAnswer onAnswer) const
 {
     std::shared_ptr<Call> call = std::make_shared<Call>();
     call->kind = std::move(kind);
     call->id = std::move(id);
-    call->startedAt = core::BootClock::now();
+    call->startedAt = m_executor.now();
     call->deadline = deadline;
     call->onAnswer = std::move(onAnswer);
     return call;
@@ -77,7 +77,7 @@
 
 void JobDesk::retry(const std::shared_ptr<Call> &call, std::function<void(const std::shared_ptr<Call> &)> again)
 {
-    const core::TimePoint now = core::BootClock::now();
+    const core::TimePoint now = m_executor.now();
     const bool late = now + call->pause >= call->deadline - internal::answerMargin;
     const bool refused = !call->mayBeStored && now - call->startedAt >= internal::patience;
     if (late || refused) {
@@ -86,14 +86,14 @@
     }
     const core::Duration pause = call->pause;
     call->pause = std::min(internal::longestRetry, call->pause * 2);
-    m_loop.after(pause, [call, again = std::move(again)] {
+    m_executor.after(pause, [call, again = std::move(again)] {
         again(call);
     });
 }
 
 void JobDesk::finish(Call &call, DeskAnswer answer)
 {
-    const core::Duration took = core::BootClock::now() - call.startedAt;
+    const core::Duration took = m_executor.now() - call.startedAt;
     const bool unusual = call.kind != "status" || answer.outcome != DeskOutcome::Done;
     if (unusual) {
         telemetry::Event event{call.kind};
--- a/src/oleanderwick/jobnode/job_desk.hpp
+++ b/src/oleanderwick/jobnode/job_desk.hpp
@@ -6,7 +6,7 @@
 #include <memory>
 #include <string>
 
-#include "../http/loop.hpp"
+#include "../core/core.hpp"
 #include "../jobs/codec.hpp"
 #include "../jobs/ports.hpp"
 #include "log_sink.hpp"
@@ -37,11 +37,11 @@
 
     /**
      * @brief Opens the desk.
-     * @param loop Loop to run on.
+     * @param executor Runs its work.
      * @param store Store that keeps the jobs.
      * @param log Takes the log lines.
      */
-    JobDesk(http::Loop &loop, jobs::CoordinationStore &store, LogSink &log);
+    JobDesk(core::Executor &executor, jobs::CoordinationStore &store, LogSink &log);
 
     /**
      * @brief Stores a job; the same id is one job for ever.
@@ -78,13 +78,13 @@
 private:
     struct Call;
 
-    [[nodiscard]] static std::shared_ptr<Call> makeCall(std::string kind, std::string id, core::TimePoint deadline, OnAnswer onAnswer);
+    [[nodiscard]] std::shared_ptr<Call> makeCall(std::string kind, std::string id, core::TimePoint deadline, OnAnswer onAnswer) const;
     void commit(const std::shared_ptr<Call> &call);
     void read(const std::shared_ptr<Call> &call, const std::string &key, std::function<void(const jobs::StoreAnswer &)> onFound);
     void finish(Call &call, DeskAnswer answer);
     void retry(const std::shared_ptr<Call> &call, std::function<void(const std::shared_ptr<Call> &)> again);
 
-    http::Loop &m_loop;
+    core::Executor &m_executor;
     jobs::CoordinationStore &m_store;
     LogSink &m_log;
 };
--- a/src/oleanderwick/jobnode/job_node.cpp
+++ b/src/oleanderwick/jobnode/job_node.cpp
@@ -15,12 +15,12 @@
 
 } // namespace internal
 
-JobNode::JobNode(http::Loop &loop, const Ports &ports, const std::string &name, const TenureLimits &limits, LogSink &log)
-    : m_loop{loop}
+JobNode::JobNode(core::Executor &executor, const Ports &ports, const std::string &name, const TenureLimits &limits, LogSink &log)
+    : m_executor{executor}
     , m_ports{ports}
     , m_limits{limits}
     , m_log{log}
-    , m_desk{loop, ports.store, log}
+    , m_desk{executor, ports.store, log}
 {
     Watcher::Callbacks seen;
     seen.onItem = [this](const jobs::StoreItem &item) {
@@ -37,7 +37,7 @@
             m_log.add("store_contact", telemetry::Event{answered ? "store_regained" : "store_lost"});
         }
     };
-    m_operators = std::make_unique<Watcher>(loop, ports.store, ports.translator.operatorPrefix(), internal::operatorWait, std::move(seen));
+    m_operators = std::make_unique<Watcher>(executor, ports.store, ports.translator.operatorPrefix(), internal::operatorWait, std::move(seen));
     Ownership::Callbacks changes;
     changes.onAcquired = [this](std::int64_t token) {
         becomeOwner(token);
@@ -45,8 +45,8 @@
     changes.onLost = [this] {
         m_tenure.reset();
     };
-    m_ownership = std::make_unique<Ownership>(loop, ports.store, name, limits.handicap, log, std::move(changes));
-    loop.every(internal::flushLogEvery, [this] {
+    m_ownership = std::make_unique<Ownership>(executor, ports.store, name, limits.handicap, log, std::move(changes));
+    executor.every(internal::flushLogEvery, [this] {
         m_log.flush();
     });
 }
@@ -98,7 +98,7 @@
 
 void JobNode::becomeOwner(std::int64_t token)
 {
-    m_tenure = std::make_unique<Tenure>(m_loop, m_ports, *m_ownership, token, m_limits, m_log);
+    m_tenure = std::make_unique<Tenure>(m_executor, m_ports, *m_ownership, token, m_limits, m_log);
     m_tenure->take(m_config);
     for (const std::pair<const std::int64_t, OperatorNews> &wave : m_waves) {
         m_tenure->take(wave.second);
@@ -111,7 +111,7 @@
         return;
     }
     m_stopping = true;
-    m_stopStart = core::BootClock::now();
+    m_stopStart = m_executor.now();
     if (m_tenure == nullptr) {
         m_ownership->resign({});
         return;
@@ -122,12 +122,12 @@
 
 void JobNode::advanceStop()
 {
-    const bool late = core::BootClock::now() - m_stopStart >= internal::longestWind;
+    const bool late = m_executor.now() - m_stopStart >= internal::longestWind;
     if (m_tenure == nullptr || m_tenure->isWound() || late) {
         m_ownership->resign(m_tenure == nullptr ? std::vector<jobs::StoreChange::Write>{} : m_tenure->handover());
         return;
     }
-    m_loop.after(internal::stopPoll, [this] {
+    m_executor.after(internal::stopPoll, [this] {
         advanceStop();
     });
 }
--- a/src/oleanderwick/jobnode/job_node.hpp
+++ b/src/oleanderwick/jobnode/job_node.hpp
@@ -17,13 +17,13 @@
 public:
     /**
      * @brief Starts the node.
-     * @param loop Loop to run on.
+     * @param executor Runs its work.
      * @param ports Everything outside.
      * @param name Name of the node, unique for one run of its process.
      * @param limits Bounds of an owner's work.
      * @param log Takes the log lines.
      */
-    JobNode(http::Loop &loop, const Ports &ports, const std::string &name, const TenureLimits &limits, LogSink &log);
+    JobNode(core::Executor &executor, const Ports &ports, const std::string &name, const TenureLimits &limits, LogSink &log);
     ~JobNode();
     JobNode(const JobNode &) = delete;
     JobNode &operator=(const JobNode &) = delete;
@@ -48,7 +48,7 @@
     void becomeOwner(std::int64_t token);
     void advanceStop();
 
-    http::Loop &m_loop;
+    core::Executor &m_executor;
     Ports m_ports;
     TenureLimits m_limits;
     LogSink &m_log;
--- a/src/oleanderwick/jobnode/log_sink.cpp
+++ b/src/oleanderwick/jobnode/log_sink.cpp
@@ -1,6 +1,5 @@
 #include "log_sink.hpp"
 
-#include <chrono>
 #include <cstdio>
 #include <ctime>
 
@@ -19,26 +18,9 @@
 constexpr std::uint32_t linesPerSecond = 1500;
 constexpr std::size_t largestBatch = 256U << 10U;
 
-std::string timeText()
-{
-    const std::chrono::system_clock::time_point now = std::chrono::system_clock::now();
-    const std::int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
-    const std::time_t seconds = ms / 1000;
-    std::tm parts{};
-    gmtime_r(&seconds, &parts);
-    return absl::StrFormat("time=%04d-%02d-%02dT%02d:%02d:%02d.%03d ",
-                           parts.tm_year + 1900,
-                           parts.tm_mon + 1,
-                           parts.tm_mday,
-                           parts.tm_hour,
-                           parts.tm_min,
-                           parts.tm_sec,
-                           static_cast<int>(ms % 1000));
-}
-
 } // namespace internal
 
-LogSink::LogSink()
+StandardOutput::StandardOutput()
     : m_ring{internal::waitingBatches}
     , m_writer{[this] {
         write();
@@ -46,9 +28,8 @@
 {
 }
 
-LogSink::~LogSink()
+StandardOutput::~StandardOutput()
 {
-    flush();
     // An empty batch ends the writer; a reader that stands still must not keep the process alive.
     if (m_ring.tryPush({})) {
         m_writer.join();
@@ -57,14 +38,55 @@
     }
 }
 
+bool StandardOutput::tryWrite(std::string batch)
+{
+    return m_ring.tryPush(std::move(batch));
+}
+
+void StandardOutput::write()
+{
+    for (std::string batch = m_ring.pop(); !batch.empty(); batch = m_ring.pop()) {
+        (void)std::fwrite(batch.data(), 1, batch.size(), stdout);
+        (void)std::fflush(stdout);
+    }
+}
+
+LogSink::LogSink(const core::Executor &clock, std::unique_ptr<LogOutput> output)
+    : m_clock{clock}
+    , m_output{std::move(output)}
+{
+}
+
+LogSink::~LogSink()
+{
+    flush();
+}
+
+std::string LogSink::timeText() const
+{
+    constexpr std::int64_t msPerSecond = 1000;
+    const std::int64_t ms = m_clock.wallMs();
+    const std::time_t seconds = ms / msPerSecond;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    return absl::StrFormat("time=%04d-%02d-%02dT%02d:%02d:%02d.%03d ",
+                           parts.tm_year + 1900,
+                           parts.tm_mon + 1,
+                           parts.tm_mday,
+                           parts.tm_hour,
+                           parts.tm_min,
+                           parts.tm_sec,
+                           static_cast<int>(ms % msPerSecond));
+}
+
 void LogSink::add(const std::string &kind, const telemetry::Event &event)
 {
     m_metrics.count(kind);
     Rate &rate = m_rates[kind];
-    const core::TimePoint now = core::BootClock::now();
+    const core::TimePoint now = m_clock.now();
     if (now - rate.windowStart >= std::chrono::seconds{1}) {
         if (rate.suppressed > 0) {
-            absl::StrAppend(&m_collected, internal::timeText(), "event=lines_suppressed kind=", kind, " count=", rate.suppressed, "\n");
+            absl::StrAppend(&m_collected, timeText(), "event=lines_suppressed kind=", kind, " count=", rate.suppressed, "\n");
         }
         rate = Rate{now, 0, 0};
     }
@@ -73,7 +95,7 @@
         ++m_suppressed;
         return;
     }
-    absl::StrAppend(&m_collected, internal::timeText(), event.line(), "\n");
+    absl::StrAppend(&m_collected, timeText(), event.line(), "\n");
 }
 
 void LogSink::flush()
@@ -81,7 +103,7 @@
     if (m_collected.empty()) {
         return;
     }
-    if (!m_ring.tryPush(std::move(m_collected))) {
+    if (!m_output->tryWrite(std::move(m_collected))) {
         ++m_suppressed;
     }
     m_collected.clear();
@@ -97,12 +119,4 @@
     return m_suppressed;
 }
 
-void LogSink::write()
-{
-    for (std::string batch = m_ring.pop(); !batch.empty(); batch = m_ring.pop()) {
-        (void)std::fwrite(batch.data(), 1, batch.size(), stdout);
-        (void)std::fflush(stdout);
-    }
-}
-
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/ownership.cpp
+++ b/src/oleanderwick/jobnode/ownership.cpp
@@ -26,14 +26,19 @@
 } // namespace internal
 
 struct Ownership::State : std::enable_shared_from_this<Ownership::State> {
-    State(http::Loop &itsLoop, jobs::CoordinationStore &itsStore, std::string itsName, core::Duration itsHandicap, LogSink &itsLog, Callbacks itsCallbacks)
-        : loop{itsLoop}
+    State(core::Executor &itsExecutor,
+          jobs::CoordinationStore &itsStore,
+          std::string itsName,
+          core::Duration itsHandicap,
+          LogSink &itsLog,
+          Callbacks itsCallbacks)
+        : executor{itsExecutor}
         , store{itsStore}
         , self{std::move(itsName)}
         , handicap{itsHandicap}
         , log{itsLog}
         , callbacks{std::move(itsCallbacks)}
-        , random{std::random_device{}()}
+        , random{std::hash<std::string>{}(self)}
     {
     }
 
@@ -44,7 +49,7 @@
         }
         attempting = true;
         const core::Duration spread = std::chrono::milliseconds{std::uniform_int_distribution<int>{0, internal::spreadMs}(random)};
-        loop.after(least + handicap + spread, [me = shared_from_this()] {
+        executor.after(least + handicap + spread, [me = shared_from_this()] {
             me->attempting = false;
             me->acquire();
         });
@@ -56,7 +61,7 @@
             return;
         }
         attempting = true;
-        const core::TimePoint sentAt = core::BootClock::now();
+        const core::TimePoint sentAt = executor.now();
         store.grant(internal::leaseTtl, [me = shared_from_this(), sentAt](const jobs::StoreAnswer &answer) {
             if (me->stopped || answer.outcome != jobs::StoreOutcome::Done) {
                 me->attempting = false;
@@ -114,7 +119,7 @@
 
     void scheduleRenewal(std::int64_t ofToken)
     {
-        loop.after(internal::renewEvery, [me = shared_from_this(), ofToken] {
+        executor.after(internal::renewEvery, [me = shared_from_this(), ofToken] {
             if (!me->stopped && me->token == ofToken) {
                 me->renew(ofToken);
             }
@@ -123,7 +128,7 @@
 
     void renew(std::int64_t ofToken)
     {
-        const core::TimePoint sentAt = core::BootClock::now();
+        const core::TimePoint sentAt = executor.now();
         store.renew(lease, [me = shared_from_this(), ofToken, sentAt](const jobs::StoreAnswer &answer) {
             if (me->stopped || me->token != ofToken) {
                 return;
@@ -133,7 +138,7 @@
                 return;
             }
             if (answer.outcome == jobs::StoreOutcome::Done) {
-                const bool lapsed = core::BootClock::now() >= me->validUntil;
+                const bool lapsed = me->executor.now() >= me->validUntil;
                 me->validUntil = std::max(me->validUntil, sentAt + me->ttl - internal::sendMargin);
                 if (lapsed) {
                     me->log.add("ownership_resumed", telemetry::Event{"ownership_resumed"}.with("token", me->token));
@@ -166,7 +171,7 @@
         }
     }
 
-    http::Loop &loop;
+    core::Executor &executor;
     jobs::CoordinationStore &store;
     std::string self;
     core::Duration handicap;
@@ -184,8 +189,8 @@
     core::TimePoint validUntil;
 };
 
-Ownership::Ownership(http::Loop &loop, jobs::CoordinationStore &store, std::string self, core::Duration handicap, LogSink &log, Callbacks callbacks)
-    : m_state{std::make_shared<State>(loop, store, std::move(self), handicap, log, std::move(callbacks))}
+Ownership::Ownership(core::Executor &executor, jobs::CoordinationStore &store, std::string self, core::Duration handicap, LogSink &log, Callbacks callbacks)
+    : m_state{std::make_shared<State>(executor, store, std::move(self), handicap, log, std::move(callbacks))}
 {
     State *state = m_state.get();
     Watcher::Callbacks seen;
@@ -203,7 +208,7 @@
             state->tryLater({});
         }
     };
-    m_state->watcher = std::make_unique<Watcher>(loop, store, keys::ownerPrefix, internal::watchWait, std::move(seen));
+    m_state->watcher = std::make_unique<Watcher>(executor, store, keys::ownerPrefix, internal::watchWait, std::move(seen));
 }
 
 Ownership::~Ownership()
--- a/src/oleanderwick/jobnode/ownership.hpp
+++ b/src/oleanderwick/jobnode/ownership.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "../http/loop.hpp"
+#include "../core/core.hpp"
 #include "../jobs/ports.hpp"
 #include "log_sink.hpp"
 #include "watcher.hpp"
@@ -26,14 +26,14 @@
 
     /**
      * @brief Starts to compete.
-     * @param loop Loop to run on.
+     * @param executor Runs its work.
      * @param store Store that keeps the key.
      * @param self Name of this node, unique for one run of its process.
      * @param handicap Time for which better suited nodes are let go first.
      * @param log Takes the log lines.
      * @param callbacks Take changes.
      */
-    Ownership(http::Loop &loop, jobs::CoordinationStore &store, std::string self, core::Duration handicap, LogSink &log, Callbacks callbacks);
+    Ownership(core::Executor &executor, jobs::CoordinationStore &store, std::string self, core::Duration handicap, LogSink &log, Callbacks callbacks);
     ~Ownership();
     Ownership(const Ownership &) = delete;
     Ownership &operator=(const Ownership &) = delete;
--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -20,18 +20,23 @@
 
 } // namespace internal
 
-Tenure::State::State(http::Loop &itsLoop, const Ports &itsPorts, Ownership &itsOwnership, std::int64_t itsToken, const TenureLimits &itsLimits, LogSink &itsLog)
-    : loop{itsLoop}
+Tenure::State::State(core::Executor &itsExecutor,
+                     const Ports &itsPorts,
+                     Ownership &itsOwnership,
+                     std::int64_t itsToken,
+                     const TenureLimits &itsLimits,
+                     LogSink &itsLog)
+    : executor{itsExecutor}
     , ports{itsPorts}
     , ownership{itsOwnership}
     , token{itsToken}
     , limits{itsLimits}
     , log{itsLog}
-    , scheduler{itsLimits.scheduler, core::BootClock::now()}
-    , pause{core::BootClock::now() + itsLimits.orderPause}
+    , scheduler{itsLimits.scheduler, itsExecutor.now()}
+    , pause{itsExecutor.now() + itsLimits.orderPause}
     , upkeep{pause}
     , balancer{pause}
-    , startedAt{core::BootClock::now()}
+    , startedAt{itsExecutor.now()}
 {
 }
 
@@ -40,11 +45,6 @@
     return !stopped && ownership.token() == token;
 }
 
-std::int64_t Tenure::State::wallMs()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 void Tenure::State::begin()
 {
     loadUsedWorkers();
@@ -57,7 +57,7 @@
             return;
         }
         if (answer.outcome != jobs::StoreOutcome::Done && answer.outcome != jobs::StoreOutcome::NotFound) {
-            self->loop.after(internal::retryLoad, [self] {
+            self->executor.after(internal::retryLoad, [self] {
                 self->loadUsedWorkers();
             });
             return;
@@ -129,7 +129,7 @@
             return;
         }
         if (answer.outcome != jobs::StoreOutcome::Done) {
-            self->loop.after(internal::retryLoad, [self, prefix, after, onItem, then] {
+            self->executor.after(internal::retryLoad, [self, prefix, after, onItem, then] {
                 self->loadAll(prefix, after, onItem, then);
             });
             return;
@@ -209,8 +209,8 @@
         workersListed = true;
         restored();
     };
-    intakeWatcher = std::make_unique<Watcher>(loop, ports.store, keys::intake, internal::watchWait, std::move(intake));
-    workerWatcher = std::make_unique<Watcher>(loop, ports.store, ports.translator.workerPrefix(), internal::watchWait, std::move(workers));
+    intakeWatcher = std::make_unique<Watcher>(executor, ports.store, keys::intake, internal::watchWait, std::move(intake));
+    workerWatcher = std::make_unique<Watcher>(executor, ports.store, ports.translator.workerPrefix(), internal::watchWait, std::move(workers));
 }
 
 void Tenure::State::restored()
@@ -223,15 +223,15 @@
         restoreJob(item.first);
     }
     for (const std::string &id : storedCancels) {
-        scheduler.cancelJob(id, wallMs(), core::BootClock::now());
+        scheduler.cancelJob(id, executor.wallMs(), executor.now());
     }
     for (const std::pair<const std::int64_t, jobs::MaintenanceWave> &wave : waves) {
         const auto progress = storedWaves.find(wave.first);
-        upkeep.addWave(wave.second, progress == storedWaves.end() ? std::nullopt : std::optional<jobs::WaveProgress>{progress->second}, wallMs());
+        upkeep.addWave(wave.second, progress == storedWaves.end() ? std::nullopt : std::optional<jobs::WaveProgress>{progress->second}, executor.wallMs());
     }
     telemetry::Event event{"tenure_ready"};
     event.with("token", token).with("jobs", static_cast<std::int64_t>(storedJobs.size())).with("states", static_cast<std::int64_t>(storedStates.size()));
-    event.with("workers", static_cast<std::int64_t>(scheduler.workers().size())).with("took_ms", core::milliseconds(core::BootClock::now() - startedAt));
+    event.with("workers", static_cast<std::int64_t>(scheduler.workers().size())).with("took_ms", core::milliseconds(executor.now() - startedAt));
     log.add("tenure_ready", event);
     storedJobs.clear();
     storedStates.clear();
@@ -245,7 +245,7 @@
         return;
     }
     pump();
-    loop.after(internal::pumpEvery, [self = shared_from_this()] {
+    executor.after(internal::pumpEvery, [self = shared_from_this()] {
         self->tick();
     });
 }
@@ -269,7 +269,7 @@
     if (item.key.starts_with(keys::cancels)) {
         const std::string id = item.key.substr(keys::cancels.size());
         if (ready && !endedJobs.contains(id)) {
-            scheduler.cancelJob(id, wallMs(), core::BootClock::now());
+            scheduler.cancelJob(id, executor.wallMs(), executor.now());
             schedulePump();
         } else if (!ready) {
             storedCancels.insert(id);
@@ -289,7 +289,7 @@
         return;
     }
     if (!endedJobs.contains(job->id) && scheduler.findJob(job->id) == nullptr) {
-        scheduler.addJob(*std::move(job), std::nullopt, item.revision < token, core::BootClock::now());
+        scheduler.addJob(*std::move(job), std::nullopt, item.revision < token, executor.now());
         schedulePump();
     }
 }
@@ -301,7 +301,7 @@
         log.add("worker_unreadable", telemetry::Event{"worker_unreadable"}.with("key", item.key));
         return;
     }
-    scheduler.listWorker(*entry, core::BootClock::now());
+    scheduler.listWorker(*entry, executor.now());
     schedulePump();
 }
 
@@ -316,15 +316,15 @@
         return;
     }
     pumpPosted = true;
-    const core::Duration sincePump = core::BootClock::now() - pumpedAt;
+    const core::Duration sincePump = executor.now() - pumpedAt;
     const std::function<void()> work = [self = shared_from_this()] {
         self->pumpPosted = false;
         self->pump();
     };
     if (sincePump >= internal::gather) {
-        loop.post(work);
+        executor.post(work);
     } else {
-        loop.after(internal::gather - sincePump, work);
+        executor.after(internal::gather - sincePump, work);
     }
 }
 
@@ -335,20 +335,28 @@
         if (entry != nullptr) {
             log.metrics().recordJob(entry->job.team, entry->job.queue, std::chrono::milliseconds{entry->endedMs - entry->job.submittedMs});
         }
-        telemetry::Event event{decision.event};
-        if (!decision.job.empty()) {
-            event.with("job", decision.job);
-        }
-        if (!decision.worker.empty()) {
-            event.with("worker", decision.worker);
-        }
-        event.append(decision.detail);
-        log.add(decision.event, event);
+        logDecision(decision);
+    }
+    for (const jobs::Decision &decision : balancer.takeDecisions()) {
+        logDecision(decision);
+    }
+}
+
+void Tenure::State::logDecision(const jobs::Decision &decision)
+{
+    telemetry::Event event{decision.event};
+    if (!decision.job.empty()) {
+        event.with("job", decision.job);
+    }
+    if (!decision.worker.empty()) {
+        event.with("worker", decision.worker);
     }
+    event.append(decision.detail);
+    log.add(decision.event, event);
 }
 
-Tenure::Tenure(http::Loop &loop, const Ports &ports, Ownership &ownership, std::int64_t token, const TenureLimits &limits, LogSink &log)
-    : m_state{std::make_shared<State>(loop, ports, ownership, token, limits, log)}
+Tenure::Tenure(core::Executor &executor, const Ports &ports, Ownership &ownership, std::int64_t token, const TenureLimits &limits, LogSink &log)
+    : m_state{std::make_shared<State>(executor, ports, ownership, token, limits, log)}
 {
     m_state->begin();
 }
@@ -370,8 +378,9 @@
         m_state->waves[news.wave->number] = *news.wave;
         if (m_state->ready) {
             const auto progress = m_state->storedWaves.find(news.wave->number);
-            m_state->upkeep.addWave(
-                *news.wave, progress == m_state->storedWaves.end() ? std::nullopt : std::optional<jobs::WaveProgress>{progress->second}, State::wallMs());
+            m_state->upkeep.addWave(*news.wave,
+                                    progress == m_state->storedWaves.end() ? std::nullopt : std::optional<jobs::WaveProgress>{progress->second},
+                                    m_state->executor.wallMs());
         }
     }
 }
@@ -379,7 +388,7 @@
 std::vector<jobs::StoreChange::Write> Tenure::handover() const
 {
     nlohmann::json recent = nlohmann::json::array();
-    const core::TimePoint now = core::BootClock::now();
+    const core::TimePoint now = m_state->executor.now();
     for (const std::pair<const std::string, core::TimePoint> &ordered : m_state->orderedInstances) {
         if (now - ordered.second <= m_state->limits.orderPause) {
             recent.push_back(ordered.first);
--- a/src/oleanderwick/jobnode/tenure.hpp
+++ b/src/oleanderwick/jobnode/tenure.hpp
@@ -29,14 +29,14 @@
 public:
     /**
      * @brief Starts the owner's work.
-     * @param loop Loop to run on.
+     * @param executor Runs its work.
      * @param ports Everything outside.
      * @param ownership Says whether orders may be given.
      * @param token Fencing token of this tenure.
      * @param limits Bounds to keep to.
      * @param log Takes the log lines.
      */
-    Tenure(http::Loop &loop, const Ports &ports, Ownership &ownership, std::int64_t token, const TenureLimits &limits, LogSink &log);
+    Tenure(core::Executor &executor, const Ports &ports, Ownership &ownership, std::int64_t token, const TenureLimits &limits, LogSink &log);
     ~Tenure();
     Tenure(const Tenure &) = delete;
     Tenure &operator=(const Tenure &) = delete;
--- a/src/oleanderwick/jobnode/tenure_orders.cpp
+++ b/src/oleanderwick/jobnode/tenure_orders.cpp
@@ -14,7 +14,7 @@
 
 void Tenure::State::pump()
 {
-    const core::TimePoint now = core::BootClock::now();
+    const core::TimePoint now = executor.now();
     if (!active() || !ready) {
         return;
     }
@@ -26,8 +26,8 @@
             }
         }
         if (!winding) {
-            scheduler.advance(now, wallMs());
-            upkeep.advance(scheduler, now, wallMs());
+            scheduler.advance(now, executor.wallMs());
+            upkeep.advance(scheduler, now, executor.wallMs());
             balancer.advance(scheduler, upkeep, now);
         }
         sendOrders();
@@ -55,7 +55,7 @@
     }
     questions.insert(questions.end(), orders.questions.begin(), orders.questions.end());
     askAdvice();
-    for (const jobs::HoldOrder &order : scheduler.takeHolds(core::BootClock::now())) {
+    for (const jobs::HoldOrder &order : scheduler.takeHolds(executor.now())) {
         sendHold(order);
     }
     for (const jobs::MaintainOrder &order : upkeep.takeOrders()) {
@@ -74,15 +74,15 @@
 
 void Tenure::State::sendStart(const jobs::StartOrder &order)
 {
-    if (!ownership.holds(core::BootClock::now())) {
-        scheduler.takeStartAnswer(order, jobs::StartAnswer::NotSent, 0, core::BootClock::now());
+    if (!ownership.holds(executor.now())) {
+        scheduler.takeStartAnswer(order, jobs::StartAnswer::NotSent, 0, executor.now());
         return;
     }
     ports.workers.start(order, token, [self = shared_from_this(), order](const jobs::StartReply &reply) {
         if (!self->active()) {
             return;
         }
-        self->scheduler.takeStartAnswer(order, reply.answer, reply.clockMs, core::BootClock::now());
+        self->scheduler.takeStartAnswer(order, reply.answer, reply.clockMs, self->executor.now());
         if (reply.answer == jobs::StartAnswer::Fenced) {
             self->fenced(order.worker);
             return;
@@ -95,7 +95,7 @@
 {
     ports.workers.stop(order, token, [self = shared_from_this(), order](bool acknowledged) {
         if (self->active()) {
-            self->scheduler.takeStopAnswer(order, acknowledged, core::BootClock::now());
+            self->scheduler.takeStopAnswer(order, acknowledged, self->executor.now());
             self->schedulePump();
         }
     });
@@ -103,18 +103,18 @@
 
 void Tenure::State::sendHold(const jobs::HoldOrder &order)
 {
-    const core::TimePoint sentAt = core::BootClock::now();
+    const core::TimePoint sentAt = executor.now();
     ports.workers.hold(order, token, [self = shared_from_this(), order, sentAt](const jobs::HoldReply &reply) {
         if (!self->active()) {
             return;
         }
-        const core::TimePoint now = core::BootClock::now();
+        const core::TimePoint now = self->executor.now();
         if (reply.kind == jobs::HoldReply::Kind::Fenced) {
             self->fenced(order.worker);
             return;
         }
         if (reply.kind == jobs::HoldReply::Kind::Listed) {
-            self->scheduler.takeReport(order.worker, reply.report, sentAt, now, wallMs());
+            self->scheduler.takeReport(order.worker, reply.report, sentAt, now, self->executor.wallMs());
         } else {
             self->scheduler.takeHoldFailure(order.worker, reply.kind == jobs::HoldReply::Kind::Gone, now);
         }
@@ -136,7 +136,7 @@
         if (!self->active()) {
             return;
         }
-        const core::TimePoint now = core::BootClock::now();
+        const core::TimePoint now = self->executor.now();
         if (reply.has_value()) {
             self->scheduler.takeAdvice(order, reply->tickets, reply->validFor, now);
         } else {
@@ -147,20 +147,34 @@
     });
 }
 
+std::set<std::string> Tenure::State::workersOn(const jobs::InstancePort::Instances &instances)
+{
+    std::set<std::string> workers;
+    for (const std::pair<const std::string, jobs::InstanceEntry> &item : instances) {
+        // A move or maintenance ends the worker at once.
+        const bool ended = item.second.state == jobs::InstanceState::Moving || item.second.state == jobs::InstanceState::Maintained;
+        if (!ended && !item.second.worker.empty()) {
+            workers.insert(item.second.worker);
+        }
+    }
+    return workers;
+}
+
 void Tenure::State::listInstances()
 {
-    const core::TimePoint now = core::BootClock::now();
+    const core::TimePoint now = executor.now();
     if (listingInstances || now - instancesListedAt < internal::instancesEvery) {
         return;
     }
     listingInstances = true;
     ports.instances.list([self = shared_from_this(), now](std::optional<jobs::InstancePort::Instances> instances) {
         self->listingInstances = false;
-        self->instancesListedAt = core::BootClock::now();
+        self->instancesListedAt = self->executor.now();
         if (!self->active()) {
             return;
         }
         if (instances.has_value()) {
+            self->scheduler.takeRunningWorkers(workersOn(*instances), now, self->executor.now());
             self->balancer.takeInstances(*instances, now);
             self->upkeep.takeInstances(*std::move(instances), now);
             self->schedulePump();
@@ -172,11 +186,11 @@
 
 void Tenure::State::sendMaintenance(const jobs::MaintainOrder &order)
 {
-    if (!ownership.holds(core::BootClock::now())) {
-        upkeep.takeAnswer(order, jobs::InstanceAnswer::Refused, core::BootClock::now());
+    if (!ownership.holds(executor.now())) {
+        upkeep.takeAnswer(order, jobs::InstanceAnswer::Refused, executor.now());
         return;
     }
-    orderedInstances[order.instance] = core::BootClock::now();
+    orderedInstances[order.instance] = executor.now();
     ports.instances.maintain(order, token, [self = shared_from_this(), order](jobs::InstanceAnswer answer) {
         telemetry::Event event{"maintenance_ordered"};
         event.with("instance", order.instance).with("wave", order.wave).with("answer", static_cast<std::int64_t>(answer));
@@ -184,7 +198,7 @@
         if (!self->active()) {
             return;
         }
-        self->upkeep.takeAnswer(order, answer, core::BootClock::now());
+        self->upkeep.takeAnswer(order, answer, self->executor.now());
         if (answer == jobs::InstanceAnswer::Fenced) {
             self->ownership.lose();
             return;
@@ -195,11 +209,11 @@
 
 void Tenure::State::sendMove(const jobs::MoveOrder &order)
 {
-    if (!ownership.holds(core::BootClock::now())) {
-        balancer.takeAnswer(order, jobs::InstanceAnswer::Refused, scheduler, core::BootClock::now());
+    if (!ownership.holds(executor.now())) {
+        balancer.takeAnswer(order, jobs::InstanceAnswer::Refused, scheduler, executor.now());
         return;
     }
-    orderedInstances[order.instance] = core::BootClock::now();
+    orderedInstances[order.instance] = executor.now();
     ports.instances.move(order, token, [self = shared_from_this(), order](jobs::InstanceAnswer answer) {
         telemetry::Event event{"move_ordered"};
         event.with("instance", order.instance).with("from", order.from).with("to", order.pool).with("answer", static_cast<std::int64_t>(answer));
@@ -207,7 +221,7 @@
         if (!self->active()) {
             return;
         }
-        self->balancer.takeAnswer(order, answer, self->scheduler, core::BootClock::now());
+        self->balancer.takeAnswer(order, answer, self->scheduler, self->executor.now());
         if (answer == jobs::InstanceAnswer::Fenced) {
             self->ownership.lose();
             return;
--- a/src/oleanderwick/jobnode/tenure_saves.cpp
+++ b/src/oleanderwick/jobnode/tenure_saves.cpp
@@ -42,7 +42,7 @@
 
 void Tenure::State::save()
 {
-    const core::TimePoint now = core::BootClock::now();
+    const core::TimePoint now = executor.now();
     const bool due = scheduler.hasUnsavedEnd() || (scheduler.hasUnsaved() && (winding || now - savedAt >= internal::saveEvery));
     if (saving || !due || now < saveRetryAt) {
         return;
@@ -83,7 +83,7 @@
         }
     }
     if (!stored) {
-        saveRetryAt = core::BootClock::now() + internal::retrySave;
+        saveRetryAt = executor.now() + internal::retrySave;
         telemetry::Event event{"save_failed"};
         event.with("outcome", static_cast<std::int64_t>(answer.outcome)).with("jobs", static_cast<std::int64_t>(saves.size()));
         log.add("save_failed", event);
@@ -172,7 +172,7 @@
 
 void Tenure::State::savePending()
 {
-    const core::TimePoint now = core::BootClock::now();
+    const core::TimePoint now = executor.now();
     if (pendingSaving || now - pendingSavedAt < internal::savePendingEvery) {
         return;
     }
@@ -192,12 +192,12 @@
 
 void Tenure::State::removeExpired()
 {
-    const core::TimePoint now = core::BootClock::now();
+    const core::TimePoint now = executor.now();
     if (removing || now - removedAt < internal::removeEvery) {
         return;
     }
     removedAt = now;
-    const std::int64_t before = wallMs() - core::milliseconds(limits.keepEnded);
+    const std::int64_t before = executor.wallMs() - core::milliseconds(limits.keepEnded);
     std::vector<std::string> expired;
     for (const std::pair<const std::string, std::int64_t> &ended : endedJobs) {
         if (ended.second < before && expired.size() < internal::removalsInChange) {
--- a/src/oleanderwick/jobnode/tenure_state.hpp
+++ b/src/oleanderwick/jobnode/tenure_state.hpp
@@ -7,7 +7,7 @@
 
 /** @brief Inner state of a tenure; outlives it for as long as calls are under way. */
 struct Tenure::State : std::enable_shared_from_this<Tenure::State> {
-    State(http::Loop &itsLoop, const Ports &itsPorts, Ownership &itsOwnership, std::int64_t itsToken, const TenureLimits &itsLimits, LogSink &itsLog);
+    State(core::Executor &itsExecutor, const Ports &itsPorts, Ownership &itsOwnership, std::int64_t itsToken, const TenureLimits &itsLimits, LogSink &itsLog);
 
     /** Takes an item that is read while taking over; only called while the state lives. */
     using OnItem = std::function<void(const jobs::StoreItem &)>;
@@ -46,6 +46,7 @@
     void sendHold(const jobs::HoldOrder &order);
     void askAdvice();
     void listInstances();
+    [[nodiscard]] static std::set<std::string> workersOn(const jobs::InstancePort::Instances &instances);
     void sendMaintenance(const jobs::MaintainOrder &order);
     void sendMove(const jobs::MoveOrder &order);
     void fenced(const std::string &worker);
@@ -64,10 +65,10 @@
     /** @} */
 
     void logDecisions();
+    void logDecision(const jobs::Decision &decision);
     [[nodiscard]] bool active() const;
-    [[nodiscard]] static std::int64_t wallMs();
 
-    http::Loop &loop;
+    core::Executor &executor;
     Ports ports;
     Ownership &ownership;
     std::int64_t token;
--- a/src/oleanderwick/jobnode/watcher.cpp
+++ b/src/oleanderwick/jobnode/watcher.cpp
@@ -14,8 +14,8 @@
 } // namespace internal
 
 struct Watcher::State : std::enable_shared_from_this<Watcher::State> {
-    State(http::Loop &itsLoop, jobs::CoordinationStore &itsStore, std::string itsPrefix, core::Duration itsWait, Callbacks itsCallbacks)
-        : loop{itsLoop}
+    State(core::Executor &itsExecutor, jobs::CoordinationStore &itsStore, std::string itsPrefix, core::Duration itsWait, Callbacks itsCallbacks)
+        : executor{itsExecutor}
         , store{itsStore}
         , prefix{std::move(itsPrefix)}
         , wait{itsWait}
@@ -111,14 +111,14 @@
 
     void again(std::function<void(State &)> call)
     {
-        loop.after(retry, [self = shared_from_this(), todo = std::move(call)] {
+        executor.after(retry, [self = shared_from_this(), todo = std::move(call)] {
             if (!self->stopped) {
                 todo(*self);
             }
         });
     }
 
-    http::Loop &loop;
+    core::Executor &executor;
     jobs::CoordinationStore &store;
     std::string prefix;
     core::Duration wait;
@@ -130,8 +130,8 @@
     std::set<std::string> listed;
 };
 
-Watcher::Watcher(http::Loop &loop, jobs::CoordinationStore &store, std::string prefix, core::Duration wait, Callbacks callbacks)
-    : m_state{std::make_shared<State>(loop, store, std::move(prefix), wait, std::move(callbacks))}
+Watcher::Watcher(core::Executor &executor, jobs::CoordinationStore &store, std::string prefix, core::Duration wait, Callbacks callbacks)
+    : m_state{std::make_shared<State>(executor, store, std::move(prefix), wait, std::move(callbacks))}
 {
     m_state->list("");
 }
--- a/src/oleanderwick/jobnode/watcher.hpp
+++ b/src/oleanderwick/jobnode/watcher.hpp
@@ -5,7 +5,7 @@
 #include <set>
 #include <string>
 
-#include "../http/loop.hpp"
+#include "../core/core.hpp"
 #include "../jobs/ports.hpp"
 
 namespace oleanderwick::jobnode
@@ -25,13 +25,13 @@
 
     /**
      * @brief Starts to follow.
-     * @param loop Loop to run on.
+     * @param executor Runs its work.
      * @param store Store to follow.
      * @param prefix Prefix of the keys.
      * @param wait Longest wait of one watch; a silent connection is noticed soon after.
      * @param callbacks Take what is seen; not called any more once the watcher is gone.
      */
-    Watcher(http::Loop &loop, jobs::CoordinationStore &store, std::string prefix, core::Duration wait, Callbacks callbacks);
+    Watcher(core::Executor &executor, jobs::CoordinationStore &store, std::string prefix, core::Duration wait, Callbacks callbacks);
     ~Watcher();
     Watcher(const Watcher &) = delete;
     Watcher &operator=(const Watcher &) = delete;
--- a/src/oleanderwick/jobs/leases.cpp
+++ b/src/oleanderwick/jobs/leases.cpp
@@ -136,6 +136,43 @@
     }
 }
 
+bool Scheduler::mayHaveEnded(const Worker &worker, core::TimePoint askedAt) const
+{
+    if ((worker.listed && !worker.silent) || worker.seenAt >= askedAt || (worker.reported && worker.runs.empty())) {
+        return false;
+    }
+    const bool startedSince = std::any_of(worker.runs.begin(), worker.runs.end(), [this, askedAt](const std::pair<const TaskName, std::int64_t> &run) {
+        const JobEntry *entry = findJob(run.first.job);
+        return entry != nullptr && entry->occurrences.at(run.first.occurrence).steps[run.first.step].tasks[run.first.index].since >= askedAt;
+    });
+    return !startedSince;
+}
+
+void Scheduler::takeRunningWorkers(const std::set<std::string> &running, core::TimePoint askedAt, core::TimePoint now)
+{
+    for (std::pair<const std::string, Worker> &item : m_workers) {
+        Worker &worker = item.second;
+        if (running.contains(item.first) || !mayHaveEnded(worker, askedAt)) {
+            continue;
+        }
+        decide("worker_ended",
+               "",
+               item.first,
+               absl::StrCat("listed=",
+                            worker.listed ? 1 : 0,
+                            " silent=",
+                            worker.silent ? 1 : 0,
+                            " runs=",
+                            worker.runs.size(),
+                            " list_age_ms=",
+                            core::milliseconds(now - askedAt)));
+        dropRuns(worker, "worker_ended", now);
+        worker.reported = true;
+        worker.leaseBound = now;
+        m_placementDue = true;
+    }
+}
+
 bool Scheduler::settled(const std::string &pool, core::TimePoint now) const
 {
     if (now > formerLeasesEnd()) {
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <absl/strings/str_cat.h>
+
 namespace oleanderwick::jobs
 {
 
@@ -68,6 +70,13 @@
     return orders;
 }
 
+std::vector<Decision> PoolBalancer::takeDecisions()
+{
+    std::vector<Decision> decisions;
+    std::swap(decisions, m_decisions);
+    return decisions;
+}
+
 std::int64_t PoolBalancer::needOf(const PoolLoad &load, std::int64_t perInstance)
 {
     const double soon = std::max(static_cast<double>(load.running + load.waiting) / internal::clearWithin, static_cast<double>(load.arriving));
@@ -130,6 +139,9 @@
         const std::int64_t own = load.second.workers > 0 ? load.second.capacity / load.second.workers : capacity / workers;
         const std::int64_t need = needOf(load.second, own);
         if (need >= pool.need || now - pool.needAt >= internal::needLasts) {
+            if (need != pool.need) {
+                noteNeed(load.first, pool, need, load.second);
+            }
             pool.need = need;
             pool.needAt = now;
         }
@@ -139,6 +151,35 @@
     }
 }
 
+void PoolBalancer::noteNeed(const std::string &name, const PoolState &pool, std::int64_t need, const PoolLoad &load)
+{
+    m_decisions.push_back(Decision{"pool_need",
+                                   "",
+                                   "",
+                                   absl::StrCat("pool=",
+                                                name,
+                                                " need=",
+                                                need,
+                                                " before=",
+                                                pool.need,
+                                                " have=",
+                                                pool.have,
+                                                " open=",
+                                                load.workers,
+                                                " running_cpu=",
+                                                load.running,
+                                                " waiting_cpu=",
+                                                load.waiting,
+                                                " waiting_late_cpu=",
+                                                load.waitingLate,
+                                                " arriving_cpu=",
+                                                load.arriving,
+                                                " continuous_cpu=",
+                                                load.continuous,
+                                                " unplaced=",
+                                                load.unplaced)});
+}
+
 const InstanceEntry *PoolBalancer::findIdle(const std::string &pool,
                                             const std::string &to,
                                             const Scheduler &scheduler,
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -65,6 +65,9 @@
     /** @return Orders that came up since the last call; each has to be answered by `takeAnswer`. */
     [[nodiscard]] std::vector<MoveOrder> takeOrders();
 
+    /** @return Decisions since the last call, for the log. */
+    [[nodiscard]] std::vector<Decision> takeDecisions();
+
     /**
      * @brief Works out how many instances a pool needs.
      * @param load Load of the pool.
@@ -90,6 +93,7 @@
 
     [[nodiscard]] static bool inService(const InstanceEntry &instance, const Scheduler &scheduler);
     void countInstances(Scheduler &scheduler, core::TimePoint now);
+    void noteNeed(const std::string &name, const PoolState &pool, std::int64_t need, const PoolLoad &load);
     void updateNeeds(const Scheduler &scheduler, core::TimePoint now);
     [[nodiscard]] bool lendOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
     void parkIdle(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
@@ -108,6 +112,7 @@
     std::map<std::string, Moving> m_moving; /**< Instances on their way. */
     std::set<std::pair<std::string, std::string>> m_impossible; /**< Instances and pools that do not go together. */
     std::vector<MoveOrder> m_orders;
+    std::vector<Decision> m_decisions;
 };
 
 } // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/ports.hpp
+++ b/src/oleanderwick/jobs/ports.hpp
@@ -55,7 +55,7 @@
 struct StoreAnswer {
     StoreOutcome outcome{StoreOutcome::Unknown};
     std::int64_t revision{0}; /**< Revision of the change, or of the store when it answered. */
-    std::vector<StoreItem> items; /**< Items read, or those of the conditions after a conflict. */
+    std::vector<StoreItem> items; /**< Items read, or those of the conditions after a conflict; after a watch the last change of each key. */
     std::vector<std::string> removed; /**< Keys that a watch saw removed. */
     bool more{false}; /**< More items follow the last one. */
     std::int64_t lease{0};
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -100,6 +100,16 @@
      */
     void takeHoldFailure(const std::string &worker, bool gone, core::TimePoint now);
 
+    /**
+     * @brief Takes in which workers run on the platform's instances.
+     *
+     * A worker that does not answer, or that the registry no longer names, and that no instance runs has ended with all its runs.
+     * @param running Names of the workers that run on an instance.
+     * @param askedAt When the list was asked for.
+     * @param now Present time.
+     */
+    void takeRunningWorkers(const std::set<std::string> &running, core::TimePoint askedAt, core::TimePoint now);
+
     /**
      * @brief Takes in how a worker answered a start.
      * @param order The order.
@@ -262,6 +272,7 @@
     [[nodiscard]] Resources demandOf(const Step &step) const noexcept;
     void dropSpeculative(Worker &worker, core::TimePoint now);
     void dropRuns(Worker &worker, std::string_view reason, core::TimePoint now);
+    [[nodiscard]] bool mayHaveEnded(const Worker &worker, core::TimePoint askedAt) const;
     void resetIncarnation(Worker &worker, std::int64_t incarnation, core::TimePoint now);
 
     void takeEnd(Worker &worker, const ListedEnd &end, core::TimePoint now, std::int64_t wallMs);
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -123,8 +123,9 @@
     return job;
 }
 
-Ingress::Ingress(jobnode::JobNode &node, const StoreTranslator &translator, jobnode::LogSink &log)
-    : m_node{node}
+Ingress::Ingress(const core::Executor &clock, jobnode::JobNode &node, const StoreTranslator &translator, jobnode::LogSink &log)
+    : m_clock{clock}
+    , m_node{node}
     , m_translator{translator}
     , m_log{log}
 {
@@ -144,7 +145,7 @@
 
 void Ingress::handle(const http::Request &request, http::Responder respond)
 {
-    const core::TimePoint deadline = core::BootClock::now() + std::chrono::milliseconds{internal::deadlineOf(request)};
+    const core::TimePoint deadline = m_clock.now() + std::chrono::milliseconds{internal::deadlineOf(request)};
     if (m_node.configVersion() == 0) {
         refuse(request, 503, "no_configuration", respond);
         return;
@@ -195,7 +196,7 @@
     job->queue = route.queue;
     job->pool = m_translator.routes().poolOf(route.queue);
     job->team = team;
-    job->submittedMs = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    job->submittedMs = m_clock.wallMs();
     m_node.desk().submit(*job, deadline, [answer = std::move(respond)](const jobnode::DeskAnswer &result) {
         answer(internal::respondTo(result, json::object()));
     });
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -15,11 +15,12 @@
 public:
     /**
      * @brief Opens the ingress.
+     * @param clock Tells the time of calls.
      * @param node Node that serves it.
      * @param translator Knows the routes.
      * @param log Takes the log lines.
      */
-    Ingress(jobnode::JobNode &node, const StoreTranslator &translator, jobnode::LogSink &log);
+    Ingress(const core::Executor &clock, jobnode::JobNode &node, const StoreTranslator &translator, jobnode::LogSink &log);
 
     /**
      * @brief Takes a call.
@@ -40,6 +41,7 @@
     void pending(const std::string &queue, core::TimePoint deadline, const http::Responder &respond);
     void refuse(const http::Request &request, int status, const char *reason, const http::Responder &respond);
 
+    const core::Executor &m_clock;
     jobnode::JobNode &m_node;
     const StoreTranslator &m_translator;
     jobnode::LogSink &m_log;
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -59,6 +59,7 @@
     explicit PlatformNode(const settings::JobSettings &settings)
         : m_settings{settings}
         , m_name{uniqueName(settings.node)}
+        , m_log{m_loop, std::make_unique<jobnode::StandardOutput>()}
         , m_links{m_loop}
         , m_store{m_links, settings.store}
         , m_workers{m_links}
@@ -66,7 +67,7 @@
         , m_advice{m_links, settings.advice}
         , m_translator{m_log}
         , m_node{m_loop, jobnode::Ports{m_store, m_workers, m_instances, m_advice, m_translator}, m_name, limitsOf(settings), m_log}
-        , m_ingress{m_node, m_translator, m_log}
+        , m_ingress{m_loop, m_node, m_translator, m_log}
         , m_callers{m_loop,
                     serverLimits(),
                     [this](const http::Request &request, http::Responder respond) {
@@ -127,7 +128,7 @@
             return;
         }
         m_stopping = true;
-        m_stopStart = core::BootClock::now();
+        m_stopStart = m_loop.now();
         m_log.add("stopping", telemetry::Event{"stopping"}.with("node", m_name).with("busy", static_cast<std::int64_t>(m_callers.busy())));
         m_node.stop();
         m_callers.drain();
@@ -136,7 +137,7 @@
 
     void pollStop()
     {
-        const core::Duration spent = core::BootClock::now() - m_stopStart;
+        const core::Duration spent = m_loop.now() - m_stopStart;
         const bool noticed = spent >= balancerDelay;
         if ((noticed && m_callers.busy() == 0) || spent >= m_settings.stopTimeout - killMargin) {
             m_callers.close();
@@ -152,8 +153,8 @@
 
     settings::JobSettings m_settings;
     std::string m_name;
-    jobnode::LogSink m_log;
     http::Loop m_loop;
+    jobnode::LogSink m_log;
     http::UpstreamLinks m_links;
     StoreClient m_store;
     WorkerClient m_workers;
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -1,5 +1,7 @@
 #include "store_client.hpp"
 
+#include <map>
+
 #include <absl/strings/str_cat.h>
 
 #include "oleanderwick/store/base64.hpp"
@@ -51,12 +53,21 @@
     if (rows == body.end() || !rows->is_array()) {
         return;
     }
+    // Of several changes of a key only the last one counts: the order between items and removals is not kept.
+    std::map<std::string, const json *> latest;
+    for (const json &row : *rows) {
+        if (row.is_object()) {
+            latest[textIn(row, "key")] = &row;
+        }
+    }
     for (const json &row : *rows) {
-        if (!row.is_object()) {
+        const std::string key = row.is_object() ? textIn(row, "key") : std::string{};
+        const auto last = latest.find(key);
+        if (last == latest.end() || last->second != &row) {
             continue;
         }
         if (flagIn(row, "tombstone")) {
-            answer.removed.push_back(textIn(row, "key"));
+            answer.removed.push_back(key);
         } else {
             answer.items.push_back(toItem(row));
         }
--- a/test/oleanderwick/jobnode/job_desk.cpp
+++ b/test/oleanderwick/jobnode/job_desk.cpp
@@ -64,7 +64,7 @@
 struct DeskFixture {
     http::Loop loop;
     ScriptedStore store;
-    jobnode::LogSink log;
+    jobnode::LogSink log{loop, std::make_unique<jobnode::StandardOutput>()};
     jobnode::JobDesk desk{loop, store, log};
 
     template <typename Call>
--- a/test/oleanderwick/jobs/scheduler.cpp
+++ b/test/oleanderwick/jobs/scheduler.cpp
@@ -103,6 +103,61 @@
     CHECK(second[0].run > first[0].run);
 }
 
+TEST_CASE("a silent worker that no instance runs has ended, and its tasks start elsewhere at once", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartOrder> first = fleet.advance();
+    REQUIRE(first.size() == 1);
+    fleet.accept(first);
+    fleet.addWorker("w2");
+    fleet.now += std::chrono::milliseconds{10};
+    fleet.scheduler.takeHoldFailure("w1", false, fleet.now);
+    fleet.scheduler.takeRunningWorkers({"w1", "w2"}, fleet.now, fleet.now);
+    CHECK(fleet.advance().empty());
+    fleet.scheduler.takeRunningWorkers({"w2"}, fleet.now, fleet.now);
+    const std::vector<jobs::StartOrder> second = fleet.advance();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].worker == "w2");
+}
+
+TEST_CASE("a worker that answers is not taken as ended by a list of instances that leaves it out", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    fleet.accept(fleet.advance());
+    fleet.scheduler.takeRunningWorkers({}, fleet.now, fleet.now);
+    CHECK(fleet.advance().empty());
+    CHECK(fleet.scheduler.workers().at("w1").runs.size() == 1);
+}
+
+TEST_CASE("a run that was ordered after the list of instances was asked for is kept", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    const core::TimePoint askedAt = fleet.now + std::chrono::milliseconds{1};
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartOrder> first = fleet.advance();
+    REQUIRE(first.size() == 1);
+    fleet.scheduler.takeStartAnswer(first[0], jobs::StartAnswer::Unknown, 0, fleet.now);
+    fleet.scheduler.takeHoldFailure("w1", false, fleet.now);
+    fleet.scheduler.takeRunningWorkers({}, askedAt, fleet.now);
+    CHECK(fleet.scheduler.workers().at("w1").runs.size() == 1);
+}
+
+TEST_CASE("a former owner's jobs do not wait for workers that no instance runs any more", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.scheduler.expectWorker("moved", "pool");
+    fleet.addWorker("w1");
+    fleet.scheduler.addJob(JobFleet::makeJob("old", {JobFleet::makeStep(1)}), std::nullopt, true, fleet.now);
+    CHECK(fleet.advance().empty());
+    fleet.scheduler.takeRunningWorkers({"w1"}, fleet.now, fleet.now);
+    CHECK(fleet.advance().size() == 1);
+}
+
 TEST_CASE("a silent worker's lease is not lengthened", "[jobs]")
 {
     JobFleet fleet;
