--- a/src/oleanderwick/jobnode/job_node.cpp
+++ b/src/oleanderwick/jobnode/job_node.cpp
@@ -9,9 +9,6 @@
 /** A silent connection to the store must be noticed well within the time in which configurations have to be in force. */
 constexpr core::Duration operatorWait = std::chrono::milliseconds{1000};
 constexpr core::Duration flushLogEvery = std::chrono::milliseconds{250};
-constexpr core::Duration stopPoll = std::chrono::milliseconds{20};
-/** States that are not stored by then are learned by the next owner from the workers. */
-constexpr core::Duration longestWind = std::chrono::milliseconds{600};
 
 } // namespace internal
 
@@ -111,25 +108,8 @@
         return;
     }
     m_stopping = true;
-    m_stopStart = m_executor.now();
-    if (m_tenure == nullptr) {
-        m_ownership->resign({});
-        return;
-    }
-    m_tenure->wind();
-    advanceStop();
-}
-
-void JobNode::advanceStop()
-{
-    const bool late = m_executor.now() - m_stopStart >= internal::longestWind;
-    if (m_tenure == nullptr || m_tenure->isWound() || late) {
-        m_ownership->resign(m_tenure == nullptr ? std::vector<jobs::StoreChange::Write>{} : m_tenure->handover());
-        return;
-    }
-    m_executor.after(internal::stopPoll, [this] {
-        advanceStop();
-    });
+    // At once: the successor learns from the workers what is not stored.
+    m_ownership->resign();
 }
 
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/job_node.hpp
+++ b/src/oleanderwick/jobnode/job_node.hpp
@@ -40,13 +40,12 @@
     /** @return Number of the configuration in force; 0 for none. */
     [[nodiscard]] std::int64_t configVersion() const noexcept;
 
-    /** @brief Gets ready to stop: hands ownership over once everything is stored. */
+    /** @brief Gets ready to stop: hands ownership over. */
     void stop();
 
 private:
     void takeOperatorItem(const jobs::StoreItem &item);
     void becomeOwner(std::int64_t token);
-    void advanceStop();
 
     core::Executor &m_executor;
     Ports m_ports;
@@ -57,7 +56,6 @@
     std::map<std::int64_t, OperatorNews> m_waves;
     bool m_stopping{false};
     bool m_contact{true};
-    core::TimePoint m_stopStart;
     std::unique_ptr<Tenure> m_tenure;
     std::unique_ptr<Ownership> m_ownership;
     std::unique_ptr<Watcher> m_operators;
--- a/src/oleanderwick/jobnode/keys.hpp
+++ b/src/oleanderwick/jobnode/keys.hpp
@@ -17,7 +17,7 @@
 inline const std::string owner = "own/scheduler"; /**< Name of the owner, bound to its lease. */
 inline const std::string ownerPrefix = "own/";
 inline const std::string usedWorkers = "use/workers"; /**< Workers that may run something; written by the owner only. */
-inline const std::string handover = "use/handover"; /**< Instances that an owner ordered shortly before it resigned. */
+inline const std::string orderedInstances = "use/instances"; /**< Instances that the owner ordered of late; written before the order is sent. */
 inline const std::string pending = "stat/pending"; /**< Waiting jobs by queue; written by the owner only. */
 /** @} */
 
--- a/src/oleanderwick/jobnode/ownership.cpp
+++ b/src/oleanderwick/jobnode/ownership.cpp
@@ -232,13 +232,13 @@
     m_state->lose("condition_failed");
 }
 
-void Ownership::resign(std::vector<jobs::StoreChange::Write> writes)
+void Ownership::resign()
 {
     m_state->resigned = true;
     if (m_state->token == 0) {
         return;
     }
-    const jobs::StoreChange change{{{keys::owner, m_state->token}}, std::move(writes), {keys::owner}};
+    const jobs::StoreChange change{{{keys::owner, m_state->token}}, {}, {keys::owner}};
     m_state->lose("resigned");
     m_state->store.commit(change, [](const jobs::StoreAnswer &) {
         // A lost answer leaves the key to its lease.
--- a/src/oleanderwick/jobnode/ownership.hpp
+++ b/src/oleanderwick/jobnode/ownership.hpp
@@ -50,9 +50,8 @@
 
     /**
      * @brief Competes no more, and gives the key up if it is held.
-     * @param writes What the successor should find; stored with the resignation or not at all.
      */
-    void resign(std::vector<jobs::StoreChange::Write> writes);
+    void resign();
 
     /** @brief Takes in that the key was seen to belong to another owner. */
     void lose();
--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -35,7 +35,7 @@
     , scheduler{itsLimits.scheduler, itsExecutor.now()}
     , pause{itsExecutor.now() + itsLimits.orderPause}
     , upkeep{pause}
-    , balancer{pause}
+    , balancer{itsLimits.balancing, pause}
     , startedAt{itsExecutor.now()}
 {
 }
@@ -47,7 +47,17 @@
 
 void Tenure::State::begin()
 {
+    // All at once: each call may take long, and what former owners wrote no longer changes.
     loadUsedWorkers();
+    loadOrderedInstances();
+    loadRecords();
+    follow();
+}
+
+void Tenure::State::loaded()
+{
+    --pendingLoads;
+    restored();
 }
 
 void Tenure::State::loadUsedWorkers()
@@ -66,45 +76,50 @@
             self->revisions[keys::usedWorkers] = answer.items.front().revision;
             self->takeUsedWorkers(answer.items.front().value);
         }
-        self->loadHandover();
+        self->loaded();
     });
 }
 
-void Tenure::State::loadHandover()
+void Tenure::State::loadOrderedInstances()
 {
-    ports.store.read(keys::handover, [self = shared_from_this()](const jobs::StoreAnswer &answer) {
+    ports.store.read(keys::orderedInstances, [self = shared_from_this()](const jobs::StoreAnswer &answer) {
         if (!self->active()) {
             return;
         }
-        if (answer.outcome == jobs::StoreOutcome::Done && !answer.items.empty()) {
-            self->takeHandover(answer.items.front());
+        if (answer.outcome != jobs::StoreOutcome::Done && answer.outcome != jobs::StoreOutcome::NotFound) {
+            self->executor.after(internal::retryLoad, [self] {
+                self->loadOrderedInstances();
+            });
+            return;
         }
-        // Without it the pause holds for all instances.
-        self->loadRecords();
+        if (answer.items.empty()) {
+            // No owner has ever ordered an instance.
+            self->pause.limitTo({});
+        } else {
+            self->revisions[keys::orderedInstances] = answer.items.front().revision;
+            self->takeOrderedInstances(answer.items.front().value);
+        }
+        self->loaded();
     });
 }
 
-void Tenure::State::takeHandover(const jobs::StoreItem &item)
+void Tenure::State::takeOrderedInstances(const std::string &text)
 {
-    const nlohmann::json value = nlohmann::json::parse(item.value, nullptr, false);
+    const nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
     if (!value.is_array()) {
-        log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("key", keys::handover));
+        // The pause holds for all instances.
+        log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("key", keys::orderedInstances));
         return;
     }
     std::set<std::string> ordered;
     for (const nlohmann::json &instance : value) {
         if (instance.is_string()) {
             ordered.insert(instance.get<std::string>());
+            orderedInstances[instance.get<std::string>()] = startedAt;
         }
     }
-    // It holds for one successor: it must be gone before this owner gives orders that it does not name.
-    const jobs::StoreChange change{{{keys::owner, token}, {keys::handover, item.revision}}, {}, {keys::handover}};
-    ports.store.commit(change, [self = shared_from_this(), ordered](const jobs::StoreAnswer &answer) {
-        if (self->active() && answer.outcome == jobs::StoreOutcome::Done) {
-            self->log.add("handover", telemetry::Event{"handover_taken"}.with("instances", static_cast<std::int64_t>(ordered.size())));
-            self->pause.limitTo(ordered);
-        }
-    });
+    log.add("ordered_instances", telemetry::Event{"ordered_instances"}.with("count", static_cast<std::int64_t>(ordered.size())));
+    pause.limitTo(std::move(ordered));
 }
 
 void Tenure::State::takeUsedWorkers(const std::string &text)
@@ -154,10 +169,11 @@
     const OnItem onState = [this](const jobs::StoreItem &item) {
         takeState(item);
     };
-    loadAll(keys::waves, "", onWave, [this, onState] {
-        loadAll(keys::states, "", onState, [this] {
-            follow();
-        });
+    loadAll(keys::waves, "", onWave, [this] {
+        loaded();
+    });
+    loadAll(keys::states, "", onState, [this] {
+        loaded();
     });
 }
 
@@ -215,7 +231,7 @@
 
 void Tenure::State::restored()
 {
-    if (ready || !intakeListed || !workersListed) {
+    if (ready || pendingLoads > 0 || !intakeListed || !workersListed) {
         return;
     }
     ready = true;
@@ -385,31 +401,4 @@
     }
 }
 
-std::vector<jobs::StoreChange::Write> Tenure::handover() const
-{
-    nlohmann::json recent = nlohmann::json::array();
-    const core::TimePoint now = m_state->executor.now();
-    for (const std::pair<const std::string, core::TimePoint> &ordered : m_state->orderedInstances) {
-        if (now - ordered.second <= m_state->limits.orderPause) {
-            recent.push_back(ordered.first);
-        }
-    }
-    // An owner whose own pause is not over cannot speak for its predecessor.
-    if (now - m_state->startedAt < m_state->limits.orderPause) {
-        return {};
-    }
-    return {{keys::handover, recent.dump(), 0}};
-}
-
-void Tenure::wind()
-{
-    m_state->winding = true;
-    m_state->schedulePump();
-}
-
-bool Tenure::isWound() const
-{
-    return !m_state->ready || (!m_state->scheduler.hasUnsaved() && !m_state->saving);
-}
-
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/tenure.hpp
+++ b/src/oleanderwick/jobnode/tenure.hpp
@@ -18,6 +18,7 @@
 /** @brief Bounds of an owner's work. */
 struct TenureLimits {
     jobs::SchedulerLimits scheduler;
+    jobs::BalancingPolicy balancing;
     core::Duration handicap{}; /**< Time for which nodes with more processor are let become owner first. */
     core::Duration orderPause{std::chrono::seconds{3}}; /**< Before the first order for an instance: the last owner's may be under way. */
     core::Duration keepEnded{std::chrono::seconds{180}}; /**< How long the state of an ended job can be read. */
@@ -47,15 +48,6 @@
      */
     void take(const OperatorNews &news);
 
-    /** @brief Gives no new starts any more, and stores what is not stored. */
-    void wind();
-
-    /** @return What the successor should find: the instances that were ordered of late. */
-    [[nodiscard]] std::vector<jobs::StoreChange::Write> handover() const;
-
-    /** @return True once nothing is left to be stored. */
-    [[nodiscard]] bool isWound() const;
-
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/src/oleanderwick/jobnode/tenure_orders.cpp
+++ b/src/oleanderwick/jobnode/tenure_orders.cpp
@@ -2,6 +2,10 @@
 
 #include <algorithm>
 
+#include <nlohmann/json.hpp>
+
+#include "keys.hpp"
+
 namespace oleanderwick::jobnode
 {
 
@@ -25,11 +29,9 @@
                 scheduler.evacuate(worker.first, now);
             }
         }
-        if (!winding) {
-            scheduler.advance(now, executor.wallMs());
-            upkeep.advance(scheduler, now, executor.wallMs());
-            balancer.advance(scheduler, upkeep, now);
-        }
+        scheduler.advance(now, executor.wallMs());
+        upkeep.advance(scheduler, now, executor.wallMs());
+        balancer.advance(scheduler, upkeep, now);
         sendOrders();
     }
     save();
@@ -58,12 +60,11 @@
     for (const jobs::HoldOrder &order : scheduler.takeHolds(executor.now())) {
         sendHold(order);
     }
-    for (const jobs::MaintainOrder &order : upkeep.takeOrders()) {
-        sendMaintenance(order);
-    }
-    for (const jobs::MoveOrder &order : balancer.takeOrders()) {
-        sendMove(order);
-    }
+    const std::vector<jobs::MaintainOrder> maintained = upkeep.takeOrders();
+    const std::vector<jobs::MoveOrder> moved = balancer.takeOrders();
+    instanceOrders.maintained.insert(instanceOrders.maintained.end(), maintained.begin(), maintained.end());
+    instanceOrders.moved.insert(instanceOrders.moved.end(), moved.begin(), moved.end());
+    announceInstanceOrders();
 }
 
 void Tenure::State::fenced(const std::string &worker)
@@ -184,13 +185,58 @@
     });
 }
 
-void Tenure::State::sendMaintenance(const jobs::MaintainOrder &order)
+void Tenure::State::announceInstanceOrders()
 {
-    if (!ownership.holds(executor.now())) {
-        upkeep.takeAnswer(order, jobs::InstanceAnswer::Refused, executor.now());
+    if (announcing || (instanceOrders.maintained.empty() && instanceOrders.moved.empty())) {
         return;
     }
-    orderedInstances[order.instance] = executor.now();
+    const core::TimePoint now = executor.now();
+    InstanceOrders announced;
+    std::swap(announced, instanceOrders);
+    for (const jobs::MaintainOrder &order : announced.maintained) {
+        orderedInstances[order.instance] = now;
+    }
+    for (const jobs::MoveOrder &order : announced.moved) {
+        orderedInstances[order.instance] = now;
+    }
+    std::erase_if(orderedInstances, [this, now](const std::pair<const std::string, core::TimePoint> &ordered) {
+        return now - ordered.second > limits.orderPause;
+    });
+    nlohmann::json names = nlohmann::json::array();
+    for (const std::pair<const std::string, core::TimePoint> &ordered : orderedInstances) {
+        names.push_back(ordered.first);
+    }
+    // A successor must not cross these orders, so it has to find them before they are sent.
+    announcing = true;
+    write(keys::orderedInstances, names.dump(), [this, announced](bool stored) {
+        announcing = false;
+        sendInstanceOrders(announced, stored);
+        schedulePump();
+    });
+}
+
+void Tenure::State::sendInstanceOrders(const InstanceOrders &orders, bool announced)
+{
+    const core::TimePoint now = executor.now();
+    const bool allowed = announced && ownership.holds(now);
+    for (const jobs::MaintainOrder &order : orders.maintained) {
+        if (allowed) {
+            sendMaintenance(order);
+        } else {
+            upkeep.takeAnswer(order, jobs::InstanceAnswer::Refused, now);
+        }
+    }
+    for (const jobs::MoveOrder &order : orders.moved) {
+        if (allowed) {
+            sendMove(order);
+        } else {
+            balancer.takeAnswer(order, jobs::InstanceAnswer::Refused, scheduler, now);
+        }
+    }
+}
+
+void Tenure::State::sendMaintenance(const jobs::MaintainOrder &order)
+{
     ports.instances.maintain(order, token, [self = shared_from_this(), order](jobs::InstanceAnswer answer) {
         telemetry::Event event{"maintenance_ordered"};
         event.with("instance", order.instance).with("wave", order.wave).with("answer", static_cast<std::int64_t>(answer));
@@ -209,11 +255,6 @@
 
 void Tenure::State::sendMove(const jobs::MoveOrder &order)
 {
-    if (!ownership.holds(executor.now())) {
-        balancer.takeAnswer(order, jobs::InstanceAnswer::Refused, scheduler, executor.now());
-        return;
-    }
-    orderedInstances[order.instance] = executor.now();
     ports.instances.move(order, token, [self = shared_from_this(), order](jobs::InstanceAnswer answer) {
         telemetry::Event event{"move_ordered"};
         event.with("instance", order.instance).with("from", order.from).with("to", order.pool).with("answer", static_cast<std::int64_t>(answer));
--- a/src/oleanderwick/jobnode/tenure_saves.cpp
+++ b/src/oleanderwick/jobnode/tenure_saves.cpp
@@ -43,7 +43,7 @@
 void Tenure::State::save()
 {
     const core::TimePoint now = executor.now();
-    const bool due = scheduler.hasUnsavedEnd() || (scheduler.hasUnsaved() && (winding || now - savedAt >= internal::saveEvery));
+    const bool due = scheduler.hasUnsavedEnd() || (scheduler.hasUnsaved() && now - savedAt >= internal::saveEvery);
     if (saving || !due || now < saveRetryAt) {
         return;
     }
--- a/src/oleanderwick/jobnode/tenure_state.hpp
+++ b/src/oleanderwick/jobnode/tenure_state.hpp
@@ -9,6 +9,12 @@
 struct Tenure::State : std::enable_shared_from_this<Tenure::State> {
     State(core::Executor &itsExecutor, const Ports &itsPorts, Ownership &itsOwnership, std::int64_t itsToken, const TenureLimits &itsLimits, LogSink &itsLog);
 
+    /** Orders for instances that are given together. */
+    struct InstanceOrders {
+        std::vector<jobs::MaintainOrder> maintained;
+        std::vector<jobs::MoveOrder> moved;
+    };
+
     /** Takes an item that is read while taking over; only called while the state lives. */
     using OnItem = std::function<void(const jobs::StoreItem &)>;
 
@@ -17,11 +23,12 @@
     void begin();
     void loadAll(const std::string &prefix, const std::string &after, const OnItem &onItem, const std::function<void()> &then);
     void loadRecords();
+    void loaded();
     void takeWave(const jobs::StoreItem &item);
     void takeState(const jobs::StoreItem &item);
     void loadUsedWorkers();
-    void loadHandover();
-    void takeHandover(const jobs::StoreItem &item);
+    void loadOrderedInstances();
+    void takeOrderedInstances(const std::string &text);
     void takeUsedWorkers(const std::string &text);
     void follow();
     void restored();
@@ -47,6 +54,8 @@
     void askAdvice();
     void listInstances();
     [[nodiscard]] static std::set<std::string> workersOn(const jobs::InstancePort::Instances &instances);
+    void announceInstanceOrders();
+    void sendInstanceOrders(const InstanceOrders &orders, bool announced);
     void sendMaintenance(const jobs::MaintainOrder &order);
     void sendMove(const jobs::MoveOrder &order);
     void fenced(const std::string &worker);
@@ -82,7 +91,6 @@
 
     bool stopped{false};
     bool ready{false}; /**< All that is stored was taken in. */
-    bool winding{false};
     bool pumpPosted{false};
     core::TimePoint pumpedAt;
 
@@ -94,7 +102,9 @@
     std::map<std::string, std::int64_t> revisions; /**< Of the keys that the owner writes. */
     std::map<std::string, std::int64_t> endedJobs; /**< Unix time of the end by job, until their records are removed. */
 
-    std::map<std::string, core::TimePoint> orderedInstances; /**< When each instance was last ordered. */
+    std::map<std::string, core::TimePoint> orderedInstances; /**< When each instance was last ordered, for those of late. */
+    InstanceOrders instanceOrders; /**< Not announced yet. */
+    bool announcing{false};
 
     bool saving{false};
     core::TimePoint savedAt;
@@ -114,6 +124,8 @@
 
     std::unique_ptr<Watcher> intakeWatcher;
     std::unique_ptr<Watcher> workerWatcher;
+    /** Used workers, ordered instances, waves and states. */
+    int pendingLoads{4};
     bool intakeListed{false};
     bool workersListed{false};
 };
--- a/src/oleanderwick/jobs/codec.cpp
+++ b/src/oleanderwick/jobs/codec.cpp
@@ -75,18 +75,18 @@
     if (task == TaskRecord{}) {
         return 0;
     }
-    if (task == TaskRecord{true, 0, 1, {}}) {
+    if (task == TaskRecord{true, {}, 1, {}}) {
         return 1;
     }
-    return json::array({task.done, task.failures, task.lastRun, task.checkpoint});
+    return json::array({task.done, task.failedRuns, task.lastRun, task.checkpoint});
 }
 
 TaskRecord toTask(const json &value)
 {
     if (value.is_number_integer()) {
-        return value.get<int>() == 0 ? TaskRecord{} : TaskRecord{true, 0, 1, {}};
+        return value.get<int>() == 0 ? TaskRecord{} : TaskRecord{true, {}, 1, {}};
     }
-    return TaskRecord{value.at(0).get<bool>(), value.at(1).get<std::int64_t>(), value.at(2).get<std::int64_t>(), value.at(3).get<std::string>()};
+    return TaskRecord{value.at(0).get<bool>(), value.at(1).get<std::vector<std::int64_t>>(), value.at(2).get<std::int64_t>(), value.at(3).get<std::string>()};
 }
 
 } // namespace internal
@@ -108,6 +108,7 @@
                      {"repeat", job.repeatCount},
                      {"first", job.firstRunMs},
                      {"interval", job.intervalMs},
+                     {"attempts", job.maxAttempts},
                      {"steps", std::move(steps)}};
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -126,6 +127,7 @@
         value.at("repeat").get_to(job.repeatCount);
         value.at("first").get_to(job.firstRunMs);
         value.at("interval").get_to(job.intervalMs);
+        value.at("attempts").get_to(job.maxAttempts);
         for (const json &row : value.at("steps")) {
             job.steps.push_back(internal::toStep(row));
         }
--- a/src/oleanderwick/jobs/leases.cpp
+++ b/src/oleanderwick/jobs/leases.cpp
@@ -173,6 +173,16 @@
     }
 }
 
+bool Scheduler::isVacant(const std::string &id, core::TimePoint now) const
+{
+    const auto worker = m_workers.find(id);
+    if (worker == m_workers.end()) {
+        return true;
+    }
+    const bool known = worker->second.reported || now > formerLeasesEnd();
+    return known && worker->second.runs.empty() && worker->second.pendingEnds.empty();
+}
+
 bool Scheduler::settled(const std::string &pool, core::TimePoint now) const
 {
     if (now > formerLeasesEnd()) {
--- a/src/oleanderwick/jobs/model.hpp
+++ b/src/oleanderwick/jobs/model.hpp
@@ -87,6 +87,7 @@
     std::int64_t repeatCount{0}; /**< Number of occurrences; 0 for a job that runs once. */
     std::int64_t firstRunMs{0}; /**< Unix time of the first occurrence. */
     std::int64_t intervalMs{0}; /**< Time between two occurrences. */
+    std::int64_t maxAttempts{1}; /**< Allowed failures of a task when the job was accepted; counts if its queue is gone. */
     std::vector<Step> steps;
 
     [[nodiscard]] bool operator==(const Job &) const = default;
@@ -155,7 +156,7 @@
 /** @brief Durable part of a task's state. */
 struct TaskRecord {
     bool done{false};
-    std::int64_t failures{0}; /**< Runs that ended as failed. */
+    std::vector<std::int64_t> failedRuns; /**< Runs that ended as failed; a worker may list such an end to several owners. */
     std::int64_t lastRun{0}; /**< Highest number of a run. */
     std::string checkpoint;
 
--- a/src/oleanderwick/jobs/orders.hpp
+++ b/src/oleanderwick/jobs/orders.hpp
@@ -74,9 +74,10 @@
     std::int64_t capacity{0}; /**< Thousandths of a core that they have. */
     std::int64_t continuous{0}; /**< Thousandths of a core of continuous tasks, running and waiting. */
     std::int64_t unplaced{0}; /**< Continuous tasks that wait for a worker. */
-    std::int64_t running{0}; /**< Thousandths of a core of other tasks that run. */
+    std::int64_t running{0}; /**< Thousandths of a core of other tasks that run, of jobs that can meet their objective. */
     std::int64_t waiting{0}; /**< Thousandths of a core of other tasks that could start, of jobs that can meet their objective. */
-    std::int64_t waitingLate{0}; /**< The same of jobs that miss it. */
+    std::int64_t runningLate{0}; /**< Like `running`, of jobs that miss their objective. */
+    std::int64_t waitingLate{0}; /**< Like `waiting`, of jobs that miss it. */
     std::int64_t arriving{0}; /**< Thousandths of a core that would keep up with the jobs of the last moments. */
     std::int64_t leastWorkers{0}; /**< Workers over which tasks that must be apart have to be spread. */
 
--- a/src/oleanderwick/jobs/placement.cpp
+++ b/src/oleanderwick/jobs/placement.cpp
@@ -19,11 +19,10 @@
 constexpr double interferenceCost = 2.0;
 constexpr double maintenanceCost = 3.0;
 constexpr double strikeCost = 1.0;
+/** Continuous tasks keep their instance from being lent or parked, so they share instances. */
+constexpr double spreadCost = 1.0;
 /** With this many failures in a row a worker is probed with one task at a time. */
 constexpr std::int64_t strikesForProbe = 3;
-/** Jobs are counted over this time to see a rise of the load. */
-constexpr core::Duration arrivalWindow = std::chrono::milliseconds{600};
-constexpr std::size_t arrivalsForTrend = 3;
 /** Share of a pool that may wait before it counts as overloaded. */
 constexpr double overload = 1.2;
 /** Workers named in one question to the advice service; the answer takes time for each. */
@@ -296,6 +295,9 @@
     if (step.continuous && worker.maintenancePending) {
         cost += internal::maintenanceCost;
     }
+    if (step.continuous && !runsContinuous(worker)) {
+        cost += internal::spreadCost;
+    }
     if (step.fills || step.targetMs > 0) {
         for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
             const Step *other = findStep(run.first);
@@ -397,34 +399,32 @@
     return found != m_config.pools.end() && found->second.standby;
 }
 
-void Scheduler::noteArrival(const Job &job, core::TimePoint now)
+std::vector<std::string> Scheduler::standbyPools() const
 {
-    std::deque<Arrival> &arrivals = m_arrivals[job.pool];
-    while (!arrivals.empty() && now - arrivals.front().at > internal::arrivalWindow) {
-        arrivals.pop_front();
+    std::vector<std::string> pools;
+    for (const std::pair<const std::string, PoolPolicy> &pool : m_config.pools) {
+        if (pool.second.standby) {
+            pools.push_back(pool.first);
+        }
     }
+    return pools;
+}
+
+void Scheduler::noteArrival(const Job &job, core::TimePoint now)
+{
     std::int64_t work = 0;
     for (const Step &step : job.steps) {
         work += step.continuous ? 0 : step.count * step.each.cpu * step.estimateMs;
     }
-    arrivals.push_back(Arrival{now, work});
+    m_arrivals[job.pool].add(work, now);
 }
 
-std::int64_t Scheduler::arrivingCpu(const std::string &pool, core::TimePoint now) const
+bool Scheduler::runsContinuous(const Worker &worker) const
 {
-    const auto arrivals = m_arrivals.find(pool);
-    if (arrivals == m_arrivals.end()) {
-        return 0;
-    }
-    std::int64_t work = 0;
-    std::size_t jobs = 0;
-    for (const Arrival &arrival : arrivals->second) {
-        const bool fresh = now - arrival.at <= internal::arrivalWindow;
-        work += fresh ? arrival.work : 0;
-        jobs += fresh ? 1 : 0;
-    }
-    // One large job is no trend.
-    return jobs < internal::arrivalsForTrend ? 0 : work / core::milliseconds(internal::arrivalWindow);
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [this](const std::pair<const TaskName, std::int64_t> &run) {
+        const Step *step = findStep(run.first);
+        return step != nullptr && step->continuous;
+    });
 }
 
 const std::map<std::string, PoolLoad> &Scheduler::poolLoads() const noexcept
@@ -437,7 +437,8 @@
     std::map<std::string, PoolLoad> loads;
     for (const std::pair<const std::string, PoolPolicy> &pool : m_config.pools) {
         if (!pool.second.standby) {
-            loads[pool.first].arriving = arrivingCpu(pool.first, now);
+            const auto arrivals = m_arrivals.find(pool.first);
+            loads[pool.first].arriving = arrivals == m_arrivals.end() ? 0 : arrivals->second.cpu(now);
         }
     }
     for (const std::pair<const std::string, Worker> &item : m_workers) {
@@ -477,7 +478,7 @@
         }
         const bool ready = occurrence.steps[index].remaining > 0 && stepReady(entry, occurrence, index);
         for (const Task &task : occurrence.steps[index].tasks) {
-            load.running += task.isOut() ? cpu : 0;
+            (late ? load.runningLate : load.running) += task.isOut() ? cpu : 0;
             (late ? load.waitingLate : load.waiting) += ready && task.phase == TaskPhase::Waiting && !task.record.done ? cpu : 0;
         }
     }
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -11,25 +11,21 @@
 namespace internal
 {
 
-/** Work that waits is to be under way within this time; tasks take about as long. */
-constexpr double clearWithin = 1.3;
-/** What misses its objective anyway is worth little room. */
-constexpr double clearLateWithin = 5.0;
-/** Share of an instance that can be filled before tasks no longer fit. */
-constexpr double usableShare = 0.92;
-/** A need counts for this long after it has passed: moving back and forth costs more than waiting. */
-constexpr core::Duration needLasts = std::chrono::milliseconds{1200};
-/** An instance is parked when its pool had no use for it for this long: a way there and back costs as much as some seconds in service. */
-constexpr core::Duration parkAfter = std::chrono::milliseconds{2500};
-/** Instances kept in each pool beyond its need, for failures and for the first second of a rise. */
-constexpr std::int64_t reserve = 1;
 /** A move whose end is not seen by then is taken as failed. */
 constexpr core::Duration moveTimeout = std::chrono::seconds{6};
+/** A worker that is not empty by then goes on where it is. */
+constexpr core::Duration drainTimeout = std::chrono::seconds{4};
+
+bool isEmpty(const Worker &worker)
+{
+    return worker.runs.empty() && worker.pendingEnds.empty() && worker.ackedEnd == worker.sentAck;
+}
 
 } // namespace internal
 
-PoolBalancer::PoolBalancer(const OrderPause &pause)
-    : m_pause{pause}
+PoolBalancer::PoolBalancer(const BalancingPolicy &policy, const OrderPause &pause)
+    : m_policy{policy}
+    , m_pause{pause}
 {
 }
 
@@ -77,16 +73,19 @@
     return decisions;
 }
 
-std::int64_t PoolBalancer::needOf(const PoolLoad &load, std::int64_t perInstance)
+PoolNeed PoolBalancer::needOf(const BalancingPolicy &policy, const PoolLoad &load, std::int64_t perInstance)
 {
-    const double soon = std::max(static_cast<double>(load.running + load.waiting) / internal::clearWithin, static_cast<double>(load.arriving));
-    const double late = static_cast<double>(load.waitingLate) / internal::clearLateWithin;
-    const double work = static_cast<double>(load.continuous) + soon + late;
-    const double usable = static_cast<double>(std::max<std::int64_t>(perInstance, 1)) * internal::usableShare;
-    const std::int64_t byWork = static_cast<std::int64_t>(std::ceil(work / usable));
-    const std::int64_t least = std::max(byWork, load.leastWorkers);
+    const double usable = static_cast<double>(std::max<std::int64_t>(perInstance, 1)) * policy.usableShare;
+    const double soon =
+        std::max(static_cast<double>(load.running + load.waiting) / policy.clearWithin, policy.arrivingWeight * static_cast<double>(load.arriving));
+    const double late = static_cast<double>(load.runningLate + load.waitingLate) / policy.clearLateWithin;
+    const double timely = static_cast<double>(load.continuous) + soon;
     // What cannot be placed on all these workers, for memory or for tasks that must be apart, needs another one.
-    return load.unplaced > 0 ? std::max(least, load.workers + 1) : least;
+    const std::int64_t least = load.unplaced > 0 ? std::max(load.leastWorkers, load.workers + 1) : load.leastWorkers;
+    PoolNeed need;
+    need.timely = std::max(least, static_cast<std::int64_t>(std::ceil(timely / usable)));
+    need.all = std::max(need.timely, static_cast<std::int64_t>(std::ceil((timely + late) / usable)));
+    return need;
 }
 
 bool PoolBalancer::inService(const InstanceEntry &instance, const Scheduler &scheduler)
@@ -102,7 +101,7 @@
 void PoolBalancer::countInstances(Scheduler &scheduler, core::TimePoint now)
 {
     for (auto item = m_moving.begin(); item != m_moving.end();) {
-        if (item->second.orderOut || now - item->second.since <= internal::moveTimeout) {
+        if (item->second.drains || item->second.orderOut || now - item->second.since <= internal::moveTimeout) {
             ++item;
             continue;
         }
@@ -122,46 +121,17 @@
     }
 }
 
-void PoolBalancer::updateNeeds(const Scheduler &scheduler, core::TimePoint now)
-{
-    std::int64_t capacity = 0;
-    std::int64_t workers = 0;
-    const std::map<std::string, PoolLoad> &loads = scheduler.poolLoads();
-    for (const std::pair<const std::string, PoolLoad> &load : loads) {
-        capacity += load.second.capacity;
-        workers += load.second.workers;
-    }
-    if (workers == 0) {
-        return;
-    }
-    for (const std::pair<const std::string, PoolLoad> &load : loads) {
-        PoolState &pool = m_pools[load.first];
-        const std::int64_t own = load.second.workers > 0 ? load.second.capacity / load.second.workers : capacity / workers;
-        const std::int64_t need = needOf(load.second, own);
-        if (need >= pool.need || now - pool.needAt >= internal::needLasts) {
-            if (need != pool.need) {
-                noteNeed(load.first, pool, need, load.second);
-            }
-            pool.need = need;
-            pool.needAt = now;
-        }
-        if (pool.have <= pool.need + internal::reserve) {
-            pool.surplusSince = now;
-        }
-    }
-}
-
-void PoolBalancer::noteNeed(const std::string &name, const PoolState &pool, std::int64_t need, const PoolLoad &load)
+void PoolBalancer::noteNeed(const std::string &name, const PoolState &pool, const PoolNeed &need, const PoolLoad &load)
 {
     m_decisions.push_back(Decision{"pool_need",
                                    "",
                                    "",
                                    absl::StrCat("pool=",
                                                 name,
-                                                " need=",
-                                                need,
-                                                " before=",
-                                                pool.need,
+                                                " timely=",
+                                                need.timely,
+                                                " all=",
+                                                need.all,
                                                 " have=",
                                                 pool.have,
                                                 " open=",
@@ -170,6 +140,8 @@
                                                 load.running,
                                                 " waiting_cpu=",
                                                 load.waiting,
+                                                " running_late_cpu=",
+                                                load.runningLate,
                                                 " waiting_late_cpu=",
                                                 load.waitingLate,
                                                 " arriving_cpu=",
@@ -180,6 +152,47 @@
                                                 load.unplaced)});
 }
 
+void PoolBalancer::updateNeeds(const Scheduler &scheduler, core::TimePoint now)
+{
+    std::int64_t capacity = 0;
+    std::int64_t workers = 0;
+    const std::map<std::string, PoolLoad> &loads = scheduler.poolLoads();
+    for (const std::pair<const std::string, PoolLoad> &load : loads) {
+        capacity += load.second.capacity;
+        workers += load.second.workers;
+    }
+    if (workers == 0) {
+        return;
+    }
+    for (const std::pair<const std::string, PoolLoad> &load : loads) {
+        PoolState &pool = m_pools[load.first];
+        const std::int64_t own = load.second.workers > 0 ? load.second.capacity / load.second.workers : capacity / workers;
+        const PoolNeed need = needOf(m_policy, load.second, own);
+        const PoolNeed before = pool.held;
+        pool.need = need;
+        if (need.timely >= pool.held.timely || now - pool.timelyAt >= m_policy.needLasts) {
+            pool.held.timely = need.timely;
+            pool.timelyAt = now;
+        }
+        if (need.all >= pool.held.all || now - pool.allAt >= m_policy.needLasts) {
+            pool.held.all = need.all;
+            pool.allAt = now;
+        }
+        if (before != pool.held) {
+            noteNeed(load.first, pool, pool.held, load.second);
+        }
+        if (pool.have <= pool.held.all + m_policy.reserve) {
+            pool.surplusSince = now;
+        }
+    }
+}
+
+bool PoolBalancer::mayMove(const InstanceEntry &instance, const std::string &to, const Upkeep &upkeep, core::TimePoint now) const
+{
+    return instance.state == InstanceState::Up && !m_moving.contains(instance.id) && m_pause.isOver(instance.id, now) && !upkeep.isMaintaining(instance.id)
+        && !m_impossible.contains({instance.id, to});
+}
+
 const InstanceEntry *PoolBalancer::findIdle(const std::string &pool,
                                             const std::string &to,
                                             const Scheduler &scheduler,
@@ -188,57 +201,135 @@
 {
     for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
         const InstanceEntry &instance = item.second;
-        const bool here = instance.pool == pool && instance.state == InstanceState::Up && !m_moving.contains(item.first);
-        if (!here || !m_pause.isOver(item.first, now) || upkeep.isMaintaining(item.first) || m_impossible.contains({item.first, to})) {
+        if (instance.pool != pool || !mayMove(instance, to, upkeep, now)) {
             continue;
         }
         if (scheduler.isStandby(pool)) {
             return &instance;
         }
         const auto worker = scheduler.workers().find(instance.worker);
-        const bool empty = worker != scheduler.workers().end() && worker->second.runs.empty() && worker->second.pendingEnds.empty()
-            && worker->second.ackedEnd == worker->second.sentAck && !worker->second.closed && worker->second.reported;
-        if (empty) {
+        const bool idle = worker != scheduler.workers().end() && internal::isEmpty(worker->second) && !worker->second.closed && worker->second.reported;
+        if (idle) {
             return &instance;
         }
     }
     return nullptr;
 }
 
+const InstanceEntry *PoolBalancer::findDrainable(const std::string &pool,
+                                                 const std::string &to,
+                                                 const Scheduler &scheduler,
+                                                 const Upkeep &upkeep,
+                                                 core::TimePoint now) const
+{
+    const InstanceEntry *best = nullptr;
+    std::size_t bestRuns = 0;
+    for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
+        const auto worker = scheduler.workers().find(item.second.worker);
+        if (item.second.pool != pool || worker == scheduler.workers().end() || !mayMove(item.second, to, upkeep, now)) {
+            continue;
+        }
+        const bool usable = worker->second.isOpen() && worker->second.reported && !scheduler.runsContinuous(worker->second);
+        if (usable && (best == nullptr || worker->second.runs.size() < bestRuns)) {
+            best = &item.second;
+            bestRuns = worker->second.runs.size();
+        }
+    }
+    return best;
+}
+
+void PoolBalancer::countMove(const std::string &from, const std::string &to, const Scheduler &scheduler)
+{
+    if (!scheduler.isStandby(from)) {
+        --m_pools[from].have;
+    }
+    if (!scheduler.isStandby(to)) {
+        ++m_pools[to].have;
+    }
+}
+
 void PoolBalancer::order(const InstanceEntry &instance, const std::string &to, Scheduler &scheduler, core::TimePoint now)
 {
     m_orders.push_back(MoveOrder{instance.id, to, instance.worker, instance.pool});
-    m_moving[instance.id] = Moving{to, instance.worker, now, true};
+    m_moving[instance.id] = Moving{to, instance.worker, now, false, true};
     scheduler.closeWorker(instance.worker, true);
 }
 
-bool PoolBalancer::lendOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now)
+void PoolBalancer::drain(const InstanceEntry &instance, const std::string &to, Scheduler &scheduler, core::TimePoint now)
 {
-    std::vector<std::pair<std::int64_t, std::string>> lenders;
-    std::set<std::string> standby;
-    for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
-        if (scheduler.isStandby(item.second.pool)) {
-            standby.insert(item.second.pool);
+    m_decisions.push_back(Decision{"instance_drained", "", instance.worker, absl::StrCat("instance=", instance.id, " from=", instance.pool, " to=", to)});
+    m_moving[instance.id] = Moving{to, instance.worker, now, true, false};
+    scheduler.closeWorker(instance.worker, true);
+    countMove(instance.pool, to, scheduler);
+}
+
+void PoolBalancer::cancelDrain(const std::string &instance, Scheduler &scheduler)
+{
+    const auto moving = m_moving.find(instance);
+    const auto entry = m_instances.find(instance);
+    scheduler.closeWorker(moving->second.worker, false);
+    if (entry != m_instances.end()) {
+        countMove(moving->second.to, entry->second.pool, scheduler);
+    }
+    m_moving.erase(moving);
+}
+
+void PoolBalancer::advanceDrains(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now)
+{
+    std::vector<std::string> drained;
+    for (const std::pair<const std::string, Moving> &item : m_moving) {
+        if (item.second.drains) {
+            drained.push_back(item.first);
+        }
+    }
+    for (const std::string &id : drained) {
+        const Moving moving = m_moving.at(id);
+        const auto entry = m_instances.find(id);
+        const auto worker = scheduler.workers().find(moving.worker);
+        if (entry == m_instances.end() || entry->second.worker != moving.worker || upkeep.isMaintaining(id)) {
+            m_moving.erase(id);
+        } else if (worker == scheduler.workers().end() || internal::isEmpty(worker->second)) {
+            order(entry->second, moving.to, scheduler, now);
+        } else if (now - moving.since >= internal::drainTimeout) {
+            cancelDrain(id, scheduler);
+        }
+    }
+}
+
+bool PoolBalancer::keepOne(const std::string &pool, Scheduler &scheduler)
+{
+    for (const std::pair<const std::string, Moving> &item : m_moving) {
+        const auto entry = m_instances.find(item.first);
+        const bool leaving = item.second.drains && entry != m_instances.end() && entry->second.pool == pool && item.second.to != pool;
+        if (leaving && scheduler.isStandby(item.second.to)) {
+            cancelDrain(item.first, scheduler);
+            return true;
         }
     }
+    return false;
+}
+
+bool PoolBalancer::lendOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now)
+{
+    if (keepOne(to, scheduler)) {
+        return true;
+    }
+    std::vector<std::pair<std::int64_t, std::string>> lenders;
     for (const std::pair<const std::string, PoolState> &pool : m_pools) {
-        const std::int64_t surplus = pool.second.have - pool.second.need - internal::reserve;
+        const std::int64_t surplus = pool.second.have - pool.second.need.all - m_policy.reserve;
         if (pool.first != to && surplus > 0) {
             lenders.emplace_back(surplus, pool.first);
         }
     }
     // Those in service first: they cost already. The largest surplus lends first.
     std::sort(lenders.rbegin(), lenders.rend());
-    for (const std::string &pool : standby) {
+    for (const std::string &pool : scheduler.standbyPools()) {
         lenders.emplace_back(0, pool);
     }
     for (const std::pair<std::int64_t, std::string> &lender : lenders) {
         const InstanceEntry *instance = findIdle(lender.second, to, scheduler, upkeep, now);
         if (instance != nullptr) {
-            if (!scheduler.isStandby(lender.second)) {
-                --m_pools[lender.second].have;
-            }
-            ++m_pools[to].have;
+            countMove(lender.second, to, scheduler);
             order(*instance, to, scheduler, now);
             return true;
         }
@@ -246,24 +337,47 @@
     return false;
 }
 
+bool PoolBalancer::drainOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now)
+{
+    std::vector<std::pair<std::int64_t, std::string>> lenders;
+    for (const std::pair<const std::string, PoolState> &pool : m_pools) {
+        const std::int64_t surplus = pool.second.have - pool.second.need.timely;
+        if (pool.first != to && surplus > 0) {
+            lenders.emplace_back(surplus, pool.first);
+        }
+    }
+    std::sort(lenders.rbegin(), lenders.rend());
+    for (const std::pair<std::int64_t, std::string> &lender : lenders) {
+        const InstanceEntry *instance = findDrainable(lender.second, to, scheduler, upkeep, now);
+        if (instance != nullptr) {
+            drain(*instance, to, scheduler, now);
+            return true;
+        }
+    }
+    return false;
+}
+
 void PoolBalancer::parkIdle(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now)
 {
-    const auto standby = std::find_if(m_instances.begin(), m_instances.end(), [&scheduler](const std::pair<const std::string, InstanceEntry> &item) {
-        return scheduler.isStandby(item.second.pool);
-    });
-    if (standby == m_instances.end()) {
+    const std::vector<std::string> standby = scheduler.standbyPools();
+    if (standby.empty()) {
         return;
     }
-    const std::string to = standby->second.pool;
+    const std::string &to = standby.front();
     for (std::pair<const std::string, PoolState> &pool : m_pools) {
-        const std::int64_t surplus = pool.second.have - pool.second.need - internal::reserve;
-        if (surplus <= 0 || now - pool.second.surplusSince < internal::parkAfter) {
+        const std::int64_t surplus = pool.second.have - pool.second.held.all - m_policy.reserve;
+        if (surplus <= 0 || now - pool.second.surplusSince < m_policy.parkAfter) {
             continue;
         }
-        const InstanceEntry *instance = findIdle(pool.first, to, scheduler, upkeep, now);
-        if (instance != nullptr) {
-            --pool.second.have;
-            order(*instance, to, scheduler, now);
+        const InstanceEntry *idle = findIdle(pool.first, to, scheduler, upkeep, now);
+        if (idle != nullptr) {
+            countMove(pool.first, to, scheduler);
+            order(*idle, to, scheduler, now);
+            continue;
+        }
+        const InstanceEntry *drainable = findDrainable(pool.first, to, scheduler, upkeep, now);
+        if (drainable != nullptr) {
+            drain(*drainable, to, scheduler, now);
         }
     }
 }
@@ -280,8 +394,16 @@
     }
     countInstances(scheduler, now);
     updateNeeds(scheduler, now);
-    for (const std::pair<const std::string, PoolState> &pool : std::map<std::string, PoolState>{m_pools}) {
-        std::int64_t missing = pool.second.need - pool.second.have;
+    advanceDrains(scheduler, upkeep, now);
+    const std::map<std::string, PoolState> pools = m_pools;
+    for (const std::pair<const std::string, PoolState> &pool : pools) {
+        std::int64_t missing = pool.second.held.timely - m_pools[pool.first].have;
+        while (missing > 0 && (lendOne(pool.first, scheduler, upkeep, now) || drainOne(pool.first, scheduler, upkeep, now))) {
+            --missing;
+        }
+    }
+    for (const std::pair<const std::string, PoolState> &pool : pools) {
+        std::int64_t missing = pool.second.held.all - m_pools[pool.first].have;
         while (missing > 0 && lendOne(pool.first, scheduler, upkeep, now)) {
             --missing;
         }
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -23,20 +23,43 @@
     std::string from;
 };
 
+/** @brief How pools are sized. */
+struct BalancingPolicy {
+    double clearWithin{1.3}; /**< Work that waits is to be under way within this many lengths of a task. */
+    double clearLateWithin{5.0}; /**< The same for work that misses its objective anyway, and is worth little room. */
+    double arrivingWeight{1.0}; /**< Share of the demand of arriving jobs that pools are sized for ahead of its tasks. */
+    double usableShare{0.92}; /**< Share of an instance that can be filled before tasks no longer fit. */
+    core::Duration needLasts{std::chrono::milliseconds{1200}}; /**< A need counts for this long: a move back and forth costs more than waiting. */
+    core::Duration parkAfter{std::chrono::milliseconds{2500}}; /**< An instance goes to standby when its pool had no use for it for this long. */
+    std::int64_t reserve{1}; /**< Instances kept in each pool beyond its need, for failures and for the start of a rise. */
+
+    [[nodiscard]] bool operator==(const BalancingPolicy &) const = default;
+};
+
+/** @brief Instances that a pool needs. */
+struct PoolNeed {
+    std::int64_t timely{0}; /**< For continuous tasks and for jobs that can meet their objective. */
+    std::int64_t all{0}; /**< With jobs that miss it. */
+
+    [[nodiscard]] bool operator==(const PoolNeed &) const = default;
+};
+
 /**
- * @brief Moves empty instances to pools whose queues ask for more than they hold, and parks those that nobody needs; without I/O.
+ * @brief Moves instances to pools whose queues ask for more than they hold, and parks those that nobody needs; without I/O.
  *
  * Answers loads that turn from queue to queue: a pool that is full borrows from pools that are not, and idle instances wait on
- * standby, where they cost nothing.
+ * standby, where they cost nothing. Jobs that still meet their objective come before late ones of other pools: if no instance
+ * is idle, one of a pool that works off late jobs is drained.
  */
 class PoolBalancer
 {
 public:
     /**
      * @brief Starts the tenure of an owner.
+     * @param policy How pools are sized.
      * @param pause Holds back orders that could cross a former owner's; has to outlive this.
      */
-    explicit PoolBalancer(const OrderPause &pause);
+    PoolBalancer(const BalancingPolicy &policy, const OrderPause &pause);
 
     /**
      * @brief Takes in the platform's list of instances.
@@ -70,40 +93,58 @@
 
     /**
      * @brief Works out how many instances a pool needs.
+     * @param policy How pools are sized.
      * @param load Load of the pool.
      * @param perInstance Thousandths of a core of one instance.
-     * @return Number of instances.
+     * @return Numbers of instances.
      */
-    [[nodiscard]] static std::int64_t needOf(const PoolLoad &load, std::int64_t perInstance);
+    [[nodiscard]] static PoolNeed needOf(const BalancingPolicy &policy, const PoolLoad &load, std::int64_t perInstance);
 
 private:
     struct PoolState {
         std::int64_t have{0}; /**< Instances that take work, and those on their way. */
-        std::int64_t need{0}; /**< Highest need of late. */
-        core::TimePoint needAt; /**< When the need was last this high. */
+        PoolNeed need; /**< Present needs. */
+        PoolNeed held; /**< Highest needs of late. */
+        core::TimePoint timelyAt; /**< When the timely need was last this high. */
+        core::TimePoint allAt; /**< When the whole need was last this high. */
         core::TimePoint surplusSince; /**< Since when it has had more than it needs. */
     };
 
+    /** An instance that is on its way, or drained for it. */
     struct Moving {
         std::string to;
         std::string worker; /**< Worker that was closed for it. */
         core::TimePoint since;
+        bool drains{false}; /**< Its worker still runs something; no order was given. */
         bool orderOut{false};
     };
 
     [[nodiscard]] static bool inService(const InstanceEntry &instance, const Scheduler &scheduler);
     void countInstances(Scheduler &scheduler, core::TimePoint now);
-    void noteNeed(const std::string &name, const PoolState &pool, std::int64_t need, const PoolLoad &load);
+    void noteNeed(const std::string &name, const PoolState &pool, const PoolNeed &need, const PoolLoad &load);
     void updateNeeds(const Scheduler &scheduler, core::TimePoint now);
+    void advanceDrains(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
+    void cancelDrain(const std::string &instance, Scheduler &scheduler);
+    [[nodiscard]] bool keepOne(const std::string &pool, Scheduler &scheduler);
     [[nodiscard]] bool lendOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
+    [[nodiscard]] bool drainOne(const std::string &to, Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
     void parkIdle(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
+    [[nodiscard]] bool mayMove(const InstanceEntry &instance, const std::string &to, const Upkeep &upkeep, core::TimePoint now) const;
     [[nodiscard]] const InstanceEntry *findIdle(const std::string &pool,
                                                 const std::string &to,
                                                 const Scheduler &scheduler,
                                                 const Upkeep &upkeep,
                                                 core::TimePoint now) const;
+    [[nodiscard]] const InstanceEntry *findDrainable(const std::string &pool,
+                                                     const std::string &to,
+                                                     const Scheduler &scheduler,
+                                                     const Upkeep &upkeep,
+                                                     core::TimePoint now) const;
+    void drain(const InstanceEntry &instance, const std::string &to, Scheduler &scheduler, core::TimePoint now);
     void order(const InstanceEntry &instance, const std::string &to, Scheduler &scheduler, core::TimePoint now);
+    void countMove(const std::string &from, const std::string &to, const Scheduler &scheduler);
 
+    BalancingPolicy m_policy;
     const OrderPause &m_pause;
     std::map<std::string, InstanceEntry> m_instances;
     core::TimePoint m_listedAt;
--- a/src/oleanderwick/jobs/runs.cpp
+++ b/src/oleanderwick/jobs/runs.cpp
@@ -34,6 +34,7 @@
     task.worker = worker.entry.id;
     task.run = run;
     task.since = now;
+    task.startedAt = now;
     task.progressAt = now;
     task.percent = 0;
     task.figure = 0;
@@ -125,9 +126,14 @@
         worker.pendingEnds.push_back(PendingEnd{end.number, {}, 0});
         return;
     }
-    decide("run_ended", toText(end.task), worker.entry.id, absl::StrCat("run=", end.run, " kind=", static_cast<int>(end.kind), " number=", end.number));
-    task->record.lastRun = std::max(task->record.lastRun, end.run);
     const bool current = task->isOut() && task->worker == worker.entry.id && task->run == end.run;
+    const std::int64_t tookMs = current ? core::milliseconds(now - task->startedAt) : 0;
+    const std::int64_t estimateMs = entry->job.steps[end.task.step].estimateMs;
+    decide("run_ended",
+           toText(end.task),
+           worker.entry.id,
+           absl::StrCat("run=", end.run, " kind=", static_cast<int>(end.kind), " number=", end.number, " took_ms=", tookMs, " estimate_ms=", estimateMs));
+    task->record.lastRun = std::max(task->record.lastRun, end.run);
     if (current) {
         detach(*entry, end.task, *task);
         task->notBefore = now + internal::restartPause;
@@ -140,7 +146,7 @@
         if (end.kind == EndKind::Done) {
             takeDone(*entry, end.task, wallMs, now);
         } else if (end.kind == EndKind::Failed) {
-            takeFailed(*entry, end.task, *task, wallMs, now);
+            takeFailed(*entry, end.task, *task, end.run, wallMs, now);
         }
     }
     touch(*entry);
@@ -193,20 +199,26 @@
     }
 }
 
-void Scheduler::takeFailed(JobEntry &entry, const TaskName &name, Task &task, std::int64_t wallMs, core::TimePoint now)
+void Scheduler::takeFailed(JobEntry &entry, const TaskName &name, Task &task, std::int64_t run, std::int64_t wallMs, core::TimePoint now)
 {
     const Step &step = entry.job.steps[name.step];
     if (step.continuous || task.record.done) {
         return;
     }
-    ++task.record.failures;
-    std::int64_t failures = task.record.failures;
+    std::vector<std::int64_t> &failedRuns = task.record.failedRuns;
+    if (std::find(failedRuns.begin(), failedRuns.end(), run) != failedRuns.end()) {
+        // A former owner has counted it, and the worker was not told in time that it may forget it.
+        return;
+    }
+    failedRuns.push_back(run);
+    std::set<std::int64_t> counted{failedRuns.begin(), failedRuns.end()};
     if (step.gang) {
-        failures = 0;
+        // Members that fail together are one failure of the gang.
         for (const Task &member : entry.occurrences[name.occurrence].steps[name.step].tasks) {
-            failures += member.record.failures;
+            counted.insert(member.record.failedRuns.begin(), member.record.failedRuns.end());
         }
     }
+    const std::int64_t failures = static_cast<std::int64_t>(counted.size());
     if (failures >= maxAttempts(entry)) {
         decide("job_failed", entry.job.id, "", absl::StrCat("task=", toText(name), " failures=", failures, " allowed=", maxAttempts(entry)));
         endJob(entry, JobState::Failed, wallMs, now);
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -74,8 +74,11 @@
 
 void Scheduler::expectWorker(const std::string &id, const std::string &pool)
 {
-    m_workers[id].entry.id = id;
-    m_workers[id].entry.pool = pool;
+    Worker &worker = m_workers[id];
+    if (!worker.listed) {
+        worker.entry.id = id;
+        worker.entry.pool = pool;
+    }
     m_usedWorkers[id] = pool;
 }
 
@@ -458,7 +461,7 @@
 std::int64_t Scheduler::maxAttempts(const JobEntry &entry) const
 {
     const auto queue = m_config.queues.find(entry.job.queue);
-    return queue == m_config.queues.end() ? 1 : std::max<std::int64_t>(queue->second.maxAttempts, 1);
+    return std::max<std::int64_t>(queue == m_config.queues.end() ? entry.job.maxAttempts : queue->second.maxAttempts, 1);
 }
 
 void Scheduler::touch(JobEntry &entry)
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "arrival_rate.hpp"
 #include "orders.hpp"
 #include "table.hpp"
 
@@ -228,6 +229,24 @@
      */
     [[nodiscard]] bool isStandby(const std::string &pool) const;
 
+    /** @return Pools whose instances are off and free of charge. */
+    [[nodiscard]] std::vector<std::string> standbyPools() const;
+
+    /**
+     * @brief Tells whether nothing runs on a worker, and nothing may.
+     * @param id Name of the worker.
+     * @param now Present time.
+     * @return True if it is certain; a worker that has not shown its lists may run what a former owner started.
+     */
+    [[nodiscard]] bool isVacant(const std::string &id, core::TimePoint now) const;
+
+    /**
+     * @brief Tells whether a continuous task is on a worker.
+     * @param worker The worker.
+     * @return True if one is, or may be.
+     */
+    [[nodiscard]] bool runsContinuous(const Worker &worker) const;
+
     /** @return Load of the pools that are not on standby, as `advance` measured it last. */
     [[nodiscard]] const std::map<std::string, PoolLoad> &poolLoads() const noexcept;
 
@@ -244,11 +263,6 @@
         Late, /**< Misses it. */
     };
 
-    struct Arrival {
-        core::TimePoint at;
-        std::int64_t work; /**< Thousandths of a core times milliseconds. */
-    };
-
     struct Candidate {
         JobEntry *entry;
         std::int64_t occurrence;
@@ -278,7 +292,7 @@
     void takeEnd(Worker &worker, const ListedEnd &end, core::TimePoint now, std::int64_t wallMs);
     void takeDone(JobEntry &entry, const TaskName &name, std::int64_t wallMs, core::TimePoint now);
     void completeIfDone(JobEntry &entry, std::int64_t wallMs, core::TimePoint now);
-    void takeFailed(JobEntry &entry, const TaskName &name, Task &task, std::int64_t wallMs, core::TimePoint now);
+    void takeFailed(JobEntry &entry, const TaskName &name, Task &task, std::int64_t run, std::int64_t wallMs, core::TimePoint now);
     void takeRunning(Worker &worker, const ListedRun &listed, core::TimePoint now);
     void takeMissing(Worker &worker, const WorkerReport &report, core::TimePoint sentAt, core::TimePoint now);
     void judgeWorker(Worker &worker, EndKind kind, core::TimePoint now);
@@ -299,7 +313,6 @@
     void paceFillers(Worker &worker, core::TimePoint now);
 
     void noteArrival(const Job &job, core::TimePoint now);
-    [[nodiscard]] std::int64_t arrivingCpu(const std::string &pool, core::TimePoint now) const;
     [[nodiscard]] bool settled(const std::string &pool, core::TimePoint now) const;
     [[nodiscard]] std::vector<Candidate> candidates(core::TimePoint now, std::int64_t wallMs);
     void addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found);
@@ -332,7 +345,7 @@
     std::map<std::string, Worker> m_workers;
     std::map<std::string, Resources> m_teamUse;
     std::map<StepName, Advice> m_advice;
-    std::map<std::string, std::deque<Arrival>> m_arrivals; /**< Jobs of the last moments by pool, oldest first. */
+    std::map<std::string, ArrivalRate> m_arrivals; /**< Jobs of the last moments by pool. */
     std::set<std::string> m_unsaved; /**< Jobs with a state that is neither stored nor being stored. */
     std::set<std::string> m_unsavedEnds; /**< Those of them that have ended. */
     std::map<std::string, std::int64_t> m_earlyCancels; /**< Jobs that were cancelled before they were taken in, with the Unix time. */
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -31,6 +31,7 @@
     std::string worker; /**< Worker that it is on, unless it waits or is done. */
     std::int64_t run{0}; /**< Number of the run that is out. */
     core::TimePoint since; /**< Start of its phase. */
+    core::TimePoint startedAt; /**< When its present run was ordered or adopted. */
     core::TimePoint notBefore; /**< Not started again before. */
     core::TimePoint progressAt; /**< When its progress last changed. */
     core::TimePoint orderedAt; /**< When a stop was last sent. */
--- a/src/oleanderwick/jobs/upkeep.cpp
+++ b/src/oleanderwick/jobs/upkeep.cpp
@@ -179,13 +179,11 @@
     }
     scheduler.closeWorker(entry->worker, true);
     scheduler.evacuate(entry->worker, now);
-    const auto worker = scheduler.workers().find(entry->worker);
-    const bool empty = worker == scheduler.workers().end() || (worker->second.runs.empty() && worker->second.pendingEnds.empty());
     const std::size_t down = countPhase(state, Phase::Down) + countPhase(state, Phase::Ordered) - (member.phase == Phase::Ordered ? 1 : 0);
     const bool room = static_cast<std::int64_t>(down) < state.wave.mostAtOnce;
     const bool due =
         m_pause.isOver(instance, now) && now - member.since >= (member.phase == Phase::Ordered ? internal::orderAgainAfter : core::Duration::zero());
-    if (empty && room && due && (entry->state == InstanceState::Up || member.phase == Phase::Ordered)) {
+    if (scheduler.isVacant(entry->worker, now) && room && due && (entry->state == InstanceState::Up || member.phase == Phase::Ordered)) {
         member.phase = Phase::Ordered;
         member.orderOut = true;
         member.since = now;
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -43,6 +43,16 @@
     };
 }
 
+Reader factor(double JobSettings::*field)
+{
+    return [field](const YAML::Node &node, JobSettings &settings) {
+        settings.*field = node.as<double>();
+        if (!(settings.*field >= 0)) {
+            throw YAML::Exception(node.Mark(), "must not be negative");
+        }
+    };
+}
+
 void readProcessorShare(const YAML::Node &node, JobSettings &settings)
 {
     settings.processorShare = node.as<double>();
@@ -75,6 +85,12 @@
         {"orderPauseMs", milliseconds(&JobSettings::orderPause)},
         {"keepEndedS", seconds(&JobSettings::keepEnded)},
         {"stopTimeoutS", seconds(&JobSettings::stopTimeout)},
+        {"clearWithin", factor(&JobSettings::clearWithin)},
+        {"arrivingWeight", factor(&JobSettings::arrivingWeight)},
+        {"clearLateWithin", factor(&JobSettings::clearLateWithin)},
+        {"needLastsMs", milliseconds(&JobSettings::needLasts)},
+        {"parkAfterMs", milliseconds(&JobSettings::parkAfter)},
+        {"reserveInstances", factor(&JobSettings::reserveInstances)},
     };
     return table;
 }
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -194,7 +194,9 @@
     }
     job->id = id;
     job->queue = route.queue;
-    job->pool = m_translator.routes().poolOf(route.queue);
+    const jobs::QueuePolicy policy = m_translator.routes().policyOf(route.queue);
+    job->pool = policy.pool;
+    job->maxAttempts = policy.maxAttempts;
     job->team = team;
     job->submittedMs = m_clock.wallMs();
     m_node.desk().submit(*job, deadline, [answer = std::move(respond)](const jobnode::DeskAnswer &result) {
--- a/src/platform/routes.cpp
+++ b/src/platform/routes.cpp
@@ -41,7 +41,6 @@
     for (const json &row : internal::rowsIn(body, "routes")) {
         const std::string name = textIn(row, "name");
         routes.m_routes.push_back(Route{textIn(row, "host"), textIn(row, "prefix"), name, flagIn(row, "public")});
-        routes.m_pools[name] = textIn(row, "service");
         fleet.queues[name] = internal::toQueue(row);
     }
     for (const json &row : internal::rowsIn(body, "services")) {
@@ -60,6 +59,7 @@
             }
         }
     }
+    routes.m_policies = fleet.queues;
     jobnode::OperatorNews news;
     news.configVersion = numberIn(body, "version");
     news.config = std::move(fleet);
@@ -85,10 +85,10 @@
     return found == m_teams.end() ? nullptr : &found->second;
 }
 
-std::string Routes::poolOf(const std::string &queue) const
+jobs::QueuePolicy Routes::policyOf(const std::string &queue) const
 {
-    const auto found = m_pools.find(queue);
-    return found == m_pools.end() ? std::string{} : found->second;
+    const auto found = m_policies.find(queue);
+    return found == m_policies.end() ? jobs::QueuePolicy{} : found->second;
 }
 
 } // namespace oleanderwick::platform
--- a/src/platform/routes.hpp
+++ b/src/platform/routes.hpp
@@ -48,16 +48,16 @@
     [[nodiscard]] const std::string *teamOf(const std::string &key) const;
 
     /**
-     * @brief Finds the pool that a queue leads to.
+     * @brief Finds how the jobs of a queue are treated.
      * @param queue Name of the queue.
-     * @return The pool; empty for an unknown queue.
+     * @return The policy; a default one for an unknown queue.
      */
-    [[nodiscard]] std::string poolOf(const std::string &queue) const;
+    [[nodiscard]] jobs::QueuePolicy policyOf(const std::string &queue) const;
 
 private:
     std::vector<Route> m_routes;
     std::map<std::string, std::string> m_teams; /**< Team by key. */
-    std::map<std::string, std::string> m_pools; /**< Pool by queue. */
+    std::map<std::string, jobs::QueuePolicy> m_policies; /**< Policy by queue. */
 };
 
 } // namespace oleanderwick::platform
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -1,5 +1,6 @@
 #include "run.hpp"
 
+#include <cmath>
 #include <csignal>
 #include <random>
 
@@ -38,6 +39,12 @@
     jobnode::TenureLimits limits;
     limits.scheduler.longestLease = settings.longestLease;
     limits.orderPause = settings.orderPause;
+    limits.balancing.clearWithin = settings.clearWithin;
+    limits.balancing.arrivingWeight = settings.arrivingWeight;
+    limits.balancing.clearLateWithin = settings.clearLateWithin;
+    limits.balancing.needLasts = settings.needLasts;
+    limits.balancing.parkAfter = settings.parkAfter;
+    limits.balancing.reserve = std::llround(settings.reserveInstances);
     // An owner needs more processor than the others; nodes do not know each other's share.
     limits.handicap = std::chrono::milliseconds{static_cast<std::int64_t>(std::max(0.0, ampleShare - settings.processorShare) * handicapMsPerCore)};
     // Submitters' clocks and repeated submissions: a record outlives the time that is promised.
--- a/test/oleanderwick/jobnode/job_desk.cpp
+++ b/test/oleanderwick/jobnode/job_desk.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "oleanderwick/http/loop.hpp"
 #include "oleanderwick/jobnode/job_desk.hpp"
 
 using namespace oleanderwick;
--- a/test/oleanderwick/jobs/codec.cpp
+++ b/test/oleanderwick/jobs/codec.cpp
@@ -24,7 +24,7 @@
     jobs::JobRecord record;
     record.state = jobs::JobState::Running;
     record.nextOccurrence = 2;
-    record.occurrences[1] = {{{true, 0, 1, ""}, {false, 0, 0, ""}, {false, 2, 5, "cp"}}, {}};
+    record.occurrences[1] = {{{true, {}, 1, ""}, {false, {}, 0, ""}, {false, {2, 4}, 5, "cp"}}, {}};
     const absl::StatusOr<jobs::JobRecord> read = jobs::progressFromRecord(jobs::toRecord(record));
     REQUIRE(read.ok());
     CHECK(*read == record);
--- a/test/oleanderwick/jobs/scheduler.cpp
+++ b/test/oleanderwick/jobs/scheduler.cpp
@@ -46,7 +46,7 @@
     jobs::JobRecord record;
     record.state = jobs::JobState::Running;
     record.nextOccurrence = 1;
-    record.occurrences[0] = {{jobs::TaskRecord{true, 0, 1, ""}}};
+    record.occurrences[0] = {{jobs::TaskRecord{true, {}, 1, ""}}};
     fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), record, true, fleet.now);
     CHECK(fleet.advance().empty());
     CHECK(fleet.save().at("a").state == jobs::JobState::Completed);
@@ -158,6 +158,51 @@
     CHECK(fleet.advance().size() == 1);
 }
 
+TEST_CASE("a failure that a worker lists again to the next owner counts once", "[jobs]")
+{
+    JobFleet fleet;
+    jobs::JobRecord record;
+    record.state = jobs::JobState::Running;
+    record.nextOccurrence = 1;
+    record.occurrences[0] = {{jobs::TaskRecord{false, {1}, 1, ""}}};
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), record, true, fleet.now);
+    fleet.addWorker("w1");
+    fleet.report("w1", {}, {{1, {"a", 0, 0, 0}, 1, jobs::EndKind::Failed, ""}});
+    CHECK(fleet.scheduler.findJob("a")->state == jobs::JobState::Running);
+    fleet.report("w1", {}, {{2, {"a", 0, 0, 0}, 2, jobs::EndKind::Failed, ""}});
+    CHECK(fleet.scheduler.findJob("a")->state == jobs::JobState::Failed);
+}
+
+TEST_CASE("a job whose queue was removed keeps the attempts that it was accepted with", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    jobs::Job job = JobFleet::makeJob("a", {JobFleet::makeStep(1)});
+    job.queue = "removed";
+    job.maxAttempts = 2;
+    fleet.scheduler.addJob(job, std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartOrder> first = fleet.advance();
+    REQUIRE(first.size() == 1);
+    fleet.accept(first);
+    fleet.end(first[0], jobs::EndKind::Failed);
+    CHECK(fleet.scheduler.findJob("a")->state == jobs::JobState::Running);
+}
+
+TEST_CASE("members of a gang that fail in the same run are one failure", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    jobs::Step step = JobFleet::makeStep(2);
+    step.gang = true;
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartOrder> first = fleet.advance();
+    REQUIRE(first.size() == 2);
+    fleet.accept(first);
+    fleet.end(first[0], jobs::EndKind::Failed);
+    fleet.end(first[1], jobs::EndKind::Failed);
+    CHECK(fleet.scheduler.findJob("a")->state == jobs::JobState::Running);
+}
+
 TEST_CASE("a silent worker's lease is not lengthened", "[jobs]")
 {
     JobFleet fleet;
--- a/test/oleanderwick/jobs/upkeep.cpp
+++ b/test/oleanderwick/jobs/upkeep.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "support/job_fleet.hpp"
@@ -45,6 +47,22 @@
     CHECK(upkeep.takeOrders().size() == 1);
 }
 
+TEST_CASE("an instance whose worker has not shown its lists to this owner is not maintained", "[upkeep]")
+{
+    JobFleet fleet;
+    fleet.scheduler.expectWorker("w1", "pool");
+    const jobs::OrderPause pause{fleet.now};
+    jobs::Upkeep upkeep{pause};
+    upkeep.addWave(makeWave({"m1"}, 1), std::nullopt, fleet.wallMs());
+    upkeep.takeInstances({{"m1", makeInstance("m1", "w1")}}, fleet.now);
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    CHECK(upkeep.takeOrders().empty());
+    fleet.addWorker("w1");
+    upkeep.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    CHECK(upkeep.takeOrders().size() == 1);
+}
+
 TEST_CASE("a wave never has more down than it may", "[upkeep]")
 {
     JobFleet fleet;
@@ -127,7 +145,7 @@
     listed["m5"] = makeInstance("m5", "", "standby");
     const jobs::OrderPause pause{fleet.now};
     jobs::Upkeep upkeep{pause};
-    jobs::PoolBalancer balancer{pause};
+    jobs::PoolBalancer balancer{{}, pause};
     balancer.takeInstances(listed, fleet.now);
     jobs::Job job = JobFleet::makeJob("a", {JobFleet::makeStep(40)});
     job.submittedMs = fleet.wallMs();
@@ -166,9 +184,9 @@
     jobs::PoolLoad load;
     load.workers = 5;
     load.leastWorkers = 5;
-    CHECK(jobs::PoolBalancer::needOf(load, 16'000) == 5);
+    CHECK(jobs::PoolBalancer::needOf({}, load, 16'000).timely == 5);
     load.unplaced = 1;
-    CHECK(jobs::PoolBalancer::needOf(load, 16'000) == 6);
+    CHECK(jobs::PoolBalancer::needOf({}, load, 16'000).timely == 6);
 }
 
 TEST_CASE("an instance whose move was lost is not kept out of service, and can be moved again", "[balancer]")
@@ -185,7 +203,7 @@
         {"m1", makeInstance("m1", "w1")}, {"m2", makeInstance("m2", "w2")}, {"m3", makeInstance("m3", "", "standby")}};
     const jobs::OrderPause pause{fleet.now};
     jobs::Upkeep upkeep{pause};
-    jobs::PoolBalancer balancer{pause};
+    jobs::PoolBalancer balancer{{}, pause};
     balancer.takeInstances(listed, fleet.now);
     std::vector<jobs::MoveOrder> orders;
     for (int round = 0; round < 100 && orders.empty(); ++round) {
@@ -245,7 +263,7 @@
     fleet.accept(fleet.advance());
     const jobs::OrderPause pause{fleet.now};
     jobs::Upkeep upkeep{pause};
-    jobs::PoolBalancer balancer{pause};
+    jobs::PoolBalancer balancer{{}, pause};
     balancer.takeInstances({{"m1", makeInstance("m1", "w1")}, {"m2", makeInstance("m2", "w2")}, {"m3", makeInstance("m3", "", "standby")}}, fleet.now);
     (void)fleet.advance();
     balancer.advance(fleet.scheduler, upkeep, fleet.now);
@@ -258,3 +276,60 @@
     CHECK(orders[0].instance == "m3");
     CHECK(orders[0].pool == "pool");
 }
+
+TEST_CASE("late jobs of a pool give way to another pool's jobs that can meet their objective", "[balancer]")
+{
+    JobFleet fleet;
+    jobs::FleetConfig config;
+    config.queues["queue"].pool = "pool";
+    config.queues["queue"].objectiveMs = 600;
+    config.queues["urgent"].pool = "other";
+    config.queues["urgent"].objectiveMs = 600;
+    config.pools["pool"] = {};
+    config.pools["other"] = {};
+    fleet.scheduler.configure(config);
+    std::map<std::string, jobs::InstanceEntry> listed;
+    for (const char *id : {"1", "2", "3", "4"}) {
+        fleet.addWorker(std::string{"w"} + id);
+        listed[std::string{"m"} + id] = makeInstance(std::string{"m"} + id, std::string{"w"} + id);
+    }
+    const jobs::OrderPause pause{fleet.now};
+    jobs::Upkeep upkeep{pause};
+    jobs::PoolBalancer balancer{{}, pause};
+    balancer.takeInstances(listed, fleet.now);
+    jobs::Job late = JobFleet::makeJob("late", {JobFleet::makeStep(60)});
+    late.submittedMs = fleet.wallMs() - 10'000;
+    fleet.scheduler.addJob(late, std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartOrder> starts = fleet.advance();
+    fleet.accept(starts);
+    balancer.advance(fleet.scheduler, upkeep, fleet.now);
+    CHECK(balancer.takeOrders().empty());
+    jobs::Job urgent = JobFleet::makeJob("urgent", {JobFleet::makeStep(16)});
+    urgent.queue = "urgent";
+    urgent.pool = "other";
+    urgent.submittedMs = fleet.wallMs();
+    fleet.scheduler.addJob(urgent, std::nullopt, false, fleet.now);
+    (void)fleet.advance();
+    balancer.advance(fleet.scheduler, upkeep, fleet.now);
+    // Every instance runs something: one is closed, and moves once it is empty.
+    CHECK(balancer.takeOrders().empty());
+    const auto closed =
+        std::find_if(fleet.scheduler.workers().begin(), fleet.scheduler.workers().end(), [](const std::pair<const std::string, jobs::Worker> &worker) {
+            return worker.second.closed;
+        });
+    REQUIRE(closed != fleet.scheduler.workers().end());
+    const std::string drained = closed->first;
+    for (const jobs::StartOrder &start : starts) {
+        if (start.worker == drained) {
+            fleet.end(start, jobs::EndKind::Done);
+        }
+    }
+    (void)fleet.save();
+    (void)fleet.scheduler.takeHolds(fleet.now + std::chrono::seconds{1});
+    (void)fleet.advance();
+    balancer.advance(fleet.scheduler, upkeep, fleet.now);
+    const std::vector<jobs::MoveOrder> orders = balancer.takeOrders();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].worker == drained);
+    CHECK(orders[0].pool == "other");
+}
--- a/test/platform/translation.cpp
+++ b/test/platform/translation.cpp
@@ -52,7 +52,8 @@
 
 TEST_CASE("an entry with fields missing, of another type or unreadable names no worker", "[platform]")
 {
-    jobnode::LogSink log;
+    http::Loop loop;
+    jobnode::LogSink log{loop, std::make_unique<jobnode::StandardOutput>()};
     const platform::StoreTranslator translator{log};
     const auto read = [&translator](const std::string &value) {
         return translator.readWorker(jobs::StoreItem{"servers/w1", value, 1});
@@ -104,7 +105,8 @@
 
 TEST_CASE("a wave is read with its instances, and its state is written for operators", "[platform]")
 {
-    jobnode::LogSink log;
+    http::Loop loop;
+    jobnode::LogSink log{loop, std::make_unique<jobnode::StandardOutput>()};
     platform::StoreTranslator translator{log};
     const jobnode::OperatorNews news = translator.readOperatorItem({"op/wave/3", R"({"wave":3,"machines":["m1","m2"],"duration_s":20,"cap":2})", 1});
     REQUIRE(news.wave.has_value());
