--- a/src/oleanderwick/jobnode/job_node.hpp
+++ b/src/oleanderwick/jobnode/job_node.hpp
@@ -17,13 +17,13 @@
 public:
     /**
      * @brief Starts the node.
-     * @param loop Loop to run on.
+     * @param executor Runs its work.
      * @param ports Everything outside.
      * @param name Name of the node, unique for one run of its process.
      * @param limits Bounds of an owner's work.
      * @param log Takes the log lines.
      */
-    JobNode(http::Loop &loop, const Ports &ports, const std::string &name, const TenureLimits &limits, LogSink &log);
+    JobNode(core::Executor &executor, const Ports &ports, const std::string &name, const TenureLimits &limits, LogSink &log);
     ~JobNode();
     JobNode(const JobNode &) = delete;
     JobNode &operator=(const JobNode &) = delete;
@@ -40,15 +40,14 @@
     /** @return Number of the configuration in force; 0 for none. */
     [[nodiscard]] std::int64_t configVersion() const noexcept;
 
-    /** @brief Gets ready to stop: hands ownership over once everything is stored. */
+    /** @brief Gets ready to stop: hands ownership over. */
     void stop();
 
 private:
     void takeOperatorItem(const jobs::StoreItem &item);
     void becomeOwner(std::int64_t token);
-    void advanceStop();
 
-    http::Loop &m_loop;
+    core::Executor &m_executor;
     Ports m_ports;
     TenureLimits m_limits;
     LogSink &m_log;
@@ -57,7 +56,6 @@
     std::map<std::int64_t, OperatorNews> m_waves;
     bool m_stopping{false};
     bool m_contact{true};
-    core::TimePoint m_stopStart;
     std::unique_ptr<Tenure> m_tenure;
     std::unique_ptr<Ownership> m_ownership;
     std::unique_ptr<Watcher> m_operators;
--- a/test/oleanderwick/jobnode/job_desk.cpp
+++ b/test/oleanderwick/jobnode/job_desk.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "oleanderwick/http/loop.hpp"
 #include "oleanderwick/jobnode/job_desk.hpp"
 
 using namespace oleanderwick;
@@ -64,7 +65,7 @@
 struct DeskFixture {
     http::Loop loop;
     ScriptedStore store;
-    jobnode::LogSink log;
+    jobnode::LogSink log{loop, std::make_unique<jobnode::StandardOutput>()};
     jobnode::JobDesk desk{loop, store, log};
 
     template <typename Call>
