--- a/src/oleanderwick/jobs/arrival_rate.cpp
+++ b/src/oleanderwick/jobs/arrival_rate.cpp
@@ -1,6 +1,8 @@
 #include "arrival_rate.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 
 namespace oleanderwick::jobs
 {
@@ -8,20 +10,16 @@
 namespace internal
 {
 
-/** Shows a rise early, and its end. */
-constexpr core::Duration shortWindow = std::chrono::milliseconds{600};
-/** Smooths jobs that come in clusters. */
-constexpr core::Duration longWindow = std::chrono::milliseconds{1800};
+/** A short window shows a rise early, a long one smooths jobs that come in clusters. */
+constexpr std::array<core::Duration, 3> windows{std::chrono::milliseconds{500}, std::chrono::milliseconds{1000}, std::chrono::milliseconds{2000}};
 /** One large job is no trend. */
-constexpr std::size_t jobsForTrend = 3;
-/** A rise counts for at most this many times what the long window shows, so that one cluster does not size a pool. */
-constexpr std::int64_t steepestRise = 2;
+constexpr double jobsForTrend = 3.0;
 
 } // namespace internal
 
 void ArrivalRate::add(std::int64_t work, core::TimePoint now)
 {
-    while (!m_arrivals.empty() && now - m_arrivals.front().at > internal::longWindow) {
+    while (!m_arrivals.empty() && now - m_arrivals.front().at > internal::windows.back()) {
         m_arrivals.pop_front();
     }
     m_arrivals.push_back(Arrival{now, work});
@@ -29,23 +27,23 @@
 
 std::int64_t ArrivalRate::cpu(core::TimePoint now) const
 {
-    std::int64_t shortWork = 0;
-    std::int64_t longWork = 0;
-    std::size_t shortJobs = 0;
-    std::size_t longJobs = 0;
-    for (const Arrival &arrival : m_arrivals) {
-        const core::Duration age = now - arrival.at;
-        longWork += age <= internal::longWindow ? arrival.work : 0;
-        longJobs += age <= internal::longWindow ? 1 : 0;
-        shortWork += age <= internal::shortWindow ? arrival.work : 0;
-        shortJobs += age <= internal::shortWindow ? 1 : 0;
+    double highest = 0.0;
+    for (const core::Duration window : internal::windows) {
+        double work = 0.0;
+        double jobs = 0.0;
+        for (const Arrival &arrival : m_arrivals) {
+            const bool counts = now - arrival.at <= window;
+            work += counts ? static_cast<double>(arrival.work) : 0.0;
+            jobs += counts ? 1.0 : 0.0;
+        }
+        if (jobs < internal::jobsForTrend) {
+            continue;
+        }
+        // The count of jobs varies by its square root: what is nearly certain counts.
+        const double certain = 1.0 - 1.0 / std::sqrt(jobs);
+        highest = std::max(highest, certain * work / static_cast<double>(core::milliseconds(window)));
     }
-    if (longJobs < internal::jobsForTrend || shortJobs == 0) {
-        return 0;
-    }
-    const std::int64_t smooth = longWork / core::milliseconds(internal::longWindow);
-    const std::int64_t recent = shortJobs < internal::jobsForTrend ? 0 : shortWork / core::milliseconds(internal::shortWindow);
-    return std::max(smooth, std::min(recent, internal::steepestRise * smooth));
+    return static_cast<std::int64_t>(highest);
 }
 
 } // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -76,8 +76,8 @@
 PoolNeed PoolBalancer::needOf(const BalancingPolicy &policy, const PoolLoad &load, std::int64_t perInstance)
 {
     const double usable = static_cast<double>(std::max<std::int64_t>(perInstance, 1)) * policy.usableShare;
-    const double soon =
-        std::max(static_cast<double>(load.running + load.waiting) / policy.clearWithin, policy.arrivingWeight * static_cast<double>(load.arriving));
+    const double soon = std::max(static_cast<double>(load.running) + static_cast<double>(load.waiting) / policy.clearWithin,
+                                 policy.arrivingWeight * static_cast<double>(load.arriving));
     const double late = static_cast<double>(load.runningLate + load.waitingLate) / policy.clearLateWithin;
     const double timely = static_cast<double>(load.continuous) + soon;
     // What cannot be placed on all these workers, for memory or for tasks that must be apart, needs another one.
