--- a/src/oleanderwick/jobnode/ownership.cpp
+++ b/src/oleanderwick/jobnode/ownership.cpp
@@ -14,8 +14,8 @@
 {
 
 /** Long enough for a short stall of the store, short enough for a quick successor. */
-constexpr core::Duration leaseTtl = std::chrono::milliseconds{2000};
-constexpr core::Duration renewEvery = std::chrono::milliseconds{500};
+constexpr core::Duration leaseTtl = std::chrono::milliseconds{1500};
+constexpr core::Duration renewEvery = std::chrono::milliseconds{350};
 /** Left at the end of the lease for an order that is just being sent. */
 constexpr core::Duration sendMargin = std::chrono::milliseconds{200};
 constexpr core::Duration retryAcquire = std::chrono::milliseconds{300};
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -25,12 +25,12 @@
 
 /** @brief How pools are sized. */
 struct BalancingPolicy {
-    double clearWithin{1.3}; /**< Work that waits is to be under way within this many lengths of a task. */
+    double clearWithin{1.0}; /**< Work that waits is to be under way within this many lengths of a task. */
     double clearLateWithin{5.0}; /**< The same for work that misses its objective anyway, and is worth little room. */
     double arrivingWeight{1.0}; /**< Share of the demand of arriving jobs that pools are sized for ahead of its tasks. */
     double usableShare{0.92}; /**< Share of an instance that can be filled before tasks no longer fit. */
-    core::Duration needLasts{std::chrono::milliseconds{1200}}; /**< A need counts for this long: a move back and forth costs more than waiting. */
-    core::Duration parkAfter{std::chrono::milliseconds{2500}}; /**< An instance goes to standby when its pool had no use for it for this long. */
+    core::Duration needLasts{std::chrono::milliseconds{1000}}; /**< A need counts for this long: a move back and forth costs more than waiting. */
+    core::Duration parkAfter{std::chrono::milliseconds{1800}}; /**< An instance goes to standby when its pool had no use for it for this long. */
     std::int64_t reserve{1}; /**< Instances kept in each pool beyond its need, for failures and for the start of a rise. */
 
     [[nodiscard]] bool operator==(const BalancingPolicy &) const = default;
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -27,11 +27,11 @@
     core::Duration orderPause{std::chrono::seconds{3}}; /**< Pause between the orders of two owners for one instance. */
     core::Duration keepEnded{std::chrono::seconds{120}}; /**< How long the state of an ended job can be read. */
     core::Duration stopTimeout{std::chrono::seconds{6}}; /**< Time that a stopping node has until it is killed. */
-    double clearWithin{1.3}; /**< Pools are sized so that waiting work is under way within this many lengths of a task. */
+    double clearWithin{1.0}; /**< Pools are sized so that waiting work is under way within this many lengths of a task. */
     double arrivingWeight{1.0}; /**< Share of the demand of arriving jobs that pools are sized for ahead of its tasks. */
     double clearLateWithin{5.0}; /**< The same for work that misses its objective anyway. */
-    core::Duration needLasts{std::chrono::milliseconds{1200}}; /**< How long a pool's need counts after it has fallen. */
-    core::Duration parkAfter{std::chrono::milliseconds{2500}}; /**< How long an instance is of no use before it goes to standby. */
+    core::Duration needLasts{std::chrono::milliseconds{1000}}; /**< How long a pool's need counts after it has fallen. */
+    core::Duration parkAfter{std::chrono::milliseconds{1800}}; /**< How long an instance is of no use before it goes to standby. */
     double reserveInstances{1}; /**< Instances kept in each pool beyond its need. */
 
     [[nodiscard]] bool operator==(const JobSettings &) const = default;
--- /dev/null
+++ b/src/platform/relay.cpp
@@ -0,0 +1,41 @@
+#include "relay.hpp"
+
+#include <string_view>
+
+#include "wire.hpp"
+
+namespace oleanderwick::platform
+{
+
+namespace internal
+{
+
+/** Longest call that is passed on: a watch with its wait. The caller may give up sooner. */
+constexpr core::Duration relayTimeout = std::chrono::milliseconds{4000};
+
+} // namespace internal
+
+StoreRelay::StoreRelay(http::UpstreamLinks &links, std::string store)
+    : m_links{links}
+    , m_store{std::move(store)}
+{
+}
+
+void StoreRelay::handle(const http::Request &request, const http::Responder &respond)
+{
+    http::Exchange exchange = makeExchange(m_store, "GET", request.target.substr(std::string_view{relayPrefix}.size()), {}, internal::relayTimeout);
+    exchange.request.method = request.method;
+    exchange.request.body = request.body;
+    if (!request.body.empty()) {
+        exchange.request.headers.push_back({"Content-Type", "application/json"});
+    }
+    m_links.start(std::move(exchange), [respond](const http::ExchangeResult &result) {
+        if (result.end == routing::ExchangeEnd::Whole) {
+            respond(http::Response{result.response.status, {{"Content-Type", "application/json"}}, result.response.body});
+        } else {
+            respond(http::Response{nothingSent(result.end) ? 503 : 504, {}, {}});
+        }
+    });
+}
+
+} // namespace oleanderwick::platform
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -8,6 +8,8 @@
 
 #include "ingress.hpp"
 #include "oleanderwick/http/server.hpp"
+#include "oleanderwick/jobnode/failover_store.hpp"
+#include "relay.hpp"
 #include "service_clients.hpp"
 #include "store_client.hpp"
 #include "worker_client.hpp"
@@ -68,7 +70,9 @@
         , m_name{uniqueName(settings.node)}
         , m_log{m_loop, std::make_unique<jobnode::StandardOutput>()}
         , m_links{m_loop}
-        , m_store{m_links, settings.store}
+        , m_directStore{m_links, settings.store}
+        , m_store{m_loop, m_directStore, m_log}
+        , m_relay{m_links, settings.store}
         , m_workers{m_links}
         , m_instances{m_links, settings.instances, m_name}
         , m_advice{m_links, settings.advice}
@@ -86,7 +90,7 @@
                           respond(http::Response{m_node.isReady() ? 200 : 503, {}, {}});
                       }}
         , m_internal{m_loop, serverLimits(), [this](const http::Request &request, const http::Responder &respond) {
-                         serveMetrics(request, respond);
+                         serveInternal(request, respond);
                      }}
     {
     }
@@ -105,6 +109,7 @@
         if (!internalPort.ok()) {
             return internalPort.status();
         }
+        setRelays();
         m_log.add("started", telemetry::Event{"started"}.with("node", m_name).with("zone", m_settings.zone).with("callers", m_settings.callers));
         m_loop.onStopSignal([this] {
             stop();
@@ -115,6 +120,29 @@
     }
 
 private:
+    /** Other nodes answer on the same internal port, at the hosts of their control addresses. */
+    void setRelays()
+    {
+        const std::string port = m_settings.internal.substr(m_settings.internal.rfind(':'));
+        std::vector<jobnode::FailoverStore::Relay> relays;
+        for (const std::string &peer : m_settings.peers) {
+            const std::string address = peer.substr(0, peer.rfind(':')) + port;
+            if (address != m_settings.internal) {
+                relays.push_back(std::make_shared<StoreClient>(m_links, address, relayPrefix));
+            }
+        }
+        m_store.setRelays(std::move(relays));
+    }
+
+    void serveInternal(const http::Request &request, const http::Responder &respond)
+    {
+        if (request.target.starts_with(relayPrefix)) {
+            m_relay.handle(request, respond);
+        } else {
+            serveMetrics(request, respond);
+        }
+    }
+
     void serveMetrics(const http::Request &request, const http::Responder &respond)
     {
         if (request.target != "/metrics") {
@@ -163,7 +191,9 @@
     http::Loop m_loop;
     jobnode::LogSink m_log;
     http::UpstreamLinks m_links;
-    StoreClient m_store;
+    StoreClient m_directStore;
+    jobnode::FailoverStore m_store;
+    StoreRelay m_relay;
     WorkerClient m_workers;
     InstanceClient m_instances;
     AdviceClient m_advice;
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -119,14 +119,16 @@
 
 } // namespace internal
 
-StoreClient::StoreClient(http::UpstreamLinks &links, std::string address)
+StoreClient::StoreClient(http::UpstreamLinks &links, std::string address, std::string pathPrefix)
     : m_links{links}
     , m_address{std::move(address)}
+    , m_pathPrefix{std::move(pathPrefix)}
 {
 }
 
 void StoreClient::call(http::Exchange exchange, OnAnswer onAnswer)
 {
+    exchange.request.target.insert(0, m_pathPrefix);
     m_links.start(std::move(exchange), [answer = std::move(onAnswer)](const http::ExchangeResult &result) {
         answer(internal::toAnswer(result));
     });
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -15,9 +15,10 @@
     /**
      * @brief Prepares a client.
      * @param links Connections to use.
-     * @param address IP number and port of the service.
+     * @param address IP number and port of the service, or of a node that relays calls to it.
+     * @param pathPrefix Start of the path of all calls; empty for the service itself.
      */
-    StoreClient(http::UpstreamLinks &links, std::string address);
+    StoreClient(http::UpstreamLinks &links, std::string address, std::string pathPrefix = {});
 
     void read(const std::string &key, OnAnswer onAnswer) override;
     void list(const std::string &prefix, const std::string &after, OnAnswer onAnswer) override;
@@ -31,6 +32,7 @@
 
     http::UpstreamLinks &m_links;
     std::string m_address;
+    std::string m_pathPrefix;
 };
 
 } // namespace oleanderwick::platform
