--- a/test/oleanderwick/jobnode/job_desk.cpp
+++ b/test/oleanderwick/jobnode/job_desk.cpp
@@ -1,59 +1,14 @@
-#include <deque>
-
 #include <catch2/catch.hpp>
 
 #include "oleanderwick/http/loop.hpp"
 #include "oleanderwick/jobnode/job_desk.hpp"
+#include "support/scripted_store.hpp"
 
 using namespace oleanderwick;
 
 namespace
 {
 
-/** @brief Store that gives scripted answers; without any left it refuses. */
-class ScriptedStore final : public jobs::CoordinationStore
-{
-public:
-    void read(const std::string &, OnAnswer onAnswer) override
-    {
-        answer(onAnswer);
-    }
-    void list(const std::string &, const std::string &, OnAnswer onAnswer) override
-    {
-        answer(onAnswer);
-    }
-    void watch(const std::string &, std::int64_t, core::Duration, OnAnswer onAnswer) override
-    {
-        answer(onAnswer);
-    }
-    void commit(const jobs::StoreChange &, OnAnswer onAnswer) override
-    {
-        answer(onAnswer);
-    }
-    void grant(core::Duration, OnAnswer onAnswer) override
-    {
-        answer(onAnswer);
-    }
-    void renew(std::int64_t, OnAnswer onAnswer) override
-    {
-        answer(onAnswer);
-    }
-
-    std::deque<jobs::StoreAnswer> answers;
-
-private:
-    void answer(const OnAnswer &onAnswer)
-    {
-        jobs::StoreAnswer next;
-        next.outcome = jobs::StoreOutcome::Refused;
-        if (!answers.empty()) {
-            next = answers.front();
-            answers.pop_front();
-        }
-        onAnswer(next);
-    }
-};
-
 jobs::StoreAnswer outcome(jobs::StoreOutcome value)
 {
     jobs::StoreAnswer answer;
@@ -64,7 +19,7 @@
 /** @brief Desk on a loop that runs until the answer is there. */
 struct DeskFixture {
     http::Loop loop;
-    ScriptedStore store;
+    test::ScriptedStore store;
     jobnode::LogSink log{loop, std::make_unique<jobnode::StandardOutput>()};
     jobnode::JobDesk desk{loop, store, log};
 
