--- /dev/null
+++ b/src/emulator/deployment.cpp
@@ -0,0 +1,60 @@
+#include "deployment.hpp"
+
+#include <array>
+#include <random>
+
+namespace oleanderwick::emulator
+{
+
+namespace internal
+{
+
+constexpr std::array<std::string_view, 20> kindNames{
+    "node_kill",        "node_freeze",  "rolling_restart",     "all_nodes_killed", "store_silent",  "store_busy",
+    "store_turns_away", "store_slow",   "store_loses_answers", "store_forgets",    "worker_crash",  "worker_cut",
+    "worker_slow",      "worker_fails", "worker_hangs",        "orders_late",      "worker_leaves", "wave",
+    "cancellations",    "burst",
+};
+constexpr int mostTroubles = 8;
+
+} // namespace internal
+
+std::string_view toText(TroubleKind kind) noexcept
+{
+    return internal::kindNames.at(static_cast<std::size_t>(kind));
+}
+
+Deployment makeSmallFleet()
+{
+    Deployment fleet;
+    for (const char *name : {"orders", "routes", "intake", "loading"}) {
+        fleet.pools.push_back(PoolPlan{name, 8, 16'000, false});
+        QueuePlan queue;
+        queue.name = std::string{name} + "-queue";
+        queue.pool = name;
+        fleet.queues.push_back(queue);
+    }
+    fleet.queues[1].tasks = 8;
+    fleet.queues[1].cpu = 1900;
+    fleet.queues[1].jobsPerSecond = 1.5;
+    fleet.queues[3].steps = 1;
+    fleet.pools.push_back(PoolPlan{"spare", 8, 16'000, true});
+    return fleet;
+}
+
+std::vector<Trouble> drawTroubles(const Deployment &deployment, std::uint64_t seed)
+{
+    std::mt19937_64 random{seed};
+    std::uniform_int_distribution<int> count{2, internal::mostTroubles};
+    std::uniform_int_distribution<std::size_t> kind{0, internal::kindNames.size() - 1};
+    std::uniform_real_distribution<double> at{0.5, deployment.loadS * 0.8};
+    std::uniform_real_distribution<double> lasts{0.5, 7.0};
+    std::uniform_real_distribution<double> share{0.05, 0.4};
+    std::vector<Trouble> troubles;
+    for (int index = count(random); index > 0; --index) {
+        troubles.push_back(Trouble{static_cast<TroubleKind>(kind(random)), at(random), lasts(random), share(random)});
+    }
+    return troubles;
+}
+
+} // namespace oleanderwick::emulator
--- /dev/null
+++ b/src/emulator/world.cpp
@@ -0,0 +1,327 @@
+#include "world.hpp"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include "world_state.hpp"
+
+namespace oleanderwick::emulator
+{
+
+World::World(const Deployment &deployment, std::uint64_t seed)
+    : m_deployment{deployment}
+    , m_random{seed}
+    , m_judge{Judge::Bounds{}}
+{
+    m_host.stepOf = [this](const jobs::TaskName &task) {
+        const auto job = m_jobs.find(task.job);
+        return job == m_jobs.end() || task.step >= job->second.steps.size() ? jobs::Step{} : job->second.steps[task.step];
+    };
+    m_host.truthOf = [this](const WorkerModel &worker, const jobs::TaskName &task, std::int64_t run) {
+        return truthOf(worker, task, run);
+    };
+    m_host.onStarted = [this](const WorkerModel &, const EmulatedRun &run) {
+        m_startSeen = true;
+        m_startedRun = run;
+    };
+    m_host.onEnded = [this](const WorkerModel &worker, const EmulatedRun &run, jobs::EndKind kind) {
+        m_judge.ended(worker, run, kind);
+    };
+    m_host.onAcknowledged = [this](const WorkerModel &, const jobs::ListedEnd &end) {
+        m_judge.acknowledged(end);
+    };
+}
+
+World::~World() = default;
+
+core::TimePoint World::now() const noexcept
+{
+    return m_timeline.now();
+}
+
+double World::seconds() const noexcept
+{
+    return std::chrono::duration<double>{now() - m_start}.count();
+}
+
+bool World::chance(double probability)
+{
+    return probability > 0.0 && std::bernoulli_distribution{std::min(probability, 1.0)}(m_random);
+}
+
+TaskTruth World::truthOf(const WorkerModel &worker, const jobs::TaskName &task, std::int64_t run)
+{
+    (void)run;
+    TaskTruth truth;
+    const std::string step = absl::StrCat(task.job, ".", task.step);
+    const auto known = m_workFactors.find(step);
+    const double factor = known == m_workFactors.end() ? 1.0 : known->second;
+    truth.workMs = factor * static_cast<double>(m_host.stepOf(task).estimateMs);
+    truth.fails = chance(worker.failShare);
+    return truth;
+}
+
+void World::addInstances()
+{
+    int number = 0;
+    for (const PoolPlan &pool : m_deployment.pools) {
+        for (int index = 0; index < pool.instances; ++index, ++number) {
+            EmulatedInstance instance;
+            instance.pool = pool.name;
+            instance.rack = absl::StrCat("rack-", number / std::max(m_deployment.instancesPerRack, 1));
+            const std::string name = absl::StrFormat("instance-%03d", number);
+            m_instances[name] = instance;
+            if (!pool.standby) {
+                addWorker(name);
+            }
+        }
+    }
+}
+
+void World::addWorker(const std::string &name)
+{
+    constexpr double slowestClock = 0.98;
+    EmulatedInstance &instance = m_instances.at(name);
+    const auto plan = std::find_if(m_deployment.pools.begin(), m_deployment.pools.end(), [&instance](const PoolPlan &pool) {
+        return pool.name == instance.pool;
+    });
+    jobs::WorkerEntry entry;
+    entry.id = absl::StrFormat("worker-%04d", ++m_lastWorker);
+    entry.pool = instance.pool;
+    entry.address = entry.id;
+    entry.rack = instance.rack;
+    entry.labels = {"plain", instance.rack};
+    entry.capacity = {plan->cpu, 64'000, 0};
+    entry.incarnation = m_lastWorker;
+    instance.worker = entry.id;
+    const double clockRate = std::uniform_real_distribution<double>{slowestClock, 1.0}(m_random);
+    m_workers[entry.id] = std::make_unique<WorkerModel>(entry, name, m_deployment.workers, clockRate, m_host, now());
+    publish(*m_workers[entry.id]);
+}
+
+void World::publish(const WorkerModel &worker)
+{
+    const std::string text = absl::StrCat("entry-", ++m_lastEntry);
+    m_entries[text] = worker.entry;
+    jobs::StoreChange change;
+    change.writes.push_back({"workers/" + worker.entry.id, text, 0});
+    (void)m_store.commit(change);
+}
+
+void World::withdraw(const std::string &worker, core::Duration delay)
+{
+    m_timeline.after(delay, [this, worker] {
+        const auto found = m_workers.find(worker);
+        if (found != m_workers.end() && !found->second->isUp()) {
+            jobs::StoreChange change;
+            change.removals.push_back("workers/" + worker);
+            (void)m_store.commit(change);
+        }
+    });
+}
+
+void World::poke(const std::string &worker)
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end() || !found->second->isUp()) {
+        return;
+    }
+    if (found->second->hasEnds()) {
+        answerHolds(worker);
+    }
+    const core::TimePoint next = found->second->nextChange();
+    const std::uint64_t poke = ++m_pokes[worker];
+    if (next == core::TimePoint::max()) {
+        return;
+    }
+    m_timeline.at(next + std::chrono::milliseconds{1}, [this, worker, poke] {
+        const auto model = m_workers.find(worker);
+        if (m_pokes[worker] == poke && model != m_workers.end()) {
+            model->second->advance(now());
+            this->poke(worker);
+        }
+    });
+}
+
+void World::answerHolds(const std::string &worker)
+{
+    std::vector<std::function<void()>> waiting;
+    std::swap(waiting, m_waitingHolds[worker]);
+    for (const std::function<void()> &finish : waiting) {
+        finish();
+    }
+}
+
+void World::endWorkerOn(EmulatedInstance &instance)
+{
+    const auto worker = m_workers.find(instance.worker);
+    if (worker != m_workers.end()) {
+        m_judge.lostWithWorker(*worker->second);
+        worker->second->crash(now());
+        withdraw(instance.worker, 3 * internal::heartbeat);
+    }
+    instance.worker.clear();
+}
+
+void World::moveInstance(const std::string &name, const std::string &pool)
+{
+    EmulatedInstance &instance = m_instances.at(name);
+    endWorkerOn(instance);
+    instance.pool = pool;
+    instance.state = jobs::InstanceState::Moving;
+    m_timeline.after(m_deployment.migrate, [this, name] {
+        EmulatedInstance &moved = m_instances.at(name);
+        moved.state = jobs::InstanceState::Up;
+        const bool standby = std::any_of(m_deployment.pools.begin(), m_deployment.pools.end(), [&moved](const PoolPlan &plan) {
+            return plan.name == moved.pool && plan.standby;
+        });
+        if (!standby) {
+            addWorker(name);
+        }
+    });
+}
+
+void World::maintainInstance(const std::string &name, std::int64_t wave)
+{
+    EmulatedInstance &instance = m_instances.at(name);
+    const bool hadWorker = !instance.worker.empty();
+    endWorkerOn(instance);
+    instance.state = jobs::InstanceState::Maintained;
+    instance.wave = wave;
+    const std::int64_t down = std::count_if(m_instances.begin(), m_instances.end(), [wave](const std::pair<const std::string, EmulatedInstance> &item) {
+        return item.second.state == jobs::InstanceState::Maintained && item.second.wave == wave;
+    });
+    m_judge.maintained(name, static_cast<std::size_t>(down), m_waves.at(absl::StrCat("wave-", wave)).mostAtOnce, now());
+    m_timeline.after(m_deployment.maintenance, [this, name, hadWorker] {
+        m_instances.at(name).state = jobs::InstanceState::Up;
+        if (hadWorker) {
+            addWorker(name);
+        }
+    });
+}
+
+void World::startNode(std::size_t index)
+{
+    const std::string name = absl::StrCat("node-", index, "#", m_random());
+    m_nodes[index] = std::make_unique<Node>(*this, index, name);
+    std::vector<jobnode::FailoverStore::Relay> relays;
+    for (const std::size_t step : {std::size_t{1}, std::size_t{2}}) {
+        const std::size_t peer = (index + step) % m_nodes.size();
+        if (peer != index) {
+            relays.push_back(std::make_shared<StoreLink>(*this, m_nodes[index]->executor, peer));
+        }
+    }
+    m_nodes[index]->store.setRelays(std::move(relays));
+}
+
+void World::stopNode(std::size_t index, bool planned)
+{
+    constexpr core::Duration restart = std::chrono::milliseconds{500};
+    constexpr core::Duration grace = std::chrono::milliseconds{2600};
+    if (m_nodes[index] == nullptr) {
+        return;
+    }
+    const core::Duration downIn = planned ? grace : core::Duration::zero();
+    if (planned) {
+        m_nodes[index]->node.stop();
+    }
+    Node *stopped = m_nodes[index].get();
+    m_timeline.after(downIn, [this, index, stopped] {
+        if (m_nodes[index].get() == stopped) {
+            stopped->executor.kill();
+            m_deadNodes.push_back(std::move(m_nodes[index]));
+        }
+    });
+    m_timeline.after(downIn + restart, [this, index] {
+        if (m_nodes[index] == nullptr) {
+            startNode(index);
+        }
+    });
+}
+
+World::Node *World::someNode()
+{
+    std::vector<Node *> ready;
+    for (const std::unique_ptr<Node> &node : m_nodes) {
+        if (node != nullptr && node->node.isReady() && !node->executor.isFrozen()) {
+            ready.push_back(node.get());
+        }
+    }
+    if (ready.empty()) {
+        return nullptr;
+    }
+    return ready[std::uniform_int_distribution<std::size_t>{0, ready.size() - 1}(m_random)];
+}
+
+void World::sample()
+{
+    int open = 0;
+    for (const std::shared_ptr<Client> &client : m_clients) {
+        open += client->accepted && !client->over && !client->continuous ? 1 : 0;
+        if (client->continuous && client->accepted && !client->cancelled) {
+            m_continuousSeen += static_cast<std::uint64_t>(client->job.steps[0].count);
+        }
+    }
+    for (const std::pair<const std::string, std::unique_ptr<WorkerModel>> &worker : m_workers) {
+        for (const std::pair<const jobs::TaskName, EmulatedRun> &run : worker.second->runs()) {
+            m_continuousAtWork += run.second.step.continuous ? 1 : 0;
+        }
+    }
+    for (const std::pair<const std::string, EmulatedInstance> &item : m_instances) {
+        const bool paid = std::none_of(m_deployment.pools.begin(), m_deployment.pools.end(), [&item](const PoolPlan &pool) {
+            return pool.name == item.second.pool && pool.standby;
+        });
+        m_report.instanceSeconds += paid ? std::chrono::duration<double>{internal::sampleEvery}.count() : 0.0;
+    }
+    m_report.backlog.emplace_back(seconds(), open);
+    m_store.expire(now());
+    m_timeline.after(internal::sampleEvery, [this] {
+        sample();
+    });
+}
+
+DayReport World::play()
+{
+    jobs::FleetConfig config;
+    for (const PoolPlan &pool : m_deployment.pools) {
+        config.pools[pool.name] = jobs::PoolPolicy{m_deployment.workers.guardsCapacity, pool.standby};
+    }
+    for (const QueuePlan &queue : m_deployment.queues) {
+        jobs::QueuePolicy policy;
+        policy.pool = queue.pool;
+        policy.maxAttempts = 3;
+        policy.stretch = internal::stretch;
+        policy.objectiveMs = queue.objectiveMs;
+        config.queues[queue.name] = policy;
+    }
+    std::map<std::string, jobs::Resources> limits;
+    for (int team = 0; team < m_deployment.teams; ++team) {
+        jobs::TeamPolicy policy;
+        policy.limit.cpu = m_deployment.teamCpuLimit;
+        config.teams[absl::StrCat("team-", team)] = policy;
+        limits[absl::StrCat("team-", team)] = policy.limit;
+    }
+    m_judge.limitTeams(std::move(limits));
+    m_configs["config-1"] = std::move(config);
+    jobs::StoreChange change;
+    change.writes.push_back({"operators/config", "config-1", 0});
+    (void)m_store.commit(change);
+    addInstances();
+    m_nodes.resize(static_cast<std::size_t>(m_deployment.nodes));
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+        startNode(index);
+    }
+    m_start = now() + internal::warmUp;
+    schedule();
+    sample();
+    m_timeline.runUntil(m_start + internal::fromS(m_deployment.loadS + m_deployment.finishS));
+    m_judge.endOfDay(now());
+    m_report.violations = m_judge.violations();
+    m_report.starts = m_judge.starts();
+    m_report.continuousShare = m_continuousSeen == 0 ? 1.0 : static_cast<double>(m_continuousAtWork) / static_cast<double>(m_continuousSeen);
+    return m_report;
+}
+
+} // namespace oleanderwick::emulator
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,101 @@
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+
+#include <cxxopts.hpp>
+
+#include "emulator/world.hpp"
+#include "report.hpp"
+
+namespace oleanderwick::lab
+{
+
+namespace internal
+{
+
+/** @brief What is asked for on the command line. */
+struct Options {
+    std::uint64_t seed{1};
+    std::uint64_t days{1};
+    int nodes{6};
+    double scale{1.0}; /**< Factor on instances and load. */
+    bool calm{false};
+    bool logs{false};
+    std::string picture;
+};
+
+emulator::Deployment makeFleet(const Options &options, std::uint64_t seed)
+{
+    emulator::Deployment fleet = emulator::makeSmallFleet();
+    fleet.nodes = options.nodes;
+    for (emulator::PoolPlan &pool : fleet.pools) {
+        pool.instances = std::max(1, static_cast<int>(pool.instances * options.scale));
+    }
+    for (emulator::QueuePlan &queue : fleet.queues) {
+        queue.jobsPerSecond *= options.scale;
+    }
+    if (!options.calm) {
+        fleet.troubles = emulator::drawTroubles(fleet, seed);
+    }
+    return fleet;
+}
+
+int playDays(const Options &options)
+{
+    std::uint64_t broken = 0;
+    for (std::uint64_t seed = options.seed; seed < options.seed + options.days; ++seed) {
+        const emulator::Deployment fleet = makeFleet(options, seed);
+        emulator::World world{fleet, seed};
+        if (options.logs) {
+            world.onLog = [](const std::string &lines) {
+                std::cout << lines;
+            };
+        }
+        const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
+        const emulator::DayReport report = world.play();
+        const double tookS = std::chrono::duration<double>{std::chrono::steady_clock::now() - start}.count();
+        std::cout << toLine(seed, report) << " took_s=" << tookS << '\n';
+        for (const emulator::Trouble &trouble : options.calm || report.violations.empty() ? std::vector<emulator::Trouble>{} : fleet.troubles) {
+            std::cout << "  trouble " << emulator::toText(trouble.kind) << " at_s=" << trouble.atS << " for_s=" << trouble.lastsS << " share=" << trouble.share
+                      << '\n';
+        }
+        for (const emulator::Violation &violation : report.violations) {
+            std::cout << "  broken " << violation.promise << ' ' << violation.detail << '\n';
+        }
+        broken += report.violations.empty() ? 0 : 1;
+        if (!options.picture.empty()) {
+            std::ofstream{options.picture} << toSvg(fleet, report);
+        }
+    }
+    std::cout << options.days << " days, " << broken << " with a broken promise\n";
+    return broken == 0 ? 0 : 1;
+}
+
+} // namespace internal
+
+} // namespace oleanderwick::lab
+
+int main(int argc, char **argv)
+{
+    oleanderwick::lab::internal::Options options;
+    cxxopts::Options parser{"oleanderwick-lab", "Plays days of an emulated fleet in virtual time and checks every promise."};
+    parser.add_options()("seed", "seed of the first day", cxxopts::value(options.seed)->default_value("1"));
+    parser.add_options()("days", "days to play, with seeds that follow", cxxopts::value(options.days)->default_value("1"));
+    parser.add_options()("nodes", "nodes of the system", cxxopts::value(options.nodes)->default_value("6"));
+    parser.add_options()("scale", "factor on instances and load", cxxopts::value(options.scale)->default_value("1"));
+    parser.add_options()("calm", "without troubles", cxxopts::value(options.calm));
+    parser.add_options()("logs", "write what the nodes log", cxxopts::value(options.logs));
+    parser.add_options()("picture", "file for an SVG picture of the last day", cxxopts::value(options.picture));
+    parser.add_options()("help", "show this text");
+    try {
+        if (parser.parse(argc, argv).count("help") > 0) {
+            std::cout << parser.help();
+            return 0;
+        }
+        return oleanderwick::lab::internal::playDays(options);
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/src/lab/report.cpp
@@ -0,0 +1,86 @@
+#include "report.hpp"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+namespace oleanderwick::lab
+{
+
+namespace internal
+{
+
+constexpr double width = 900.0;
+constexpr double height = 320.0;
+constexpr double margin = 40.0;
+constexpr double rowHeight = 14.0;
+
+} // namespace internal
+
+std::string toLine(std::uint64_t seed, const emulator::DayReport &report)
+{
+    return absl::StrFormat(
+        "seed=%d jobs=%d accepted=%d in_time=%d late=%d starts=%d looks=%d moves=%d store_calls=%d instance_s=%.0f continuous=%.3f broken=%d",
+        seed,
+        report.jobs,
+        report.accepted,
+        report.inTime,
+        report.late,
+        report.starts,
+        report.looks,
+        report.moves,
+        report.storeCalls,
+        report.instanceSeconds,
+        report.continuousShare,
+        report.violations.size());
+}
+
+std::string toSvg(const emulator::Deployment &deployment, const emulator::DayReport &report)
+{
+    const double from = report.backlog.empty() ? 0.0 : report.backlog.front().first;
+    const double to = report.backlog.empty() ? 1.0 : report.backlog.back().first;
+    int most = 1;
+    for (const std::pair<double, int> &point : report.backlog) {
+        most = std::max(most, point.second);
+    }
+    const auto x = [from, to](double seconds) {
+        return internal::margin + (seconds - from) / std::max(to - from, 1.0) * (internal::width - 2.0 * internal::margin);
+    };
+    const auto y = [most](int count) {
+        return internal::height - internal::margin - static_cast<double>(count) / most * (internal::height - 2.0 * internal::margin);
+    };
+    std::string svg = absl::StrFormat(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%.0f\" height=\"%.0f\" font-family=\"sans-serif\" font-size=\"10\">\n"
+        "<rect width=\"100%%\" height=\"100%%\" fill=\"white\"/>\n",
+        internal::width,
+        internal::height);
+    double row = internal::margin;
+    for (const emulator::Trouble &trouble : deployment.troubles) {
+        absl::StrAppendFormat(&svg,
+                              "<rect x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" height=\"%.1f\" fill=\"#f3c9a5\"/><text x=\"%.1f\" y=\"%.1f\">%s</text>\n",
+                              x(trouble.atS),
+                              row,
+                              std::max(2.0, x(trouble.atS + trouble.lastsS) - x(trouble.atS)),
+                              internal::rowHeight - 2.0,
+                              x(trouble.atS) + 2.0,
+                              row + internal::rowHeight - 4.0,
+                              std::string{emulator::toText(trouble.kind)});
+        row += internal::rowHeight;
+    }
+    absl::StrAppend(&svg, "<polyline fill=\"none\" stroke=\"#2f6f9f\" stroke-width=\"1.5\" points=\"");
+    for (const std::pair<double, int> &point : report.backlog) {
+        absl::StrAppendFormat(&svg, "%.1f,%.1f ", x(point.first), y(point.second));
+    }
+    absl::StrAppendFormat(&svg,
+                          "\"/>\n<text x=\"%.0f\" y=\"%.0f\">unfinished jobs, at most %d</text>\n<text x=\"%.0f\" y=\"%.0f\">%.0f s</text>\n</svg>\n",
+                          internal::margin,
+                          internal::margin - 8.0,
+                          most,
+                          internal::width - internal::margin,
+                          internal::height - internal::margin + 14.0,
+                          to);
+    return svg;
+}
+
+} // namespace oleanderwick::lab
--- a/src/oleanderwick/jobs/placement.cpp
+++ b/src/oleanderwick/jobs/placement.cpp
@@ -250,12 +250,20 @@
     return count;
 }
 
+bool Scheduler::isProbed(const Worker &worker) const
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [this, &worker](const std::pair<const TaskName, std::int64_t> &run) {
+        const JobEntry *entry = findJob(run.first.job);
+        return entry != nullptr && entry->occurrences.at(run.first.occurrence).steps[run.first.step].tasks[run.first.index].startedAt > worker.struckAt;
+    });
+}
+
 bool Scheduler::mayTake(const Worker &worker, const Candidate &candidate, const Step &step, core::TimePoint now)
 {
     if (worker.quarantinedUntil > now) {
         return false;
     }
-    if (worker.strikes >= internal::strikesForProbe && !worker.runs.empty()) {
+    if (worker.strikes >= internal::strikesForProbe && isProbed(worker)) {
         return false;
     }
     if (!fits(demandOf(step), worker.entry.capacity - worker.used)) {
--- a/src/oleanderwick/jobs/runs.cpp
+++ b/src/oleanderwick/jobs/runs.cpp
@@ -107,13 +107,13 @@
 void Scheduler::resetIncarnation(Worker &worker, std::int64_t incarnation, core::TimePoint now)
 {
     decide("worker_reborn", "", worker.entry.id, absl::StrCat("born=", incarnation, " before=", worker.incarnation, " runs=", worker.runs.size()));
-    dropRuns(worker, "worker_reborn", now);
+    // An order that was sent before this was known may have reached the new life: its lists say what is left of the runs.
+    worker.nextHold = now;
     worker.incarnation = incarnation;
     worker.lastEnd = 0;
     worker.ackedEnd = 0;
     worker.pendingEnds.clear();
     worker.clockMs = 0;
-    worker.leaseBound = now;
     worker.strikes = 0;
     worker.entry.draining = false;
 }
@@ -231,6 +231,7 @@
         worker.strikes = 0;
     } else if (kind == EndKind::Failed) {
         ++worker.strikes;
+        worker.struckAt = now;
         if (worker.strikes >= internal::strikesForQuarantine) {
             worker.quarantinedUntil = now + internal::quarantine;
             decide("worker_quarantined", "", worker.entry.id, absl::StrCat("failures=", worker.strikes));
@@ -329,6 +330,10 @@
     }
     task->percent = listed.percent;
     task->figure = listed.figure;
+    if (task->isAtWork() && task->startedAt > worker.struckAt && entry->job.steps[listed.task.step].continuous) {
+        // A continuous task never ends well: that it works is the sign.
+        worker.strikes = 0;
+    }
     if (!listed.checkpoint.empty() && listed.checkpoint != task->record.checkpoint) {
         // Stored with the job's next change: a lost checkpoint costs work, not truth.
         task->record.checkpoint = listed.checkpoint;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -90,6 +90,19 @@
     }
     JobEntry &entry = m_jobs[job.id];
     entry.job = std::move(job);
+    decide("job_taken_in",
+           entry.job.id,
+           "",
+           absl::StrCat("queue=",
+                        entry.job.queue,
+                        " pool=",
+                        entry.job.pool,
+                        " team=",
+                        entry.job.team,
+                        " steps=",
+                        entry.job.steps.size(),
+                        " former_owner=",
+                        predatesTenure ? 1 : 0));
     entry.predatesTenure = predatesTenure;
     entry.chainMs = chainMs(entry.job, nullptr);
     entry.allSpeculative = std::all_of(entry.job.steps.begin(), entry.job.steps.end(), [](const Step &step) {
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -329,6 +329,8 @@
     [[nodiscard]] Worker *chooseWorker(const Candidate &candidate, const Step &step, core::TimePoint now);
     void indexWorkers();
     [[nodiscard]] bool isUnplaceable(const std::string &pool, const Resources &demand) const;
+    /** Tells whether something was started on a worker since its last failure. */
+    [[nodiscard]] bool isProbed(const Worker &worker) const;
     [[nodiscard]] bool mayTake(const Worker &worker, const Candidate &candidate, const Step &step, core::TimePoint now);
     [[nodiscard]] double placementCost(const Worker &worker, const Candidate &candidate, const Step &step) const;
     [[nodiscard]] std::int64_t countOnWorker(const Worker &worker, const Candidate &candidate) const;
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -105,6 +105,7 @@
     core::TimePoint nextHold; /**< When to look at it next. */
     core::TimePoint quarantinedUntil;
     std::int64_t strikes{0}; /**< Failures in a row without a good end between. */
+    core::TimePoint struckAt; /**< Last failure. */
     bool holdOut{false}; /**< A look is under way. */
     bool silent{false}; /**< Its last look had no answer. */
     Resources used;
--- a/test/oleanderwick/jobs/scheduler.cpp
+++ b/test/oleanderwick/jobs/scheduler.cpp
@@ -203,6 +203,66 @@
     CHECK(fleet.scheduler.findJob("a")->state == jobs::JobState::Running);
 }
 
+TEST_CASE("a run that may still reach the new life of a worker starts elsewhere only after a stop", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartOrder> first = fleet.advance();
+    REQUIRE(first.size() == 1);
+    fleet.scheduler.takeStartAnswer(first[0], jobs::StartAnswer::Unknown, 0, fleet.now);
+    fleet.addWorker("w2");
+    jobs::WorkerEntry reborn = fleet.scheduler.workers().at("w1").entry;
+    reborn.incarnation = 2;
+    fleet.scheduler.listWorker(reborn, fleet.now);
+    CHECK(fleet.advance().empty());
+    fleet.report("w1", {}, {}, 2);
+    CHECK(fleet.advance().empty());
+    REQUIRE(fleet.stops.size() == 1);
+    fleet.scheduler.takeStopAnswer(fleet.stops[0], true, fleet.now);
+    fleet.now += std::chrono::milliseconds{10};
+    fleet.report("w1", {}, {}, 2);
+    CHECK(fleet.advance().size() == 1);
+}
+
+TEST_CASE("a run that the new life of a worker lists goes on there", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartOrder> first = fleet.advance();
+    REQUIRE(first.size() == 1);
+    fleet.report("w1", {{{"a", 0, 0, 0}, 1, "", 5, 0}}, {}, 2);
+    CHECK(fleet.advance(std::chrono::seconds{1}).empty());
+    CHECK(fleet.scheduler.workers().at("w1").runs.size() == 1);
+}
+
+TEST_CASE("a worker that failed several tasks is probed with one, also while a continuous task is on it", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    jobs::Step continuous = JobFleet::makeStep(1);
+    continuous.continuous = true;
+    fleet.scheduler.addJob(JobFleet::makeJob("c", {continuous}), std::nullopt, false, fleet.now);
+    fleet.accept(fleet.advance());
+    for (const char *id : {"a", "b", "d"}) {
+        fleet.scheduler.addJob(JobFleet::makeJob(id, {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    }
+    const std::vector<jobs::StartOrder> first = fleet.advance();
+    REQUIRE(first.size() == 3);
+    fleet.accept(first);
+    for (const jobs::StartOrder &start : first) {
+        fleet.end(start, jobs::EndKind::Failed);
+    }
+    CHECK(fleet.advance().empty());
+    const std::vector<jobs::StartOrder> probe = fleet.advance(std::chrono::seconds{4});
+    REQUIRE(probe.size() == 1);
+    fleet.accept(probe);
+    CHECK(fleet.advance(std::chrono::milliseconds{200}).empty());
+    fleet.end(probe[0], jobs::EndKind::Done);
+    CHECK(fleet.advance().size() == 2);
+}
+
 TEST_CASE("a silent worker's lease is not lengthened", "[jobs]")
 {
     JobFleet fleet;
@@ -286,6 +346,8 @@
     fleet.addWorker("w1");
     fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
     fleet.accept(fleet.advance());
+    // The look has to be newer than the answer to the start.
+    fleet.now += std::chrono::milliseconds{10};
     fleet.report("w1", {}, {}, 2);
     const std::vector<jobs::StartOrder> again = fleet.advance();
     REQUIRE(again.size() == 1);
