--- /dev/null
+++ b/test/platform/soak/http11.py
@@ -0,0 +1,82 @@
+"""A small HTTP/1.1 server and client for stand-ins; bodies have a length, connections are kept."""
+import asyncio
+import json
+import urllib.parse
+
+
+async def read_message(reader):
+    """Reads a start line, headers and body; None at the end of the connection."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    length = int(headers.get("content-length", "0") or 0)
+    body = await reader.readexactly(length) if length else b""
+    return lines[0], headers, body
+
+
+class Server:
+    """Serves `handle(method, path, query, headers, body)`, which returns a status and an object, or None to say nothing."""
+
+    def __init__(self, host, port, handle):
+        self.host, self.port, self.handle = host, port, handle
+        self.server = None
+        self.connections = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, self.host, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def drop_connections(self):
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def stop(self):
+        self.server.close()
+        self.drop_connections()
+
+    async def _serve(self, reader, writer):
+        self.connections.add(writer)
+        try:
+            while True:
+                line, headers, body = await read_message(reader)
+                method, target, _ = line.split(" ", 2)
+                path, _, query = target.partition("?")
+                fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+                answer = await self.handle(method, path, fields, headers, body)
+                if answer is None:
+                    await asyncio.sleep(30)
+                    return
+                status, value = answer
+                data = b"" if value is None else json.dumps(value).encode()
+                writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError, asyncio.CancelledError, ValueError):
+            pass
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+
+
+async def call(address, method, path, headers, body, timeout):
+    """Makes one call on a connection of its own; returns (status, object), or None without a whole answer."""
+    host, port = address
+
+    async def exchange():
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            data = b"" if body is None else json.dumps(body).encode()
+            lines = [f"{method} {path} HTTP/1.1", f"Content-Length: {len(data)}", "Content-Type: application/json"]
+            lines += [f"{name}: {value}" for name, value in headers.items()]
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + data)
+            line, _, answer = await read_message(reader)
+            return int(line.split(" ")[1]), json.loads(answer) if answer else None
+        finally:
+            writer.close()
+
+    try:
+        return await asyncio.wait_for(exchange(), timeout)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+        return None
