--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -152,21 +152,31 @@
                                                 load.unplaced)});
 }
 
-void PoolBalancer::updateNeeds(const Scheduler &scheduler, core::TimePoint now)
+void PoolBalancer::learnInstanceCpu(const std::map<std::string, PoolLoad> &loads)
 {
     std::int64_t capacity = 0;
     std::int64_t workers = 0;
-    const std::map<std::string, PoolLoad> &loads = scheduler.poolLoads();
     for (const std::pair<const std::string, PoolLoad> &load : loads) {
         capacity += load.second.capacity;
         workers += load.second.workers;
     }
-    if (workers == 0) {
-        return;
+    // Where no worker is open, the platform's list says what instances have, or the last ones that were seen do.
+    for (auto item = m_instances.begin(); item != m_instances.end() && workers == 0; ++item) {
+        capacity = item->second.capacity.cpu;
+        workers = capacity > 0 ? 1 : 0;
     }
+    if (workers > 0) {
+        m_instanceCpu = capacity / workers;
+    }
+}
+
+void PoolBalancer::updateNeeds(const Scheduler &scheduler, core::TimePoint now)
+{
+    const std::map<std::string, PoolLoad> &loads = scheduler.poolLoads();
+    learnInstanceCpu(loads);
     for (const std::pair<const std::string, PoolLoad> &load : loads) {
         PoolState &pool = m_pools[load.first];
-        const std::int64_t own = load.second.workers > 0 ? load.second.capacity / load.second.workers : capacity / workers;
+        const std::int64_t own = load.second.workers > 0 ? load.second.capacity / load.second.workers : m_instanceCpu;
         const PoolNeed need = needOf(m_policy, load.second, own);
         const PoolNeed before = pool.held;
         pool.need = need;
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -15,6 +15,14 @@
 namespace oleanderwick::jobs
 {
 
+namespace internal
+{
+
+/** Thousandths of a core that an instance is taken to have before any was seen: a small one, so that pools rather grow. */
+inline constexpr std::int64_t unknownInstanceCpu = 4000;
+
+} // namespace internal
+
 /** @brief Order to move an instance to another pool. */
 struct MoveOrder {
     std::string instance;
@@ -122,6 +130,7 @@
     [[nodiscard]] static bool inService(const InstanceEntry &instance, const Scheduler &scheduler);
     void countInstances(Scheduler &scheduler, core::TimePoint now);
     void noteNeed(const std::string &name, const PoolState &pool, const PoolNeed &need, const PoolLoad &load);
+    void learnInstanceCpu(const std::map<std::string, PoolLoad> &loads);
     void updateNeeds(const Scheduler &scheduler, core::TimePoint now);
     void advanceDrains(Scheduler &scheduler, const Upkeep &upkeep, core::TimePoint now);
     void cancelDrain(const std::string &instance, Scheduler &scheduler);
@@ -152,6 +161,7 @@
     std::map<std::string, PoolState> m_pools;
     std::map<std::string, Moving> m_moving; /**< Instances on their way. */
     std::set<std::pair<std::string, std::string>> m_impossible; /**< Instances and pools that do not go together. */
+    std::int64_t m_instanceCpu{internal::unknownInstanceCpu}; /**< Thousandths of a core of an instance, as far as known. */
     std::vector<MoveOrder> m_orders;
     std::vector<Decision> m_decisions;
 };
--- /dev/null
+++ b/src/oleanderwick/jobs/pool_loads.cpp
@@ -0,0 +1,112 @@
+#include "scheduler.hpp"
+
+#include <algorithm>
+
+namespace oleanderwick::jobs
+{
+
+bool Scheduler::isStandby(const std::string &pool) const
+{
+    const auto found = m_config.pools.find(pool);
+    return found != m_config.pools.end() && found->second.standby;
+}
+
+std::vector<std::string> Scheduler::standbyPools() const
+{
+    std::vector<std::string> pools;
+    for (const std::pair<const std::string, PoolPolicy> &pool : m_config.pools) {
+        if (pool.second.standby) {
+            pools.push_back(pool.first);
+        }
+    }
+    return pools;
+}
+
+void Scheduler::noteArrival(const Job &job, core::TimePoint now)
+{
+    std::int64_t work = 0;
+    for (const Step &step : job.steps) {
+        work += step.continuous ? 0 : step.count * step.each.cpu * step.estimateMs;
+    }
+    m_arrivals[job.pool].add(work, now);
+}
+
+bool Scheduler::runsContinuous(const Worker &worker) const
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [this](const std::pair<const TaskName, std::int64_t> &run) {
+        const Step *step = findStep(run.first);
+        return step != nullptr && step->continuous;
+    });
+}
+
+const std::map<std::string, PoolLoad> &Scheduler::poolLoads() const noexcept
+{
+    return m_loads;
+}
+
+std::map<std::string, PoolLoad> Scheduler::measureLoads(core::TimePoint now, std::int64_t wallMs) const
+{
+    std::map<std::string, PoolLoad> loads;
+    for (const std::pair<const std::string, PoolPolicy> &pool : m_config.pools) {
+        if (!pool.second.standby) {
+            const auto arrivals = m_arrivals.find(pool.first);
+            loads[pool.first].arriving = arrivals == m_arrivals.end() ? 0 : arrivals->second.cpu(now);
+        }
+    }
+    for (const std::pair<const std::string, Worker> &item : m_workers) {
+        const Worker &worker = item.second;
+        const auto load = loads.find(worker.entry.pool);
+        if (load != loads.end() && worker.isOpen()) {
+            ++load->second.workers;
+            load->second.capacity += worker.entry.capacity.cpu;
+        }
+    }
+    for (const std::pair<const std::string, JobEntry> &item : m_jobs) {
+        const auto load = loads.find(item.second.job.pool);
+        if (load == loads.end() || isFinal(item.second.state)) {
+            continue;
+        }
+        for (const std::pair<const std::int64_t, Occurrence> &occurrence : item.second.occurrences) {
+            addLoad(item.second, occurrence.second, wallMs, load->second);
+        }
+    }
+    return loads;
+}
+
+void Scheduler::addLoad(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, PoolLoad &load) const
+{
+    const bool late = slackMs(entry, occurrence, wallMs) < 0;
+    for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+        const Step &step = entry.job.steps[index];
+        const std::int64_t cpu = demandOf(step).cpu;
+        if (step.continuous) {
+            load.continuous += cpu * step.count;
+            for (const Task &task : occurrence.steps[index].tasks) {
+                load.unplaced += task.phase == TaskPhase::Waiting ? 1 : 0;
+            }
+            const std::int64_t apart = step.maxPerWorker > 0 ? (step.count + step.maxPerWorker - 1) / step.maxPerWorker : 1;
+            load.leastWorkers = std::max(load.leastWorkers, apart);
+            continue;
+        }
+        const bool ready = occurrence.steps[index].remaining > 0 && stepReady(entry, occurrence, index);
+        for (const Task &task : occurrence.steps[index].tasks) {
+            (late ? load.runningLate : load.running) += task.isOut() ? cpu : 0;
+            (late ? load.waitingLate : load.waiting) += ready && task.phase == TaskPhase::Waiting && !task.record.done ? cpu : 0;
+        }
+    }
+}
+
+double Scheduler::pressure(const std::string &pool) const
+{
+    double capacity = 0.0;
+    double used = 0.0;
+    for (const std::pair<const std::string, Worker> &item : m_workers) {
+        if (item.second.entry.pool == pool && item.second.listed && !item.second.closed) {
+            capacity += static_cast<double>(item.second.entry.capacity.cpu);
+            used += static_cast<double>(item.second.used.cpu);
+        }
+    }
+    return capacity > 0.0 ? used / capacity : 0.0;
+}
+
+} // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/upkeep.hpp
+++ b/src/oleanderwick/jobs/upkeep.hpp
@@ -28,6 +28,7 @@
     std::string pool;
     std::string worker; /**< Worker that runs on it; empty for none. */
     InstanceState state{InstanceState::Down};
+    Resources capacity; /**< What a worker on it has; 0 where it is not said. */
 
     [[nodiscard]] bool operator==(const InstanceEntry &) const = default;
 };
--- a/src/platform/service_clients.cpp
+++ b/src/platform/service_clients.cpp
@@ -80,7 +80,12 @@
                           if (row.is_object()) {
                               const std::string id = textIn(row, "machine");
                               // The platform's `id` is that of the worker which runs on the instance.
-                              (*found)[id] = jobs::InstanceEntry{id, textIn(row, "pool"), textIn(row, "id"), internal::instanceState(textIn(row, "state"))};
+                              const json capacity = row.value("capacity", json::object());
+                              (*found)[id] = jobs::InstanceEntry{id,
+                                                                 textIn(row, "pool"),
+                                                                 textIn(row, "id"),
+                                                                 internal::instanceState(textIn(row, "state")),
+                                                                 capacity.is_object() ? resourcesIn(capacity) : jobs::Resources{}};
                           }
                       }
                       const json next = body.value("next_token", json{});
--- a/test/oleanderwick/jobs/upkeep.cpp
+++ b/test/oleanderwick/jobs/upkeep.cpp
@@ -22,7 +22,7 @@
 
 jobs::InstanceEntry makeInstance(const std::string &id, const std::string &worker, const std::string &pool = "pool")
 {
-    return {id, pool, worker, jobs::InstanceState::Up};
+    return {id, pool, worker, jobs::InstanceState::Up, {}};
 }
 
 } // namespace
@@ -333,3 +333,26 @@
     CHECK(orders[0].worker == drained);
     CHECK(orders[0].pool == "other");
 }
+
+TEST_CASE("pools without any worker get instances for the jobs that wait", "[balancer]")
+{
+    JobFleet fleet;
+    jobs::FleetConfig config;
+    config.queues["queue"].pool = "pool";
+    config.queues["queue"].objectiveMs = 600;
+    config.pools["pool"] = {};
+    config.pools["standby"].standby = true;
+    fleet.scheduler.configure(config);
+    const jobs::OrderPause pause{fleet.now};
+    jobs::Upkeep upkeep{pause};
+    jobs::PoolBalancer balancer{{}, pause};
+    balancer.takeInstances({{"m1", makeInstance("m1", "", "standby")}}, fleet.now);
+    jobs::Job job = JobFleet::makeJob("a", {JobFleet::makeStep(2)});
+    job.submittedMs = fleet.wallMs();
+    fleet.scheduler.addJob(job, std::nullopt, false, fleet.now);
+    CHECK(fleet.advance().empty());
+    balancer.advance(fleet.scheduler, upkeep, fleet.now);
+    const std::vector<jobs::MoveOrder> orders = balancer.takeOrders();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].pool == "pool");
+}
--- a/test/platform/soak/soak.py
+++ b/test/platform/soak/soak.py
@@ -33,7 +33,7 @@
         self.host = world.host(index)
         self.proxy = Proxy("127.0.0.1", ("127.0.0.1", world.store_server.port))
         self.process = None
-        self.starts = 0
+        self.restarting = asyncio.Lock()
 
     async def start(self):
         if self.proxy.port is None:
@@ -48,7 +48,6 @@
         path = self.world.folder / f"node-{self.index}.yaml"
         path.write_text(text)
         log = open(self.world.folder / f"node-{self.index}.log", "ab")
-        self.starts += 1
         self.process = await asyncio.create_subprocess_exec(self.world.options.daemon, "--config", str(path), stdout=log, stderr=log)
         log.close()
 
@@ -65,9 +64,11 @@
                 await self.process.wait()
 
     async def restart(self, how):
-        await self.kill(how)
-        await asyncio.sleep(0.3)
-        await self.start()
+        # Faults overlap: there is one process of a node at a time.
+        async with self.restarting:
+            await self.kill(how)
+            await asyncio.sleep(0.3)
+            await self.start()
 
     async def pause(self, seconds):
         if self.alive():
