--- a/src/emulator/world_troubles.cpp
+++ b/src/emulator/world_troubles.cpp
@@ -225,10 +225,13 @@
     }
     const QueuePlan &queue = m_deployment.queues[std::uniform_int_distribution<std::size_t>{0, m_deployment.queues.size() - 1}(m_random)];
     const double rate = queue.jobsPerSecond * internal::burstFactor;
-    for (double at = 0.0; at < trouble.lastsS; at += std::exponential_distribution<double>{rate}(m_random)) {
-        m_timeline.after(internal::fromS(at), [this, queue] {
+    const core::TimePoint end = now() + internal::fromS(trouble.lastsS);
+    core::TimePoint at = now();
+    while (at < end) {
+        m_timeline.at(at, [this, queue] {
             handIn(queue, false);
         });
+        at += internal::fromS(std::exponential_distribution<double>{rate}(m_random));
     }
 }
 
