Drop what the emulator's workers never use

Nothing completed gangs, gave tickets or used the time that the end of a run took; a new life's number was set twice.

--- a/src/emulator/worker_model.cpp
+++ b/src/emulator/worker_model.cpp
@@ -134,9 +134,6 @@
     if (order.deadlineMs <= clockMs(now)) {
         return reply(jobs::StartAnswer::TooLate);
     }
-    if (m_host.holdsTicket && !m_host.holdsTicket(entry.id, order)) {
-        return reply(jobs::StartAnswer::NoTicket);
-    }
     EmulatedRun run;
     run.task = order.task;
     run.run = order.run;
@@ -250,24 +247,6 @@
     m_host.onEnded(*this, ended, kind);
 }
 
-void WorkerModel::endRun(const jobs::TaskName &task, jobs::EndKind kind, core::TimePoint now)
-{
-    (void)now;
-    const auto run = m_runs.find(task);
-    if (run != m_runs.end()) {
-        finish(run, kind);
-    }
-}
-
-void WorkerModel::gangComplete(const jobs::TaskName &task, core::TimePoint now)
-{
-    const auto run = m_runs.find(task);
-    if (run != m_runs.end()) {
-        run->second.waitsForGang = false;
-        run->second.since = now;
-    }
-}
-
 void WorkerModel::advance(core::TimePoint now)
 {
     if (!m_up || now <= m_advancedAt) {
@@ -294,8 +273,7 @@
         }
     }
     for (const std::pair<jobs::TaskName, jobs::EndKind> &end : over) {
-        // The end of a gang's member may have ended the others.
-        endRun(end.first, end.second, now);
+        finish(m_runs.find(end.first), end.second);
     }
 }
 
@@ -327,7 +305,7 @@
     m_ends.clear();
 }
 
-void WorkerModel::revive(core::TimePoint now)
+void WorkerModel::revive(std::int64_t incarnation, core::TimePoint now)
 {
     m_up = true;
     m_bornAt = now;
@@ -339,7 +317,7 @@
     m_ends.clear();
     m_pastRuns.clear();
     entry.draining = false;
-    ++entry.incarnation;
+    entry.incarnation = incarnation;
 }
 
 } // namespace oleanderwick::emulator
--- a/src/emulator/worker_model.hpp
+++ b/src/emulator/worker_model.hpp
@@ -55,7 +55,6 @@
     struct Host {
         std::function<jobs::Step(const jobs::TaskName &)> stepOf;
         std::function<TaskTruth(const WorkerModel &, const jobs::TaskName &, std::int64_t)> truthOf;
-        std::function<bool(const std::string &, const jobs::StartOrder &)> holdsTicket; /**< May be empty. */
         std::function<void(const WorkerModel &, const EmulatedRun &)> onStarted;
         std::function<void(const WorkerModel &, const EmulatedRun &, jobs::EndKind)> onEnded;
         std::function<void(const WorkerModel &, const jobs::ListedEnd &)> onAcknowledged;
@@ -127,24 +126,10 @@
 
     /**
      * @brief Begins a new life under the same name.
+     * @param incarnation Number of the new life.
      * @param now Present time.
      */
-    void revive(core::TimePoint now);
-
-    /**
-     * @brief Tells that all members of a gang are there.
-     * @param task One of the members.
-     * @param now Present time.
-     */
-    void gangComplete(const jobs::TaskName &task, core::TimePoint now);
-
-    /**
-     * @brief Ends a run from outside, as a member of a gang.
-     * @param task The task.
-     * @param kind How it ends.
-     * @param now Present time.
-     */
-    void endRun(const jobs::TaskName &task, jobs::EndKind kind, core::TimePoint now);
+    void revive(std::int64_t incarnation, core::TimePoint now);
 
     /** @} */
     /** @name State that troubles change */
--- a/src/emulator/world_troubles.cpp
+++ b/src/emulator/world_troubles.cpp
@@ -170,8 +170,7 @@
     WorkerModel &worker = *m_workers.at(name);
     const EmulatedInstance &instance = m_instances.at(worker.instance);
     if (instance.worker == name && instance.state == jobs::InstanceState::Up && !worker.isUp()) {
-        worker.revive(now());
-        worker.entry.incarnation = ++m_lastWorker;
+        worker.revive(++m_lastWorker, now());
         publish(worker);
     }
 }
