Free a server's open connections when it is destroyed

Known red, mended first: under the sanitizers and beside load, test http reported a session of its server as leaked.

Cause: a session and the state of its server refer to each other until the session closes. A loop that has stopped runs no more handlers, so a connection that was still open then was never removed, and neither was freed. Ruled out: the client (closes in time) and the timers (destroyed with the session). Change: the destructor of a server closes its connections and its listener.

--- a/src/oleanderwick/http/server.cpp
+++ b/src/oleanderwick/http/server.cpp
@@ -75,6 +75,9 @@
 
     void close();
 
+    /** Closes everything, so that neither a session nor a pending operation keeps this state alive. */
+    void shutDown();
+
 private:
     void accept();
 
@@ -327,7 +330,7 @@
 void ServerState::accept()
 {
     m_acceptor.async_accept(m_loop.context, [self = shared_from_this()](const error_code &error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
+        if (error == asio::error::operation_aborted || !self->m_acceptor.is_open()) {
             return;
         }
         if (!error && self->m_sessions.size() < self->m_limits.maxConnections) {
@@ -352,6 +355,19 @@
     }
 }
 
+void ServerState::shutDown()
+{
+    m_draining = true;
+    error_code ignored;
+    m_acceptor.close(ignored);
+    // A session removes itself when it closes, and both refer to each other: a loop that runs no more handlers would never free them.
+    const std::set<std::shared_ptr<Session>> sessions = std::move(m_sessions);
+    m_sessions.clear();
+    for (const std::shared_ptr<Session> &session : sessions) {
+        session->close();
+    }
+}
+
 } // namespace internal
 
 Server::Server(Loop &loop, const ServerLimits &limits, Handler handler)
@@ -359,7 +375,10 @@
 {
 }
 
-Server::~Server() = default;
+Server::~Server()
+{
+    m_state->shutDown();
+}
 
 std::size_t Server::busyConnections() const
 {
--- a/src/oleanderwick/http/server.hpp
+++ b/src/oleanderwick/http/server.hpp
@@ -46,6 +46,8 @@
      * @param handler Handles the requests.
      */
     Server(Loop &loop, const ServerLimits &limits, Handler handler);
+
+    /** @brief Closes all connections, also those with a request in progress. For the loop's thread, or after the loop has stopped. */
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
--- a/test/oleanderwick/http/server.cpp
+++ b/test/oleanderwick/http/server.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <memory>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
@@ -125,6 +126,29 @@
     CHECK(echo.handled() == 0);
 }
 
+TEST_CASE("A server that is destroyed after its loop has stopped frees its open connections", "[http]")
+{
+    const std::shared_ptr<std::atomic<int>> handled = std::make_shared<std::atomic<int>>(0);
+    {
+        http::Loop loop;
+        http::Server server{loop, http::ServerLimits{}, [handled, &loop](const http::Request &, const http::Responder &respond) {
+                                respond(http::Response{200, {}, {}});
+                                ++*handled;
+                                loop.stop();
+                            }};
+        const std::uint16_t port = server.listen("127.0.0.1:0").value();
+        asio::io_context context;
+        asio::ip::tcp::socket socket{context};
+        socket.connect({asio::ip::address_v4::loopback(), port});
+        asio::write(socket, asio::buffer(std::string{"GET / HTTP/1.1\r\nHost: a\r\n\r\n"}));
+        loop.run();
+        CHECK(*handled == 1);
+        // The client keeps its connection open, so only the destruction of the server can end the session.
+    }
+    // The server's state holds the handler and with it the counter.
+    CHECK(handled.use_count() == 1);
+}
+
 TEST_CASE("removeHopByHop removes hop-by-hop headers and those that Connection lists", "[http]")
 {
     std::vector<http::Header> headers{{"Connection", "close, X-Own"}, {"x-own", "1"}, {"TE", "trailers"}, {"Accept", "*/*"}};
