--- a/src/emulator/judge.cpp
+++ b/src/emulator/judge.cpp
@@ -99,6 +99,26 @@
     }
 }
 
+bool InvariantChecker::hasStarted(const std::string &job) const
+{
+    const auto task = m_tasks.lower_bound(jobs::TaskName{job, 0, 0, 0});
+    return task != m_tasks.end() && task->first.job == job;
+}
+
+void InvariantChecker::pendingReported(const std::string &queue, std::int64_t count, core::TimePoint askedAt, core::TimePoint now)
+{
+    const core::TimePoint acceptedBefore = askedAt - m_tolerances.visibleWithin - m_tolerances.maxPendingAge;
+    std::int64_t waiting = 0;
+    for (const std::pair<const std::string, JobView> &item : m_jobs) {
+        const JobView &view = item.second;
+        const bool counts = view.job.queue == queue && view.accepted && view.acceptedAt < acceptedBefore && !view.cancelRequested;
+        waiting += counts && !hasStarted(item.first) ? 1 : 0;
+    }
+    if (waiting > 2 * count) {
+        addViolation("pending_understated", absl::StrCat(queue, " reported=", count, " waiting=", waiting), now);
+    }
+}
+
 void InvariantChecker::simulationEnded(core::TimePoint now)
 {
     for (const std::pair<const std::string, JobView> &item : m_jobs) {
--- a/src/emulator/judge.hpp
+++ b/src/emulator/judge.hpp
@@ -32,6 +32,7 @@
         core::Duration cancelWithin{std::chrono::seconds{3}}; /**< A cancelled job may start tasks for this long. */
         core::Duration drainWithin{std::chrono::seconds{2}}; /**< A draining worker may get starts for this long. */
         core::Duration visibleWithin{std::chrono::seconds{3}}; /**< An accepted job may be missing for this long. */
+        core::Duration maxPendingAge{std::chrono::seconds{2}}; /**< Age that a number of pending jobs may have, in addition to `visibleWithin`. */
         core::Duration minOwnerGap{std::chrono::seconds{3}}; /**< Minimum time between commands with different fencing tokens to one instance. */
         core::Duration storeSettleTime{std::chrono::seconds{3}}; /**< Time after a store fault during which starts on draining workers are accepted. */
         double allowedExcessShare{0.1}; /**< Share by which a team may exceed its CPU limit, in addition to the CPU of one task. */
@@ -48,6 +49,8 @@
     void cancelled(const std::string &job, core::TimePoint now);
     void stateReported(const std::string &job, jobs::JobState state, core::TimePoint now);
     void reportedMissing(const std::string &job, core::TimePoint now);
+    /** `count` is a queue's number of pending jobs in reply to a question asked at `askedAt`. */
+    void pendingReported(const std::string &queue, std::int64_t count, core::TimePoint askedAt, core::TimePoint now);
     void simulationEnded(core::TimePoint now);
     /** @} */
 
@@ -107,6 +110,7 @@
     void checkPlacement(const WorkerModel &worker, const EmulatedRun &run, core::TimePoint now);
     void checkTeam(const EmulatedRun &run, core::TimePoint now);
     [[nodiscard]] bool allDone(const JobView &view) const;
+    [[nodiscard]] bool hasStarted(const std::string &job) const;
 
     Tolerances m_tolerances;
     std::map<std::string, JobView> m_jobs;
--- a/src/emulator/links.cpp
+++ b/src/emulator/links.cpp
@@ -196,11 +196,11 @@
     });
 }
 
-void WorkerLink::start(const jobs::StartCommand &command, std::int64_t token, std::function<void(jobs::StartReply)> onReply)
+void WorkerLink::start(const jobs::StartCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::StartReply)> onReply)
 {
-    const std::function<void(WorkerModel &)> execute = [this, command, token, onReply](WorkerModel &worker) {
+    const std::function<void(WorkerModel &)> execute = [this, command, permit, onReply](WorkerModel &worker) {
         m_simulation.m_runStarted = false;
-        const jobs::StartReply reply = worker.start(command, token, m_simulation.now());
+        const jobs::StartReply reply = worker.start(command, permit.token, m_simulation.now());
         if (m_simulation.m_runStarted) {
             m_simulation.m_checker.started(worker, m_simulation.m_startedRun, command, m_simulation.now());
         }
@@ -213,10 +213,10 @@
     });
 }
 
-void WorkerLink::stop(const jobs::StopCommand &command, std::int64_t token, std::function<void(bool)> onReply)
+void WorkerLink::stop(const jobs::StopCommand &command, const jobs::CommandPermit &permit, std::function<void(bool)> onReply)
 {
-    const std::function<void(WorkerModel &)> execute = [this, command, token, onReply](WorkerModel &worker) {
-        const bool taken = worker.stop(command, token, m_simulation.now());
+    const std::function<void(WorkerModel &)> execute = [this, command, permit, onReply](WorkerModel &worker) {
+        const bool taken = worker.stop(command, permit.token, m_simulation.now());
         m_executor.after(internal::oneWayLatency, [onReply, taken] {
             onReply(taken);
         });
@@ -226,19 +226,19 @@
     });
 }
 
-void WorkerLink::pace(const jobs::PaceCommand &command, std::int64_t token)
+void WorkerLink::pace(const jobs::PaceCommand &command, const jobs::CommandPermit &permit)
 {
     this->sendCommand(
         command.worker,
-        [command, token](WorkerModel &worker) {
-            worker.pace(command, token);
+        [command, permit](WorkerModel &worker) {
+            worker.pace(command, permit.token);
         },
         [] {
             // A lost command is made up for by the next one.
         });
 }
 
-void WorkerLink::poll(const jobs::PollCommand &command, std::int64_t token, std::function<void(jobs::PollReply)> onReply)
+void WorkerLink::poll(const jobs::PollCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::PollReply)> onReply)
 {
     ++m_simulation.m_report.polls;
     const core::Duration timeout = std::chrono::milliseconds{command.waitMs} + internal::commandTimeout;
@@ -252,12 +252,12 @@
     m_executor.after(timeout, [answer] {
         answer(jobs::PollReply{});
     });
-    m_simulation.m_timeline.after(internal::oneWayLatency, [this, command, token, answer] {
+    m_simulation.m_timeline.after(internal::oneWayLatency, [this, command, permit, answer] {
         WorkerModel *model = findReachable(command.worker);
         if (model == nullptr) {
             return;
         }
-        const jobs::PollReply first = model->poll(command, token, m_simulation.now());
+        const jobs::PollReply first = model->poll(command, permit.token, m_simulation.now());
         m_simulation.scheduleWorkerEvent(command.worker);
         if (first.kind != jobs::PollReply::Kind::Reported || command.waitMs == 0 || !first.report.ended.empty()) {
             m_executor.after(internal::oneWayLatency, [answer, first] {
@@ -267,7 +267,7 @@
         }
         const std::shared_ptr<bool> isPending = std::make_shared<bool>(true);
         const std::int64_t incarnation = model->entry.incarnation;
-        const std::function<void()> finish = [this, command, token, answer, isPending, incarnation] {
+        const std::function<void()> finish = [this, command, permit, answer, isPending, incarnation] {
             WorkerModel *present = findReachable(command.worker);
             // The connection of the poll closed when the incarnation that it was opened to ended.
             if (!*isPending || present == nullptr || present->entry.incarnation != incarnation) {
@@ -276,7 +276,7 @@
             *isPending = false;
             jobs::PollCommand again = command;
             again.deadlineMs = 0;
-            const jobs::PollReply reply = present->poll(again, token, m_simulation.now());
+            const jobs::PollReply reply = present->poll(again, permit.token, m_simulation.now());
             m_executor.after(internal::oneWayLatency, [answer, reply] {
                 answer(reply);
             });
@@ -305,15 +305,15 @@
     });
 }
 
-void InstanceLink::maintain(const jobs::MaintainCommand &command, std::int64_t token, std::function<void(jobs::InstanceOutcome)> onReply)
+void InstanceLink::maintain(const jobs::MaintainCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::InstanceOutcome)> onReply)
 {
-    m_simulation.m_timeline.after(internal::oneWayLatency, [this, command, token, reply = std::move(onReply)] {
+    m_simulation.m_timeline.after(internal::oneWayLatency, [this, command, permit, reply = std::move(onReply)] {
         EmulatedInstance &instance = m_simulation.m_instances.at(command.instance);
         jobs::InstanceOutcome outcome = jobs::InstanceOutcome::Done;
         if (instance.state != jobs::InstanceState::Up) {
             outcome = instance.wave == command.wave ? jobs::InstanceOutcome::Done : jobs::InstanceOutcome::Busy;
         } else {
-            m_simulation.m_checker.commandReceived(command.instance, token, m_simulation.now());
+            m_simulation.m_checker.commandReceived(command.instance, permit.token, m_simulation.now());
             m_simulation.maintainInstance(command.instance, command.wave);
         }
         m_executor.after(internal::oneWayLatency, [reply, outcome] {
@@ -322,16 +322,16 @@
     });
 }
 
-void InstanceLink::move(const jobs::MoveCommand &command, std::int64_t token, std::function<void(jobs::InstanceOutcome)> onReply)
+void InstanceLink::move(const jobs::MoveCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::InstanceOutcome)> onReply)
 {
-    m_simulation.m_timeline.after(internal::oneWayLatency, [this, command, token, reply = std::move(onReply)] {
+    m_simulation.m_timeline.after(internal::oneWayLatency, [this, command, permit, reply = std::move(onReply)] {
         EmulatedInstance &instance = m_simulation.m_instances.at(command.instance);
         jobs::InstanceOutcome outcome = jobs::InstanceOutcome::Done;
         if (instance.state != jobs::InstanceState::Up) {
             outcome = instance.pool == command.pool ? jobs::InstanceOutcome::Done : jobs::InstanceOutcome::Busy;
         } else if (instance.pool != command.pool) {
             ++m_simulation.m_report.moves;
-            m_simulation.m_checker.commandReceived(command.instance, token, m_simulation.now());
+            m_simulation.m_checker.commandReceived(command.instance, permit.token, m_simulation.now());
             m_simulation.moveInstance(command.instance, command.pool);
         }
         m_executor.after(internal::oneWayLatency, [reply, outcome] {
--- a/src/emulator/links.hpp
+++ b/src/emulator/links.hpp
@@ -36,10 +36,10 @@
 public:
     WorkerLink(Simulation &simulation, core::Executor &executor);
 
-    void start(const jobs::StartCommand &command, std::int64_t token, std::function<void(jobs::StartReply)> onReply) override;
-    void stop(const jobs::StopCommand &command, std::int64_t token, std::function<void(bool)> onReply) override;
-    void pace(const jobs::PaceCommand &command, std::int64_t token) override;
-    void poll(const jobs::PollCommand &command, std::int64_t token, std::function<void(jobs::PollReply)> onReply) override;
+    void start(const jobs::StartCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::StartReply)> onReply) override;
+    void stop(const jobs::StopCommand &command, const jobs::CommandPermit &permit, std::function<void(bool)> onReply) override;
+    void pace(const jobs::PaceCommand &command, const jobs::CommandPermit &permit) override;
+    void poll(const jobs::PollCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::PollReply)> onReply) override;
 
 private:
     [[nodiscard]] WorkerModel *findReachable(const std::string &worker);
@@ -57,8 +57,8 @@
     InstanceLink(Simulation &simulation, core::Executor &executor);
 
     void list(std::function<void(std::optional<Instances>)> onReply) override;
-    void maintain(const jobs::MaintainCommand &command, std::int64_t token, std::function<void(jobs::InstanceOutcome)> onReply) override;
-    void move(const jobs::MoveCommand &command, std::int64_t token, std::function<void(jobs::InstanceOutcome)> onReply) override;
+    void maintain(const jobs::MaintainCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::InstanceOutcome)> onReply) override;
+    void move(const jobs::MoveCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::InstanceOutcome)> onReply) override;
 
 private:
     Simulation &m_simulation;
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -112,6 +112,7 @@
     void handleSubmitReply(const std::shared_ptr<Client> &client, const jobnode::JobReply &answer);
     void pollStatus(const std::shared_ptr<Client> &client);
     void cancel(const std::shared_ptr<Client> &client);
+    void pollPending();
     [[nodiscard]] Node *randomReadyNode();
     void injectFault(const Fault &fault);
     void injectNodeFault(const Fault &fault);
--- a/src/emulator/world_load.cpp
+++ b/src/emulator/world_load.cpp
@@ -16,6 +16,7 @@
 constexpr int maxSubmitAttempts = 5;
 constexpr core::Duration clientLatency = std::chrono::milliseconds{3};
 constexpr core::Duration pollInterval = std::chrono::milliseconds{300};
+constexpr core::Duration pendingPollInterval = std::chrono::milliseconds{700};
 /** Delay before the next attempt after a submission was answered with `NotRun`. */
 constexpr core::Duration retryDelay = std::chrono::seconds{1};
 /** Factor on the rate of a queue between its peaks. */
@@ -45,6 +46,7 @@
             }
         }
     }
+    pollPending();
     for (const Fault &fault : m_deployment.faults) {
         m_timeline.at(m_start + internal::fromS(fault.startS), [this, fault] {
             injectFault(fault);
@@ -182,6 +184,25 @@
     });
 }
 
+void Simulation::pollPending()
+{
+    m_timeline.after(internal::pendingPollInterval, [this] {
+        pollPending();
+    });
+    const core::TimePoint askedAt = now();
+    for (const QueuePlan &queue : m_deployment.queues) {
+        Node *node = randomReadyNode();
+        if (node == nullptr) {
+            return;
+        }
+        node->node.jobService().pending(queue.name, askedAt + internal::clientTimeout, [this, queue, askedAt](const jobnode::JobReply &answer) {
+            if (answer.outcome == jobnode::JobCallOutcome::Done) {
+                m_checker.pendingReported(queue.name, answer.pending, askedAt, now());
+            }
+        });
+    }
+}
+
 void Simulation::cancel(const std::shared_ptr<Client> &client)
 {
     Node *node = randomReadyNode();
--- a/src/oleanderwick/http/upstream_links.cpp
+++ b/src/oleanderwick/http/upstream_links.cpp
@@ -29,6 +29,8 @@
 constexpr core::Duration maxIdleTime = std::chrono::seconds{15};
 constexpr core::Duration maxFreshIdleTime = std::chrono::seconds{1};
 constexpr std::uint32_t maxResponseHeaderBytes = 64U << 10U;
+/** Most responses arrive whole in one read of this size. */
+constexpr std::size_t firstReadBytes = 8U << 10U;
 constexpr int serviceUnavailable = 503;
 
 /** @brief Open connection that no exchange uses. */
@@ -54,7 +56,15 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-/** @brief Idle connections by address. */
+class Attempt;
+
+/** @brief Exchanges with a limit on their number, for one upstream. */
+struct LimitedExchanges {
+    std::size_t running{0};
+    std::deque<std::shared_ptr<Attempt>> waiting;
+};
+
+/** @brief Idle connections and limited exchanges by address. */
 class ConnectionsState : public std::enable_shared_from_this<ConnectionsState>
 {
 public:
@@ -97,6 +107,13 @@
         }
     }
 
+    /** Returns true if a limited exchange may use a connection now; otherwise it is started once another one ends. */
+    [[nodiscard]] bool admit(const std::string &address, std::size_t maxConcurrent, const std::shared_ptr<Attempt> &attempt);
+    /** Starts the next waiting exchange in place of one that has ended. */
+    void release(const std::string &address);
+    /** Removes an exchange that gave up waiting. */
+    void withdraw(const std::string &address, const Attempt *attempt);
+
     /** Closes the idle connections to an address: after a timeout on one connection the others may be dead too. */
     void closeIdle(const std::string &address)
     {
@@ -121,6 +138,7 @@
 private:
     LoopState &m_loop;
     std::map<std::string, std::deque<IdleConnection>> m_idle;
+    std::map<std::string, LimitedExchanges> m_limited;
 };
 
 /** @brief One exchange, from the connection to the complete response. */
@@ -133,15 +151,49 @@
         , m_onResult{std::move(onResult)}
         , m_deadline{core::BootClock::now() + m_exchange.timeout}
         , m_timer{m_connections->loop().deadlines, [this] {
-                      // The operation in progress fails.
-                      error_code ignored;
-                      m_timedOut = true;
-                      m_stream->close(ignored);
+                      onDeadline();
                   }}
     {
     }
 
     void start()
+    {
+        if (m_exchange.maxConcurrent == 0) {
+            proceed();
+            return;
+        }
+        if (m_connections->admit(m_exchange.address, m_exchange.maxConcurrent, shared_from_this())) {
+            m_isAdmitted = true;
+            proceed();
+            return;
+        }
+        m_timer.arm(std::min(m_deadline, m_exchange.sendBefore));
+    }
+
+    /** Continues after another limited exchange has ended. */
+    void admitted()
+    {
+        m_timer.disarm();
+        m_isAdmitted = true;
+        proceed();
+    }
+
+private:
+    void onDeadline()
+    {
+        if (m_stream == nullptr) {
+            const std::shared_ptr<Attempt> self = shared_from_this();
+            m_connections->withdraw(m_exchange.address, this);
+            finish(ExchangeOutcome::NothingSent);
+            return;
+        }
+        // The operation in progress fails.
+        error_code ignored;
+        m_timedOut = true;
+        m_stream->close(ignored);
+    }
+
+    void proceed()
     {
         m_stream = m_connections->takeIdle(m_exchange.address, m_exchange.freshConnection);
         if (m_stream != nullptr) {
@@ -151,7 +203,6 @@
         connect();
     }
 
-private:
     using Message = beast::http::request<beast::http::string_body>;
     using Parser = beast::http::response_parser<beast::http::string_body>;
 
@@ -178,6 +229,11 @@
 
     void send()
     {
+        if (core::BootClock::now() >= m_exchange.sendBefore) {
+            m_connections->keepIdle(m_exchange.address, std::move(m_stream), m_exchange.maxIdleConnections);
+            finish(ExchangeOutcome::NothingSent);
+            return;
+        }
         m_message.version(11);
         m_message.method_string(m_exchange.request.method);
         m_message.target(m_exchange.request.target);
@@ -202,6 +258,7 @@
 
     void readHeader()
     {
+        m_buffer.reserve(firstReadBytes);
         m_parser.emplace();
         m_parser->header_limit(maxResponseHeaderBytes);
         m_parser->body_limit(m_exchange.maxResponseBytes);
@@ -281,6 +338,10 @@
         if (outcome == ExchangeOutcome::TimedOut) {
             m_connections->closeIdle(m_exchange.address);
         }
+        if (m_isAdmitted) {
+            m_isAdmitted = false;
+            m_connections->release(m_exchange.address);
+        }
         m_onResult(std::move(result));
     }
 
@@ -290,12 +351,45 @@
     core::TimePoint m_deadline;
     Deadlines::Timer m_timer;
     bool m_timedOut{false};
+    bool m_isAdmitted{false}; /**< Counts towards the limit of its upstream. */
     std::unique_ptr<asio::ip::tcp::socket> m_stream;
     Message m_message;
     beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
 };
 
+bool ConnectionsState::admit(const std::string &address, std::size_t maxConcurrent, const std::shared_ptr<Attempt> &attempt)
+{
+    LimitedExchanges &limited = m_limited[address];
+    if (limited.running < maxConcurrent) {
+        ++limited.running;
+        return true;
+    }
+    limited.waiting.push_back(attempt);
+    return false;
+}
+
+void ConnectionsState::release(const std::string &address)
+{
+    const auto limited = m_limited.find(address);
+    if (limited->second.waiting.empty()) {
+        if (--limited->second.running == 0) {
+            m_limited.erase(limited);
+        }
+        return;
+    }
+    const std::shared_ptr<Attempt> next = limited->second.waiting.front();
+    limited->second.waiting.pop_front();
+    next->admitted();
+}
+
+void ConnectionsState::withdraw(const std::string &address, const Attempt *attempt)
+{
+    std::erase_if(m_limited[address].waiting, [attempt](const std::shared_ptr<Attempt> &waiting) {
+        return waiting.get() == attempt;
+    });
+}
+
 } // namespace internal
 
 UpstreamConnections::UpstreamConnections(Loop &loop)
--- a/src/oleanderwick/jobnode/job_desk.cpp
+++ b/src/oleanderwick/jobnode/job_desk.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
-
 #include "keys.hpp"
 
 namespace oleanderwick::jobnode
@@ -54,8 +52,11 @@
 void JobService::submit(const jobs::Job &job, core::TimePoint deadline, OnReply onReply)
 {
     const std::shared_ptr<Call> call = makeCall("submit", job.id, deadline, std::move(onReply));
-    call->change.conditions.push_back({keys::jobPrefix + job.id, 0});
-    call->change.writes.push_back({keys::jobPrefix + job.id, jobs::toRecord(job), 0});
+    const std::string key = keys::jobPrefix + job.id;
+    const std::string marker = keys::queuedPrefixOf(job.queue) + job.id;
+    // The condition for the marker lets the store's client repeat the change, as it then only creates keys.
+    call->change.conditions = {{key, 0}, {marker, 0}};
+    call->change.writes = {{key, jobs::toRecord(job), 0}, {marker, "1", 0}};
     commit(call);
 }
 
@@ -156,16 +157,30 @@
 
 void JobService::pending(const std::string &queue, core::TimePoint deadline, OnReply onReply)
 {
-    const std::shared_ptr<Call> call = makeCall("pending", queue, deadline, std::move(onReply));
-    read(call, keys::pending, [this, call](const jobs::StoreReply &reply) {
-        JobReply result{JobCallOutcome::Done, {}, 0};
-        if (reply.outcome == jobs::StoreOutcome::Done && !reply.items.empty()) {
-            const nlohmann::json value = nlohmann::json::parse(reply.items.front().value, nullptr, false);
-            if (value.is_object() && value.contains(call->id) && value[call->id].is_number_integer()) {
-                result.pending = value[call->id].get<std::int64_t>();
-            }
+    countQueued(makeCall("pending", queue, deadline, std::move(onReply)), {}, 0);
+}
+
+void JobService::countQueued(const std::shared_ptr<Call> &call, const std::string &after, std::int64_t counted)
+{
+    ++call->attempts;
+    const std::string prefix = keys::queuedPrefixOf(call->id);
+    m_store.list(prefix, after, [this, call, after, counted, prefix](const jobs::StoreReply &reply) {
+        if (reply.outcome != jobs::StoreOutcome::Done) {
+            call->outcomeUnknown = true;
+            retry(call, [this, after, counted](const std::shared_ptr<Call> &retried) {
+                countQueued(retried, after, counted);
+            });
+            return;
+        }
+        // The name of another queue may continue this one's after a slash; ids of jobs contain none.
+        const std::int64_t total = counted + std::count_if(reply.items.begin(), reply.items.end(), [&prefix](const jobs::StoreItem &item) {
+                                       return item.key.find('/', prefix.size()) == std::string::npos;
+                                   });
+        if (reply.more && !reply.items.empty()) {
+            countQueued(call, reply.items.back().key, total);
+            return;
         }
-        finish(*call, result);
+        finish(*call, JobReply{JobCallOutcome::Done, {}, total});
     });
 }
 
--- a/src/oleanderwick/jobnode/job_desk.hpp
+++ b/src/oleanderwick/jobnode/job_desk.hpp
@@ -68,7 +68,9 @@
     void status(const std::string &id, core::TimePoint deadline, OnReply onReply);
 
     /**
-     * @brief Reads the number of waiting jobs of a queue; 0 if none is stored.
+     * @brief Counts the accepted jobs of a queue of which no worker has started a task.
+     *
+     * The count comes from the store alone, so it is true also while the owner is overloaded or replaced.
      * @param queue Name of the queue.
      * @param deadline Time at which the submitter gives up.
      * @param onReply Called once with the reply.
@@ -81,6 +83,7 @@
     [[nodiscard]] std::shared_ptr<Call> makeCall(std::string kind, std::string id, core::TimePoint deadline, OnReply onReply) const;
     void commit(const std::shared_ptr<Call> &call);
     void read(const std::shared_ptr<Call> &call, const std::string &key, std::function<void(const jobs::StoreReply &)> onFound);
+    void countQueued(const std::shared_ptr<Call> &call, const std::string &after, std::int64_t counted);
     void finish(Call &call, JobReply reply);
     void retry(const std::shared_ptr<Call> &call, std::function<void(const std::shared_ptr<Call> &)> attempt);
 
--- a/src/oleanderwick/jobnode/keys.hpp
+++ b/src/oleanderwick/jobnode/keys.hpp
@@ -18,7 +18,17 @@
 inline const std::string ownerPrefix = "own/";
 inline const std::string usedWorkers = "use/workers"; /**< Workers that may have active runs; written by the owner only. */
 inline const std::string commandedInstances = "use/instances"; /**< Instances with recent commands of the owner; written before the commands are sent. */
-inline const std::string pending = "stat/pending"; /**< Number of waiting jobs by queue; written by the owner only. */
+inline const std::string queuedPrefix = "w/"; /**< Markers of jobs without a started task, by queue and id; created together with the job. */
 /** @} */
 
+/**
+ * @brief Builds the prefix of a queue's markers.
+ * @param queue Name of the queue.
+ * @return Prefix; a marker's key adds the id of the job.
+ */
+[[nodiscard]] inline std::string queuedPrefixOf(const std::string &queue)
+{
+    return queuedPrefix + queue + "/";
+}
+
 } // namespace oleanderwick::jobnode::keys
--- a/src/oleanderwick/jobnode/log_sink.cpp
+++ b/src/oleanderwick/jobnode/log_sink.cpp
@@ -62,21 +62,19 @@
     flush();
 }
 
-std::string LogSink::timeText() const
+void LogSink::appendTime()
 {
     constexpr std::int64_t msPerSecond = 1000;
     const std::int64_t ms = m_clock.wallMs();
     const std::time_t seconds = ms / msPerSecond;
-    std::tm parts{};
-    gmtime_r(&seconds, &parts);
-    return absl::StrFormat("time=%04d-%02d-%02dT%02d:%02d:%02d.%03d ",
-                           parts.tm_year + 1900,
-                           parts.tm_mon + 1,
-                           parts.tm_mday,
-                           parts.tm_hour,
-                           parts.tm_min,
-                           parts.tm_sec,
-                           static_cast<int>(ms % msPerSecond));
+    if (seconds != m_secondOfText) {
+        std::tm parts{};
+        gmtime_r(&seconds, &parts);
+        m_secondText = absl::StrFormat(
+            "time=%04d-%02d-%02dT%02d:%02d:%02d.", parts.tm_year + 1900, parts.tm_mon + 1, parts.tm_mday, parts.tm_hour, parts.tm_min, parts.tm_sec);
+        m_secondOfText = seconds;
+    }
+    absl::StrAppend(&m_batch, m_secondText, absl::Dec(ms % msPerSecond, absl::kZeroPad3), " ");
 }
 
 void LogSink::add(const std::string &kind, const telemetry::Event &event)
@@ -86,7 +84,8 @@
     const core::TimePoint now = m_clock.now();
     if (now - rate.windowStart >= std::chrono::seconds{1}) {
         if (rate.suppressed > 0) {
-            absl::StrAppend(&m_batch, timeText(), "event=lines_suppressed kind=", kind, " count=", rate.suppressed, "\n");
+            appendTime();
+            absl::StrAppend(&m_batch, "event=lines_suppressed kind=", kind, " count=", rate.suppressed, "\n");
         }
         rate = Rate{now, 0, 0};
     }
@@ -95,7 +94,8 @@
         ++m_suppressed;
         return;
     }
-    absl::StrAppend(&m_batch, timeText(), event.line(), "\n");
+    appendTime();
+    absl::StrAppend(&m_batch, event.line(), "\n");
 }
 
 void LogSink::flush()
--- a/src/oleanderwick/jobnode/log_sink.hpp
+++ b/src/oleanderwick/jobnode/log_sink.hpp
@@ -82,12 +82,14 @@
         std::uint32_t suppressed{0};
     };
 
-    [[nodiscard]] std::string timeText() const;
+    void appendTime();
 
     const core::Executor &m_clock;
     std::unique_ptr<LogOutput> m_output;
     JobMetrics m_metrics;
     std::string m_batch;
+    std::int64_t m_secondOfText{-1}; /**< Unix time in seconds that `m_secondText` stands for. */
+    std::string m_secondText;
     std::map<std::string, Rate> m_rates;
     std::uint64_t m_suppressed{0};
 };
--- a/src/oleanderwick/jobnode/ownership.cpp
+++ b/src/oleanderwick/jobnode/ownership.cpp
@@ -227,6 +227,11 @@
     return m_state->token != 0 && now < m_state->validUntil;
 }
 
+core::TimePoint Ownership::validUntil() const noexcept
+{
+    return m_state->token == 0 ? core::TimePoint::min() : m_state->validUntil;
+}
+
 std::int64_t Ownership::token() const noexcept
 {
     return m_state->token;
--- a/src/oleanderwick/jobnode/ownership.hpp
+++ b/src/oleanderwick/jobnode/ownership.hpp
@@ -45,6 +45,9 @@
      */
     [[nodiscard]] bool isHeld(core::TimePoint now) const noexcept;
 
+    /** @return Time before which `isHeld` is true unless the key is lost; the start of time if this node is not the owner. */
+    [[nodiscard]] core::TimePoint validUntil() const noexcept;
+
     /** @return Fencing token; 0 if this node is not the owner. */
     [[nodiscard]] std::int64_t token() const noexcept;
 
--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -17,6 +17,9 @@
 constexpr core::Duration minCycleInterval = std::chrono::milliseconds{3};
 constexpr core::Duration loadRetryDelay = std::chrono::milliseconds{100};
 constexpr core::Duration watchTimeout = std::chrono::milliseconds{2000};
+constexpr core::Duration jobRequestBatchDelay = std::chrono::milliseconds{10};
+/** Workers rewrite their entries with each heartbeat, hundreds of times a second in a large fleet. */
+constexpr core::Duration workerBatchDelay = std::chrono::milliseconds{50};
 
 } // namespace internal
 
@@ -131,7 +134,6 @@
     }
     for (auto item = value.begin(); item != value.end(); ++item) {
         if (item.value().is_string()) {
-            savedUsedWorkers[item.key()] = item.value().get<std::string>();
             scheduler.restoreWorker(item.key(), item.value().get<std::string>());
         }
     }
@@ -225,8 +227,10 @@
         workersListed = true;
         restoreOnceLoaded();
     };
-    jobRequestWatcher = std::make_unique<Watcher>(executor, ports.store, keys::jobRequestPrefix, internal::watchTimeout, std::move(jobRequests));
-    workerWatcher = std::make_unique<Watcher>(executor, ports.store, ports.translator.workerPrefix(), internal::watchTimeout, std::move(workers));
+    jobRequestWatcher = std::make_unique<Watcher>(
+        executor, ports.store, keys::jobRequestPrefix, internal::watchTimeout, std::move(jobRequests), internal::jobRequestBatchDelay);
+    workerWatcher = std::make_unique<Watcher>(
+        executor, ports.store, ports.translator.workerPrefix(), internal::watchTimeout, std::move(workers), internal::workerBatchDelay);
 }
 
 void OwnerTerm::State::restoreOnceLoaded()
--- a/src/oleanderwick/jobnode/tenure_orders.cpp
+++ b/src/oleanderwick/jobnode/tenure_orders.cpp
@@ -13,9 +13,20 @@
 {
 
 constexpr core::Duration instanceListInterval = std::chrono::milliseconds{400};
+/** Evacuations and maintenance examine each worker and each instance of a wave, so they don't run in each cycle. */
+constexpr core::Duration evacuationInterval = std::chrono::milliseconds{20};
 
 } // namespace internal
 
+void OwnerTerm::State::evacuateDraining(core::TimePoint now)
+{
+    for (const std::pair<const std::string, jobs::Worker> &worker : scheduler.workers()) {
+        if (worker.second.entry.draining && !worker.second.runs.empty()) {
+            scheduler.evacuate(worker.first, now);
+        }
+    }
+}
+
 void OwnerTerm::State::runCycle()
 {
     const core::TimePoint now = executor.now();
@@ -24,19 +35,20 @@
     }
     lastCycleAt = now;
     if (ownership.isHeld(now)) {
-        for (const std::pair<const std::string, jobs::Worker> &worker : scheduler.workers()) {
-            if (worker.second.entry.draining && !worker.second.runs.empty()) {
-                scheduler.evacuate(worker.first, now);
-            }
+        const bool evacuationDue = now - lastEvacuationAt >= internal::evacuationInterval;
+        if (evacuationDue) {
+            lastEvacuationAt = now;
+            evacuateDraining(now);
         }
         scheduler.advance(now, executor.wallMs());
-        maintenance.advance(scheduler, now, executor.wallMs());
+        if (evacuationDue) {
+            maintenance.advance(scheduler, now, executor.wallMs());
+        }
         balancer.advance(scheduler, maintenance, now);
         sendCommands();
     }
     saveStates();
     saveWaves();
-    savePending();
     removeExpired();
     listInstances();
     logDecisions();
@@ -53,7 +65,7 @@
         sendStart(command);
     }
     for (const jobs::PaceCommand &command : commands.paces) {
-        ports.workers.pace(command, token);
+        ports.workers.pace(command, permit());
     }
     adviceRequests.insert(adviceRequests.end(), commands.adviceRequests.begin(), commands.adviceRequests.end());
     requestAdvice();
@@ -73,13 +85,18 @@
     ownership.handleLoss();
 }
 
+jobs::CommandPermit OwnerTerm::State::permit() const
+{
+    return {token, ownership.validUntil()};
+}
+
 void OwnerTerm::State::sendStart(const jobs::StartCommand &command)
 {
     if (!ownership.isHeld(executor.now())) {
         scheduler.handleStartReply(command, jobs::StartOutcome::NotSent, 0, executor.now());
         return;
     }
-    ports.workers.start(command, token, [self = shared_from_this(), command](const jobs::StartReply &reply) {
+    ports.workers.start(command, permit(), [self = shared_from_this(), command](const jobs::StartReply &reply) {
         if (!self->isActive()) {
             return;
         }
@@ -94,7 +111,7 @@
 
 void OwnerTerm::State::sendStop(const jobs::StopCommand &command)
 {
-    ports.workers.stop(command, token, [self = shared_from_this(), command](bool acknowledged) {
+    ports.workers.stop(command, permit(), [self = shared_from_this(), command](bool acknowledged) {
         if (self->isActive()) {
             self->scheduler.handleStopReply(command, acknowledged, self->executor.now());
             self->scheduleCycle();
@@ -105,7 +122,7 @@
 void OwnerTerm::State::sendPoll(const jobs::PollCommand &command)
 {
     const core::TimePoint sentAt = executor.now();
-    ports.workers.poll(command, token, [self = shared_from_this(), command, sentAt](const jobs::PollReply &reply) {
+    ports.workers.poll(command, permit(), [self = shared_from_this(), command, sentAt](const jobs::PollReply &reply) {
         if (!self->isActive()) {
             return;
         }
@@ -237,7 +254,7 @@
 
 void OwnerTerm::State::sendMaintenance(const jobs::MaintainCommand &command)
 {
-    ports.instances.maintain(command, token, [self = shared_from_this(), command](jobs::InstanceOutcome outcome) {
+    ports.instances.maintain(command, permit(), [self = shared_from_this(), command](jobs::InstanceOutcome outcome) {
         telemetry::Event event{"maintenance_ordered"};
         event.with("instance", command.instance).with("wave", command.wave).with("answer", static_cast<std::int64_t>(outcome));
         self->log.add("maintenance_ordered", event);
@@ -255,7 +272,7 @@
 
 void OwnerTerm::State::sendMove(const jobs::MoveCommand &command)
 {
-    ports.instances.move(command, token, [self = shared_from_this(), command](jobs::InstanceOutcome outcome) {
+    ports.instances.move(command, permit(), [self = shared_from_this(), command](jobs::InstanceOutcome outcome) {
         telemetry::Event event{"move_ordered"};
         event.with("instance", command.instance).with("from", command.from).with("to", command.pool).with("answer", static_cast<std::int64_t>(outcome));
         self->log.add("move_ordered", event);
--- a/src/oleanderwick/jobnode/tenure_saves.cpp
+++ b/src/oleanderwick/jobnode/tenure_saves.cpp
@@ -13,14 +13,14 @@
 namespace internal
 {
 
-/** A change has a condition for the owner's key, and a condition and a write for each job: 29 entries for 14 jobs; the store accepts 32. */
-constexpr std::size_t maxJobsPerChange = 14;
+/** The store accepts 32 conditions, writes and removals in a change, one of which is the condition for the owner's key. */
+constexpr std::size_t maxEntriesPerChange = 31;
 /** A change has a condition for the owner's key, and removes three records of each ended job: 28 entries for 9 jobs; the store accepts 32. */
 constexpr std::size_t maxJobRemovalsPerChange = 9;
 /** Interval at which states of jobs that have not ended are saved, so that several share a change. */
 constexpr core::Duration stateSaveInterval = std::chrono::milliseconds{100};
+constexpr core::Duration endSaveInterval = std::chrono::milliseconds{20};
 constexpr core::Duration stateSaveRetryDelay = std::chrono::milliseconds{100};
-constexpr core::Duration pendingSaveInterval = std::chrono::milliseconds{500};
 constexpr core::Duration removalInterval = std::chrono::seconds{2};
 
 } // namespace internal
@@ -43,11 +43,13 @@
 void OwnerTerm::State::saveStates()
 {
     const core::TimePoint now = executor.now();
-    const bool due = scheduler.hasUnsavedEnd() || (scheduler.hasUnsaved() && now - lastStateSaveAt >= internal::stateSaveInterval);
+    const core::Duration sinceSave = now - lastStateSaveAt;
+    const bool due =
+        (scheduler.hasUnsavedEnd() && sinceSave >= internal::endSaveInterval) || (scheduler.hasUnsaved() && sinceSave >= internal::stateSaveInterval);
     if (stateSaveInFlight || !due || now < stateSaveRetryAt) {
         return;
     }
-    const std::vector<jobs::SaveRequest> saves = scheduler.takeSaves(internal::maxJobsPerChange);
+    const std::vector<jobs::SaveRequest> saves = scheduler.takeSaves(internal::maxEntriesPerChange);
     if (saves.empty()) {
         return;
     }
@@ -60,6 +62,9 @@
         const auto revision = revisions.find(key);
         change.conditions.push_back({key, revision == revisions.end() ? 0 : revision->second});
         change.writes.push_back({key, jobs::toRecord(request.record), 0});
+        if (request.leavesQueue) {
+            change.removals.push_back(keys::queuedPrefixOf(request.queue) + request.job);
+        }
     }
     ports.store.commit(change, [self = shared_from_this(), saves](const jobs::StoreReply &reply) {
         self->stateSaveInFlight = false;
@@ -95,8 +100,8 @@
                 endedJobs[request.job] = request.record.endedMs;
             }
         }
-        scheduler.handleSaved(request.job, request.version, stored);
     }
+    scheduler.handleSaved(saves, stored);
     scheduleCycle();
 }
 
@@ -125,15 +130,15 @@
 
 void OwnerTerm::State::saveUsedWorkers()
 {
-    const std::map<std::string, std::string> &used = scheduler.usedWorkers();
-    if (usedWorkersSaveInFlight || used == savedUsedWorkers) {
+    const std::uint64_t version = scheduler.usedWorkersVersion();
+    if (usedWorkersSaveInFlight || version == savedUsedWorkersVersion) {
         return;
     }
     usedWorkersSaveInFlight = true;
-    write(keys::usedWorkers, nlohmann::json(used).dump(), [this, used](bool stored) {
+    write(keys::usedWorkers, nlohmann::json(scheduler.usedWorkers()).dump(), [this, version](bool stored) {
         usedWorkersSaveInFlight = false;
         if (stored) {
-            savedUsedWorkers = used;
+            savedUsedWorkersVersion = version;
         }
     });
 }
@@ -170,26 +175,6 @@
     }
 }
 
-void OwnerTerm::State::savePending()
-{
-    const core::TimePoint now = executor.now();
-    if (pendingSaveInFlight || now - lastPendingSaveAt < internal::pendingSaveInterval) {
-        return;
-    }
-    lastPendingSaveAt = now;
-    const std::map<std::string, std::int64_t> pending = scheduler.pendingByQueue();
-    if (pending == savedPending && revisions.contains(keys::pending)) {
-        return;
-    }
-    pendingSaveInFlight = true;
-    write(keys::pending, nlohmann::json(pending).dump(), [this, pending](bool stored) {
-        pendingSaveInFlight = false;
-        if (stored) {
-            savedPending = pending;
-        }
-    });
-}
-
 void OwnerTerm::State::removeExpired()
 {
     const core::TimePoint now = executor.now();
--- a/src/oleanderwick/jobnode/tenure_state.hpp
+++ b/src/oleanderwick/jobnode/tenure_state.hpp
@@ -47,7 +47,9 @@
     void scheduleCycle();
     void runPeriodically();
     void runCycle();
+    void evacuateDraining(core::TimePoint now);
     void sendCommands();
+    [[nodiscard]] jobs::CommandPermit permit() const;
     void sendStart(const jobs::StartCommand &command);
     void sendStop(const jobs::StopCommand &command);
     void sendPoll(const jobs::PollCommand &command);
@@ -67,7 +69,6 @@
     void handleStateSaveReply(const std::vector<jobs::SaveRequest> &saves, const jobs::StoreReply &reply);
     void saveWaves();
     void saveUsedWorkers();
-    void savePending();
     void removeExpired();
     void write(const std::string &key, const std::string &value, std::function<void(bool)> onDone);
     void handleConflict(const jobs::StoreReply &reply);
@@ -93,6 +94,7 @@
     bool ready{false}; /**< The stored state has been restored. */
     bool cycleScheduled{false};
     core::TimePoint lastCycleAt;
+    core::TimePoint lastEvacuationAt;
 
     std::map<std::string, jobs::JobRecord> storedStates; /**< States by job id; empty once the state has been restored. */
     /** Jobs with the store revisions of their records, by id; empty once the state has been restored. */
@@ -111,10 +113,7 @@
     core::TimePoint lastStateSaveAt;
     core::TimePoint stateSaveRetryAt;
     bool usedWorkersSaveInFlight{false};
-    std::map<std::string, std::string> savedUsedWorkers;
-    bool pendingSaveInFlight{false};
-    core::TimePoint lastPendingSaveAt;
-    std::map<std::string, std::int64_t> savedPending;
+    std::uint64_t savedUsedWorkersVersion{0};
     bool removalInFlight{false};
     core::TimePoint lastRemovalAt;
     bool waveSaveInFlight{false};
--- a/src/oleanderwick/jobnode/watcher.cpp
+++ b/src/oleanderwick/jobnode/watcher.cpp
@@ -14,12 +14,18 @@
 } // namespace internal
 
 struct Watcher::State : std::enable_shared_from_this<Watcher::State> {
-    State(core::Executor &itsExecutor, jobs::CoordinationStore &itsStore, std::string itsPrefix, core::Duration itsWait, Callbacks itsCallbacks)
+    State(core::Executor &itsExecutor,
+          jobs::CoordinationStore &itsStore,
+          std::string itsPrefix,
+          core::Duration itsWait,
+          Callbacks itsCallbacks,
+          core::Duration itsBatchDelay)
         : executor{itsExecutor}
         , store{itsStore}
         , prefix{std::move(itsPrefix)}
         , wait{itsWait}
         , callbacks{std::move(itsCallbacks)}
+        , batchDelay{itsBatchDelay}
     {
     }
 
@@ -95,7 +101,14 @@
             callbacks.onRemoved(key);
         }
         revision = std::max(revision, reply.revision);
-        watch();
+        const bool isEmpty = reply.items.empty() && reply.removed.empty();
+        if (isEmpty || batchDelay == core::Duration::zero()) {
+            watch();
+            return;
+        }
+        executor.after(batchDelay, [self = shared_from_this()] {
+            self->watch();
+        });
     }
 
     /** Updates the retry delay and reports whether a call succeeded. */
@@ -123,6 +136,7 @@
     std::string prefix;
     core::Duration wait;
     Callbacks callbacks;
+    core::Duration batchDelay;
     bool stopped{false};
     core::Duration retryDelay{internal::minRetryDelay};
     std::int64_t revision{0};
@@ -130,8 +144,13 @@
     std::set<std::string> listedKeys;
 };
 
-Watcher::Watcher(core::Executor &executor, jobs::CoordinationStore &store, std::string prefix, core::Duration wait, Callbacks callbacks)
-    : m_state{std::make_shared<State>(executor, store, std::move(prefix), wait, std::move(callbacks))}
+Watcher::Watcher(core::Executor &executor,
+                 jobs::CoordinationStore &store,
+                 std::string prefix,
+                 core::Duration wait,
+                 Callbacks callbacks,
+                 core::Duration batchDelay)
+    : m_state{std::make_shared<State>(executor, store, std::move(prefix), wait, std::move(callbacks), batchDelay)}
 {
     m_state->list("");
 }
--- a/src/oleanderwick/jobnode/watcher.hpp
+++ b/src/oleanderwick/jobnode/watcher.hpp
@@ -30,8 +30,14 @@
      * @param prefix Prefix of the keys.
      * @param wait Maximum duration of one watch call; a connection that went silent is noticed soon after.
      * @param callbacks Receive the items and changes; not called after the watcher is destroyed.
+     * @param batchDelay Delay of the next call after changes, so that changes that follow shortly share a call.
      */
-    Watcher(core::Executor &executor, jobs::CoordinationStore &store, std::string prefix, core::Duration wait, Callbacks callbacks);
+    Watcher(core::Executor &executor,
+            jobs::CoordinationStore &store,
+            std::string prefix,
+            core::Duration wait,
+            Callbacks callbacks,
+            core::Duration batchDelay = core::Duration::zero());
     ~Watcher();
     Watcher(const Watcher &) = delete;
     Watcher &operator=(const Watcher &) = delete;
--- a/src/oleanderwick/jobs/leases.cpp
+++ b/src/oleanderwick/jobs/leases.cpp
@@ -118,6 +118,17 @@
     }
 }
 
+void Scheduler::advanceAllAcks()
+{
+    for (auto worker = m_unstoredEnds.begin(); worker != m_unstoredEnds.end();) {
+        const auto found = m_workers.find(*worker);
+        if (found != m_workers.end()) {
+            advanceAcks(found->second);
+        }
+        worker = found == m_workers.end() || found->second.pendingEnds.empty() ? m_unstoredEnds.erase(worker) : std::next(worker);
+    }
+}
+
 void Scheduler::sweepWorkers(core::TimePoint now)
 {
     constexpr core::Duration removalDelay = std::chrono::seconds{20};
@@ -129,7 +140,7 @@
         }
         const bool unused = !worker.registered && worker.runs.empty() && !worker.pollInFlight && now > bound;
         if (unused) {
-            m_usedWorkers.erase(item->first);
+            m_usedWorkersVersion += m_usedWorkers.erase(item->first);
         }
         const bool removable = unused && now - std::max(worker.lastReplyAt, m_termStart) > removalDelay;
         item = removable ? m_workers.erase(item) : std::next(item);
@@ -194,13 +205,39 @@
     });
 }
 
+void Scheduler::openOccurrences(std::int64_t wallMs)
+{
+    for (auto id = m_unopened.begin(); id != m_unopened.end();) {
+        JobEntry *entry = findEntry(*id);
+        if (entry == nullptr || isFinal(entry->state)) {
+            id = m_unopened.erase(id);
+            continue;
+        }
+        const std::int64_t before = entry->nextOccurrence;
+        openDueOccurrences(*entry, wallMs);
+        if (before != entry->nextOccurrence) {
+            m_placementDue = true;
+            if (entry->job.repeatCount > 0) {
+                markChanged(*entry);
+            }
+        }
+        const bool opened = entry->nextOccurrence >= std::max<std::int64_t>(entry->job.repeatCount, 1);
+        id = opened ? m_unopened.erase(id) : std::next(id);
+    }
+}
+
 void Scheduler::advance(core::TimePoint now, std::int64_t wallMs)
 {
     constexpr core::Duration sweepInterval = std::chrono::milliseconds{50};
+    /** Well below the timeouts of stops and of stalled runs. */
+    constexpr core::Duration taskSweepInterval = std::chrono::milliseconds{200};
     constexpr core::Duration measureInterval = std::chrono::milliseconds{40};
     if (now - m_sweptAt >= sweepInterval) {
         m_sweptAt = now;
         sweepWorkers(now);
+    }
+    if (now - m_tasksSweptAt >= taskSweepInterval) {
+        m_tasksSweptAt = now;
         sweepTasks(now);
     }
     for (const std::string &id : m_restored) {
@@ -210,25 +247,17 @@
         }
     }
     m_restored.clear();
-    for (std::pair<const std::string, JobEntry> &item : m_jobs) {
-        const std::int64_t before = item.second.nextOccurrence;
-        if (!isFinal(item.second.state) && before < std::max<std::int64_t>(item.second.job.repeatCount, 1)) {
-            openDueOccurrences(item.second, wallMs);
-        }
-        if (before != item.second.nextOccurrence) {
-            m_placementDue = true;
-            if (item.second.job.repeatCount > 0) {
-                markChanged(item.second);
-            }
-        }
-    }
+    openOccurrences(wallMs);
     removeEndedJobs();
     if (now - m_loadsAt >= measureInterval) {
         m_loadsAt = now;
         m_loads = measureLoads(now, wallMs);
     }
     constexpr core::Duration maxPlacementInterval = std::chrono::milliseconds{100};
-    if (m_placementDue || now - m_lastPlacement >= maxPlacementInterval) {
+    // A placement examines each job, so that with many jobs it would take up all of the time if every event caused one.
+    constexpr core::Duration placementIntervalPerJob = std::chrono::microseconds{5};
+    const core::Duration interval = std::min(maxPlacementInterval, placementIntervalPerJob * static_cast<std::int64_t>(m_jobs.size()));
+    if (now - m_lastPlacement >= (m_placementDue ? interval : maxPlacementInterval)) {
         m_placementDue = false;
         m_lastPlacement = now;
         place(now, wallMs);
--- a/src/oleanderwick/jobs/maintenance_controller.cpp
+++ b/src/oleanderwick/jobs/maintenance_controller.cpp
@@ -192,7 +192,23 @@
     }
 }
 
-double MaintenanceController::drainCost(const InstanceEntry &instance, const Scheduler &scheduler) const
+std::map<std::string, MaintenanceController::PoolAvailability> MaintenanceController::measurePools(const Scheduler &scheduler) const
+{
+    std::map<std::string, PoolAvailability> pools;
+    for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
+        PoolAvailability &pool = pools[item.second.pool];
+        pool.size += 1.0;
+        const auto worker = scheduler.workers().find(item.second.worker);
+        const bool available = worker != scheduler.workers().end() && worker->second.registered && !worker->second.cordoned && !worker->second.entry.draining;
+        pool.unavailable += available ? 0.0 : 1.0;
+    }
+    for (std::pair<const std::string, PoolAvailability> &pool : pools) {
+        pool.second.utilization = scheduler.cpuUtilization(pool.first);
+    }
+    return pools;
+}
+
+double MaintenanceController::drainCost(const InstanceEntry &instance, const PoolAvailability &pool, const Scheduler &scheduler)
 {
     constexpr double unavailableWeight = 10.0;
     constexpr double utilizationWeight = 5.0;
@@ -200,26 +216,15 @@
         // An instance on standby is off, so draining it takes no capacity away.
         return 0.0;
     }
-    double unavailable = 0.0;
-    double size = 0.0;
-    for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
-        if (item.second.pool != instance.pool) {
-            continue;
-        }
-        size += 1.0;
-        const auto worker = scheduler.workers().find(item.second.worker);
-        const bool available = worker != scheduler.workers().end() && worker->second.registered && !worker->second.cordoned && !worker->second.entry.draining;
-        unavailable += available ? 0.0 : 1.0;
-    }
     const auto worker = scheduler.workers().find(instance.worker);
     const double runs = worker == scheduler.workers().end() ? 0.0 : static_cast<double>(worker->second.runs.size());
-    const double unavailableShare = size > 0.0 ? unavailable / size : 0.0;
+    const double unavailableShare = pool.size > 0.0 ? pool.unavailable / pool.size : 0.0;
     // Draining an instance whose worker is unregistered or cordoned costs no further capacity, so the limit applies only to the others.
     const bool uncordoned = worker != scheduler.workers().end() && worker->second.registered && !worker->second.cordoned;
-    if (uncordoned && unavailable > 0.0 && (unavailable + 1.0) / size > internal::maxUnavailableShare) {
+    if (uncordoned && pool.unavailable > 0.0 && (pool.unavailable + 1.0) / pool.size > internal::maxUnavailableShare) {
         return -1.0;
     }
-    return unavailableWeight * unavailableShare + utilizationWeight * scheduler.cpuUtilization(instance.pool) + runs;
+    return unavailableWeight * unavailableShare + utilizationWeight * pool.utilization + runs;
 }
 
 std::size_t MaintenanceController::maxOutOfService(const WaveState &state, std::int64_t wallMs) const
@@ -248,12 +253,13 @@
     while (countPhase(state, Phase::Draining) + countPhase(state, Phase::CommandSent) + countPhase(state, Phase::Down) < limit) {
         std::string best;
         double bestCost = 0.0;
+        const std::map<std::string, PoolAvailability> pools = measurePools(scheduler);
         for (const std::pair<const std::string, Member> &member : state.members) {
             const InstanceEntry *entry = findInstance(member.first);
             if (member.second.phase != Phase::Pending || entry == nullptr || entry->state != InstanceState::Up) {
                 continue;
             }
-            const double cost = drainCost(*entry, scheduler);
+            const double cost = drainCost(*entry, pools.at(entry->pool), scheduler);
             if (cost >= 0.0 && (best.empty() || cost < bestCost)) {
                 best = member.first;
                 bestCost = cost;
--- a/src/oleanderwick/jobs/maintenance_controller.hpp
+++ b/src/oleanderwick/jobs/maintenance_controller.hpp
@@ -161,8 +161,14 @@
     [[nodiscard]] std::size_t maxOutOfService(const WaveState &state, std::int64_t wallMs) const;
     [[nodiscard]] const InstanceEntry *findInstance(const std::string &id) const;
     [[nodiscard]] std::size_t countPhase(const WaveState &state, Phase phase) const;
+    struct PoolAvailability {
+        double size{0.0}; /**< Number of instances. */
+        double unavailable{0.0}; /**< Number of instances whose worker takes no new work. */
+        double utilization{0.0}; /**< See `Scheduler::cpuUtilization`. */
+    };
+    [[nodiscard]] std::map<std::string, PoolAvailability> measurePools(const Scheduler &scheduler) const;
     /** Cost of draining an instance now, without unit; negative if too much of its pool would be out of service. */
-    [[nodiscard]] double drainCost(const InstanceEntry &instance, const Scheduler &scheduler) const;
+    [[nodiscard]] static double drainCost(const InstanceEntry &instance, const PoolAvailability &pool, const Scheduler &scheduler);
     void finishIfComplete(WaveState &state);
 
     const CommandDelay &m_commandDelay;
--- a/src/oleanderwick/jobs/orders.hpp
+++ b/src/oleanderwick/jobs/orders.hpp
@@ -66,6 +66,14 @@
     std::string job;
     std::uint64_t version{0};
     JobRecord record;
+    std::string queue;
+    bool leavesQueue{false}; /**< The job is stored as queued, or not at all, and has started or ended since. */
+
+    /** @return Number of conditions, writes and removals that storing it takes. */
+    [[nodiscard]] std::size_t storeEntries() const noexcept
+    {
+        return leavesQueue ? 3 : 2;
+    }
 };
 
 /** @brief Capacity and demand of a pool; amounts of CPU are in thousandths of a core. */
--- a/src/oleanderwick/jobs/placement.cpp
+++ b/src/oleanderwick/jobs/placement.cpp
@@ -67,6 +67,8 @@
 {
     const auto queue = m_config.queues.find(entry.job.queue);
     const std::int64_t priority = queue == m_config.queues.end() ? 0 : queue->second.priority;
+    // Advice is requested ahead of a placement, so also while there is no room.
+    const bool needsTicket = queue != m_config.queues.end() && queue->second.needsTicket;
     for (std::pair<const std::int64_t, Occurrence> &item : entry.occurrences) {
         Occurrence &occurrence = item.second;
         if (occurrence.remainingSteps == 0) {
@@ -75,6 +77,9 @@
         double slack = 0.0;
         bool measured = false;
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (!needsTicket && !mayFit(entry.job.pool, demandOf(entry.job.steps[step]))) {
+                continue;
+            }
             const std::vector<Task> &tasks = occurrence.steps[step].tasks;
             const bool waiting = occurrence.steps[step].remaining > 0 && std::any_of(tasks.begin(), tasks.end(), [now](const Task &task) {
                                      return task.phase == TaskPhase::Waiting && !task.record.done && task.notBefore <= now;
@@ -85,7 +90,7 @@
                     slack = slackMs(entry, occurrence, wallMs);
                 }
                 const bool continuous = entry.job.steps[step].continuous;
-                const Rank timely = entry.state == JobState::Queued ? Rank::Timely : Rank::InProgress;
+                const Rank timely = entry.state == JobState::Queued && entry.activeTasks == 0 ? Rank::Timely : Rank::InProgress;
                 const Rank rank = continuous || slack >= 0 ? timely : Rank::Late;
                 const double submittedMs = static_cast<double>(entry.job.submittedMs);
                 found.push_back(Candidate{&entry, item.first, step, continuous ? -1 : priority, rank, slack, rank == Rank::Late ? submittedMs : slack});
@@ -133,15 +138,25 @@
 void Scheduler::indexWorkers()
 {
     m_poolWorkers.clear();
+    m_poolRoom.clear();
     m_unplaceable.clear();
     for (std::pair<const std::string, Worker> &item : m_workers) {
         const Worker &worker = item.second;
         if (worker.isSchedulable() && worker.reported && worker.clockMs > 0) {
             m_poolWorkers[worker.entry.pool].push_back(&item.second);
+            const Resources room = worker.entry.capacity - worker.used;
+            Resources &largest = m_poolRoom[worker.entry.pool];
+            largest = Resources{std::max(largest.cpu, room.cpu), std::max(largest.memory, room.memory), std::max(largest.gpu, room.gpu)};
         }
     }
 }
 
+bool Scheduler::mayFit(const std::string &pool, const Resources &demand) const
+{
+    const auto room = m_poolRoom.find(pool);
+    return room != m_poolRoom.end() && fits(demand, room->second);
+}
+
 bool Scheduler::isUnplaceable(const std::string &pool, const Resources &demand) const
 {
     const auto known = m_unplaceable.find(pool);
@@ -170,19 +185,28 @@
 {
     const Step &step = candidate.entry->job.steps[candidate.step];
     std::vector<Task> &tasks = candidate.entry->occurrences[candidate.occurrence].steps[candidate.step].tasks;
+    std::string placed;
+    Choices choices;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         Task &task = tasks[index];
         if (task.phase != TaskPhase::Waiting || task.record.done || task.notBefore > now) {
             continue;
         }
-        if (!isWithinTeamLimit(*candidate.entry, step.each)) {
-            return;
-        }
-        Worker *worker = chooseWorker(candidate, step, now);
+        Worker *worker = isWithinTeamLimit(*candidate.entry, step.each) ? chooseWorker(candidate, step, choices, now) : nullptr;
         if (worker == nullptr) {
-            return;
+            break;
         }
         startTask(candidate, index, *worker, task.record.lastRun + 1, now);
+        absl::StrAppend(&placed, placed.empty() ? "" : ",", index, ":", worker->entry.id, ":", task.run);
+    }
+    logPlacement(candidate, placed);
+}
+
+void Scheduler::logPlacement(const Candidate &candidate, const std::string &placed)
+{
+    if (!placed.empty()) {
+        const TaskName first{candidate.entry->job.id, candidate.occurrence, candidate.step, 0};
+        logDecision("step_placed", toText(first), "", absl::StrCat("runs=", placed, " slack_ms=", std::llround(candidate.slackMs)));
     }
 }
 
@@ -206,8 +230,10 @@
     }
     // Places task by task and rolls back if one of them does not fit.
     const std::size_t before = m_commands.starts.size();
+    std::string placements;
+    Choices choices;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
-        Worker *worker = chooseWorker(candidate, step, now);
+        Worker *worker = chooseWorker(candidate, step, choices, now);
         if (worker == nullptr) {
             m_commands.starts.resize(before);
             for (std::size_t placed = 0; placed < index; ++placed) {
@@ -218,7 +244,9 @@
         }
         tasks[index].record.checkpoint = checkpoint;
         startTask(candidate, index, *worker, run, now);
+        absl::StrAppend(&placements, placements.empty() ? "" : ",", index, ":", worker->entry.id, ":", run);
     }
+    logPlacement(candidate, placements);
 }
 
 bool Scheduler::isWithinTeamLimit(const JobEntry &entry, const Resources &demand) const
@@ -316,31 +344,49 @@
     return cost + internal::failureCost * static_cast<double>(worker.consecutiveFailures);
 }
 
-Worker *Scheduler::chooseWorker(const Candidate &candidate, const Step &step, core::TimePoint now)
+void Scheduler::listChoices(const Candidate &candidate, const Step &step, Choices &choices, core::TimePoint now)
 {
     const std::string &pool = candidate.entry->job.pool;
     const Resources demand = demandOf(step);
-    if (isUnplaceable(pool, demand)) {
-        return nullptr;
-    }
-    Worker *best = nullptr;
-    double bestCost = std::numeric_limits<double>::max();
     bool fitsSomewhere = false;
+    choices.workers.clear();
     for (Worker *worker : m_poolWorkers[pool]) {
-        fitsSomewhere = fitsSomewhere || fits(demand, worker->entry.capacity - worker->used);
-        if (!canPlace(*worker, candidate, step, now)) {
+        if (!fits(demand, worker->entry.capacity - worker->used)) {
             continue;
         }
-        const double cost = placementCost(*worker, candidate, step);
-        if (cost < bestCost) {
-            best = worker;
-            bestCost = cost;
+        fitsSomewhere = true;
+        if (canPlace(*worker, candidate, step, now)) {
+            choices.workers.push_back(Choice{worker, placementCost(*worker, candidate, step)});
         }
     }
     if (!fitsSomewhere) {
         m_unplaceable[pool].push_back(demand);
     }
-    return best;
+}
+
+Worker *Scheduler::chooseWorker(const Candidate &candidate, const Step &step, Choices &choices, core::TimePoint now)
+{
+    constexpr double excluded = std::numeric_limits<double>::max();
+    if (isUnplaceable(candidate.entry->job.pool, demandOf(step))) {
+        return nullptr;
+    }
+    if (!choices.listed || step.sameRack) {
+        // With `sameRack`, the cost of each worker depends on the workers chosen before.
+        listChoices(candidate, step, choices, now);
+        choices.listed = true;
+    } else if (choices.last < choices.workers.size()) {
+        // Of all workers, only the last one chosen has changed.
+        Choice &last = choices.workers[choices.last];
+        last.cost = canPlace(*last.worker, candidate, step, now) ? placementCost(*last.worker, candidate, step) : excluded;
+    }
+    const auto best = std::min_element(choices.workers.begin(), choices.workers.end(), [](const Choice &left, const Choice &right) {
+        return left.cost < right.cost;
+    });
+    if (best == choices.workers.end() || best->cost == excluded) {
+        return nullptr;
+    }
+    choices.last = static_cast<std::size_t>(best - choices.workers.begin());
+    return best->worker;
 }
 
 void Scheduler::startTask(const Candidate &candidate, std::size_t index, Worker &worker, std::int64_t run, core::TimePoint now)
@@ -358,12 +404,7 @@
     if (wasIdle) {
         worker.nextPollAt = now + std::chrono::milliseconds{50};
     }
-    logDecision("run_ordered",
-                toText(name),
-                worker.entry.id,
-                absl::StrCat("run=", run, " slack_ms=", std::llround(candidate.slackMs), " free_cpu=", worker.entry.capacity.cpu - worker.used.cpu));
     m_commands.starts.push_back(std::move(command));
-    markStarted(entry);
 }
 
 const std::string *Scheduler::ticketFor(const StepName &step, const std::string &worker, core::TimePoint now) const
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -33,6 +33,10 @@
 {
     m_instances = instances;
     m_listRequestedAt = requestedAt;
+    m_instancesByPool.clear();
+    for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
+        m_instancesByPool[item.second.pool].push_back(&item.second);
+    }
     std::erase_if(m_moves, [this](const std::pair<const std::string, InstanceMove> &item) {
         const auto entry = m_instances.find(item.first);
         const bool gone = entry == m_instances.end();
@@ -207,11 +211,14 @@
                                             const std::string &to,
                                             const Scheduler &scheduler,
                                             const MaintenanceController &maintenance,
-                                            core::TimePoint now) const
+                                            core::TimePoint now)
 {
-    for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
-        const InstanceEntry &instance = item.second;
-        if (instance.pool != pool || !canMove(instance, to, maintenance, now)) {
+    if (m_noneIdle.contains({pool, to})) {
+        return nullptr;
+    }
+    for (const InstanceEntry *candidate : m_instancesByPool[pool]) {
+        const InstanceEntry &instance = *candidate;
+        if (!canMove(instance, to, maintenance, now)) {
             continue;
         }
         if (scheduler.isStandby(pool)) {
@@ -223,6 +230,7 @@
             return &instance;
         }
     }
+    m_noneIdle.emplace(pool, to);
     return nullptr;
 }
 
@@ -230,21 +238,27 @@
                                                  const std::string &to,
                                                  const Scheduler &scheduler,
                                                  const MaintenanceController &maintenance,
-                                                 core::TimePoint now) const
+                                                 core::TimePoint now)
 {
+    if (m_noneDrainable.contains({pool, to})) {
+        return nullptr;
+    }
     const InstanceEntry *best = nullptr;
     std::size_t bestRuns = 0;
-    for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
-        const auto worker = scheduler.workers().find(item.second.worker);
-        if (item.second.pool != pool || worker == scheduler.workers().end() || !canMove(item.second, to, maintenance, now)) {
+    for (const InstanceEntry *instance : m_instancesByPool[pool]) {
+        const auto worker = scheduler.workers().find(instance->worker);
+        if (worker == scheduler.workers().end() || !canMove(*instance, to, maintenance, now)) {
             continue;
         }
-        const bool usable = worker->second.isSchedulable() && worker->second.reported && !scheduler.runsContinuous(worker->second);
-        if (usable && (best == nullptr || worker->second.runs.size() < bestRuns)) {
-            best = &item.second;
+        const bool fewer = best == nullptr || worker->second.runs.size() < bestRuns;
+        if (fewer && worker->second.isSchedulable() && worker->second.reported && !scheduler.runsContinuous(worker->second)) {
+            best = instance;
             bestRuns = worker->second.runs.size();
         }
     }
+    if (best == nullptr) {
+        m_noneDrainable.emplace(pool, to);
+    }
     return best;
 }
 
@@ -402,6 +416,8 @@
     if (m_instances.empty()) {
         return;
     }
+    m_noneIdle.clear();
+    m_noneDrainable.clear();
     countInstances(scheduler, now);
     updateNeeds(scheduler, now);
     advanceDrains(scheduler, maintenance, now);
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -147,12 +147,12 @@
                                                 const std::string &to,
                                                 const Scheduler &scheduler,
                                                 const MaintenanceController &maintenance,
-                                                core::TimePoint now) const;
+                                                core::TimePoint now);
     [[nodiscard]] const InstanceEntry *findDrainable(const std::string &pool,
                                                      const std::string &to,
                                                      const Scheduler &scheduler,
                                                      const MaintenanceController &maintenance,
-                                                     core::TimePoint now) const;
+                                                     core::TimePoint now);
     void startDrain(const InstanceEntry &instance, const std::string &to, Scheduler &scheduler, core::TimePoint now);
     void commandMove(const InstanceEntry &instance, const std::string &to, Scheduler &scheduler, core::TimePoint now);
     /** Counts an instance for another pool; standby pools are not counted. */
@@ -161,6 +161,14 @@
     BalancingPolicy m_policy;
     const CommandDelay &m_commandDelay;
     std::map<std::string, InstanceEntry> m_instances;
+    std::map<std::string, std::vector<const InstanceEntry *>> m_instancesByPool; /**< Entries of `m_instances`. */
+    /** @name Pairs of a pool and a destination between which nothing can be moved
+     * Valid during `advance`: one search of each kind suffices, since no worker becomes idle meanwhile.
+     */
+    /** @{ */
+    std::set<std::pair<std::string, std::string>> m_noneIdle;
+    std::set<std::pair<std::string, std::string>> m_noneDrainable;
+    /** @} */
     core::TimePoint m_listRequestedAt;
     core::TimePoint m_balancedAt;
     std::map<std::string, PoolState> m_pools;
--- a/src/oleanderwick/jobs/ports.hpp
+++ b/src/oleanderwick/jobs/ports.hpp
@@ -134,6 +134,14 @@
     WorkerReport report;
 };
 
+/** @brief Permission of an owner to send a command. */
+struct CommandPermit {
+    std::int64_t token{0}; /**< Fencing token of the owner. */
+    core::TimePoint sendBefore{core::TimePoint::max()}; /**< Time at which the permission runs out; a command that was not sent by then is not sent any more. */
+
+    [[nodiscard]] bool operator==(const CommandPermit &) const = default;
+};
+
 /** @brief Sends commands to workers. Calls do not block; each invokes its callback, if it has one, once on the event loop's thread. */
 class WorkerPort
 {
@@ -143,33 +151,33 @@
     /**
      * @brief Starts a run.
      * @param command Worker, run and lease.
-     * @param token Fencing token of the owner.
+     * @param permit Permission of the owner to send the command.
      * @param onReply Receives the reply.
      */
-    virtual void start(const StartCommand &command, std::int64_t token, std::function<void(StartReply)> onReply) = 0;
+    virtual void start(const StartCommand &command, const CommandPermit &permit, std::function<void(StartReply)> onReply) = 0;
 
     /**
      * @brief Stops a run.
      * @param command Worker and run.
-     * @param token Fencing token of the owner.
+     * @param permit Permission of the owner to send the command.
      * @param onReply Receives true if the worker acknowledged the stop.
      */
-    virtual void stop(const StopCommand &command, std::int64_t token, std::function<void(bool)> onReply) = 0;
+    virtual void stop(const StopCommand &command, const CommandPermit &permit, std::function<void(bool)> onReply) = 0;
 
     /**
      * @brief Sets the pace of a run.
      * @param command Worker, run and share of time.
-     * @param token Fencing token of the owner.
+     * @param permit Permission of the owner to send the command.
      */
-    virtual void pace(const PaceCommand &command, std::int64_t token) = 0;
+    virtual void pace(const PaceCommand &command, const CommandPermit &permit) = 0;
 
     /**
      * @brief Polls a worker, which may extend its lease.
      * @param command Worker, lease and acknowledged run ends.
-     * @param token Fencing token of the owner.
+     * @param permit Permission of the owner to send the command.
      * @param onReply Receives the worker's report, or why there is none.
      */
-    virtual void poll(const PollCommand &command, std::int64_t token, std::function<void(PollReply)> onReply) = 0;
+    virtual void poll(const PollCommand &command, const CommandPermit &permit, std::function<void(PollReply)> onReply) = 0;
 };
 
 /** @brief The platform's instances. Calls do not block; each invokes its callback once, on the event loop's thread. */
@@ -189,18 +197,18 @@
     /**
      * @brief Starts the maintenance of an instance.
      * @param command Wave and instance.
-     * @param token Fencing token of the owner.
+     * @param permit Permission of the owner to send the command.
      * @param onReply Receives the outcome.
      */
-    virtual void maintain(const MaintainCommand &command, std::int64_t token, std::function<void(InstanceOutcome)> onReply) = 0;
+    virtual void maintain(const MaintainCommand &command, const CommandPermit &permit, std::function<void(InstanceOutcome)> onReply) = 0;
 
     /**
      * @brief Moves an instance to another pool.
      * @param command Instance and pools.
-     * @param token Fencing token of the owner.
+     * @param permit Permission of the owner to send the command.
      * @param onReply Receives the outcome.
      */
-    virtual void move(const MoveCommand &command, std::int64_t token, std::function<void(InstanceOutcome)> onReply) = 0;
+    virtual void move(const MoveCommand &command, const CommandPermit &permit, std::function<void(InstanceOutcome)> onReply) = 0;
 };
 
 /** @brief Reply of the advice service. */
--- a/src/oleanderwick/jobs/runs.cpp
+++ b/src/oleanderwick/jobs/runs.cpp
@@ -46,7 +46,7 @@
     worker.used = worker.used + demandOf(step);
     m_teamUse[entry.job.team] = m_teamUse[entry.job.team] + step.each;
     ++entry.activeTasks;
-    m_usedWorkers[worker.entry.id] = worker.entry.pool;
+    setUsed(worker.entry.id, worker.entry.pool);
 }
 
 void Scheduler::detach(JobEntry &entry, const TaskName &name, Task &task)
@@ -143,6 +143,7 @@
     }
     updateQuarantine(worker, end.kind, now);
     if (!isFinal(entry->state)) {
+        markStarted(*entry);
         if (end.kind == RunEndKind::Done) {
             handleSuccess(*entry, end.task, wallMs, now);
         } else if (end.kind == RunEndKind::Failed) {
@@ -151,6 +152,7 @@
     }
     markChanged(*entry);
     worker.pendingEnds.push_back(PendingEnd{end.number, entry->job.id, entry->version});
+    m_unstoredEnds.insert(worker.entry.id);
 }
 
 void Scheduler::handleSuccess(JobEntry &entry, const TaskName &name, std::int64_t wallMs, core::TimePoint now)
@@ -317,12 +319,12 @@
     if (!task->isActive() && (entry->predatesTerm || reported.run >= task->record.lastRun)) {
         attach(*entry, reported.task, *task, worker, reported.run, TaskPhase::Running, now);
         logDecision("run_adopted", toText(reported.task), worker.entry.id, absl::StrCat("run=", reported.run, " percent=", reported.percent));
-        markStarted(*entry);
     }
     if (!task->isActive() || task->worker != worker.entry.id || task->run != reported.run) {
         issueStop(worker, reported.task, reported.run);
         return;
     }
+    markStarted(*entry);
     if (task->phase == TaskPhase::Starting || task->phase == TaskPhase::Uncertain) {
         task->phase = TaskPhase::Running;
         task->since = now;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -57,10 +57,14 @@
     }
     // A worker does not stop draining within an incarnation, so a later entry without the flag counts as out of date.
     const bool draining = entry.draining || (worker.entry.draining && !isNewIncarnation);
-    worker.entry = entry;
-    worker.entry.draining = draining;
-    worker.registered = true;
-    m_placementDue = true;
+    WorkerEntry updated = entry;
+    updated.draining = draining;
+    // Most entries are heartbeats, which change nothing here.
+    if (!worker.registered || worker.entry != updated) {
+        worker.entry = std::move(updated);
+        worker.registered = true;
+        m_placementDue = true;
+    }
 }
 
 void Scheduler::unregisterWorker(const std::string &id)
@@ -79,7 +83,16 @@
         worker.entry.id = id;
         worker.entry.pool = pool;
     }
-    m_usedWorkers[id] = pool;
+    setUsed(id, pool);
+}
+
+void Scheduler::setUsed(const std::string &id, const std::string &pool)
+{
+    const auto known = m_usedWorkers.find(id);
+    if (known == m_usedWorkers.end() || known->second != pool) {
+        m_usedWorkers.insert_or_assign(id, pool);
+        ++m_usedWorkersVersion;
+    }
 }
 
 void Scheduler::addJob(Job job, const std::optional<JobRecord> &record, bool predatesTerm, core::TimePoint now)
@@ -110,6 +123,7 @@
     });
     if (record.has_value()) {
         entry.state = record->state;
+        entry.storedState = record->state;
         entry.nextOccurrence = record->nextOccurrence;
         for (const std::pair<const std::int64_t, std::vector<std::vector<TaskRecord>>> &saved : record->occurrences) {
             openOccurrence(entry, saved.first, &saved.second);
@@ -118,6 +132,7 @@
     } else if (!predatesTerm) {
         recordArrival(entry.job, now);
     }
+    m_unopened.insert(entry.job.id);
     const auto cancelled = m_earlyCancels.find(entry.job.id);
     if (cancelled != m_earlyCancels.end()) {
         endJob(entry, JobState::Cancelled, cancelled->second, now);
@@ -270,6 +285,7 @@
     }
     m_placementDue = true;
     if (outcome == StartOutcome::Started) {
+        markStarted(*entry);
         if (task->phase == TaskPhase::Starting) {
             task->phase = TaskPhase::Running;
             task->since = now;
@@ -343,7 +359,7 @@
     m_placementDue = true;
 }
 
-void Scheduler::handleSaved(const std::string &id, std::uint64_t version, bool stored)
+void Scheduler::recordSaved(const std::string &id, std::uint64_t version, bool stored)
 {
     JobEntry *entry = findEntry(id);
     if (entry == nullptr) {
@@ -352,6 +368,7 @@
     entry->savingVersion = 0;
     if (stored) {
         entry->savedVersion = std::max(entry->savedVersion, version);
+        entry->storedState = entry->savingState;
     }
     if (entry->savedVersion < entry->version) {
         m_unsaved.insert(id);
@@ -359,9 +376,20 @@
             m_unsavedEnds.insert(id);
         }
     }
-    for (std::pair<const std::string, Worker> &worker : m_workers) {
-        advanceAcks(worker.second);
+}
+
+void Scheduler::handleSaved(const std::string &job, std::uint64_t version, bool stored)
+{
+    recordSaved(job, version, stored);
+    advanceAllAcks();
+}
+
+void Scheduler::handleSaved(const std::vector<SaveRequest> &saves, bool stored)
+{
+    for (const SaveRequest &request : saves) {
+        recordSaved(request.job, request.version, stored);
     }
+    advanceAllAcks();
 }
 
 Commands Scheduler::takeCommands()
@@ -378,10 +406,12 @@
     return decisions;
 }
 
-std::vector<SaveRequest> Scheduler::takeSaves(std::size_t maxCount)
+std::vector<SaveRequest> Scheduler::takeSaves(std::size_t maxEntries)
 {
     std::vector<SaveRequest> saves;
-    while (saves.size() < maxCount && !m_unsaved.empty()) {
+    constexpr std::size_t maxEntriesPerSave = 3;
+    std::size_t entries = 0;
+    while (entries + maxEntriesPerSave <= maxEntries && !m_unsaved.empty()) {
         std::set<std::string> &first = m_unsavedEnds.empty() ? m_unsaved : m_unsavedEnds;
         const std::string id = *first.begin();
         m_unsavedEnds.erase(id);
@@ -391,7 +421,10 @@
             continue;
         }
         entry->savingVersion = entry->version;
-        SaveRequest save{id, entry->version, JobRecord{entry->state, entry->endedMs, {}, entry->nextOccurrence}};
+        entry->savingState = entry->state;
+        SaveRequest save{id, entry->version, JobRecord{entry->state, entry->endedMs, {}, entry->nextOccurrence}, entry->job.queue, false};
+        save.leavesQueue = entry->storedState == JobState::Queued && entry->state != JobState::Queued;
+        entries += save.storeEntries();
         if (!isFinal(entry->state)) {
             for (const std::pair<const std::int64_t, Occurrence> &occurrence : entry->occurrences) {
                 std::vector<std::vector<TaskRecord>> &steps = save.record.occurrences[occurrence.first];
@@ -408,17 +441,6 @@
     return saves;
 }
 
-std::map<std::string, std::int64_t> Scheduler::pendingByQueue() const
-{
-    std::map<std::string, std::int64_t> pending;
-    for (const std::pair<const std::string, JobEntry> &entry : m_jobs) {
-        if (entry.second.state == JobState::Queued) {
-            ++pending[entry.second.job.queue];
-        }
-    }
-    return pending;
-}
-
 bool Scheduler::hasUnsaved() const noexcept
 {
     return !m_unsaved.empty();
@@ -440,6 +462,11 @@
     return found == m_jobs.end() ? nullptr : &found->second;
 }
 
+std::uint64_t Scheduler::usedWorkersVersion() const noexcept
+{
+    return m_usedWorkersVersion;
+}
+
 const std::map<std::string, std::string> &Scheduler::usedWorkers() const noexcept
 {
     return m_usedWorkers;
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -149,6 +149,13 @@
      */
     void handleSaved(const std::string &job, std::uint64_t version, bool stored);
 
+    /**
+     * @brief Handles the result of saves that were stored, or not, together.
+     * @param saves Requests that were taken.
+     * @param stored True if the states are durable.
+     */
+    void handleSaved(const std::vector<SaveRequest> &saves, bool stored);
+
     /**
      * @brief Cordons a worker, so that it gets no new work, or lifts the cordon; clears a pending maintenance.
      * @param id Name of the worker; ignored if unknown.
@@ -191,18 +198,15 @@
 
     /**
      * @brief Collects states that are to be stored; the result of each must be passed to `handleSaved`.
-     * @param maxCount Maximum number of states.
+     * @param maxEntries Maximum sum of their `SaveRequest::storeEntries()`.
      * @return The states, those of ended jobs first.
      */
-    [[nodiscard]] std::vector<SaveRequest> takeSaves(std::size_t maxCount);
+    [[nodiscard]] std::vector<SaveRequest> takeSaves(std::size_t maxEntries);
 
     /** @} */
     /** @name Queries */
     /** @{ */
 
-    /** @return Number of queued jobs, for which no start was attempted yet, by queue. */
-    [[nodiscard]] std::map<std::string, std::int64_t> pendingByQueue() const;
-
     /** @return True if the state of a job needs to be stored and is not being stored. */
     [[nodiscard]] bool hasUnsaved() const noexcept;
 
@@ -255,6 +259,9 @@
     /** @return Load by pool, without standby pools, as last measured by `advance`. */
     [[nodiscard]] const std::map<std::string, PoolLoad> &poolLoads() const noexcept;
 
+    /** @return Number that changes with each change of `usedWorkers`. */
+    [[nodiscard]] std::uint64_t usedWorkersVersion() const noexcept;
+
     /** @return Pool by worker, for the workers that may have runs; a registered worker stays listed after its runs have ended. */
     [[nodiscard]] const std::map<std::string, std::string> &usedWorkers() const noexcept;
 
@@ -278,14 +285,29 @@
         double sortKey; /**< Sort key within a priority and rank; lower values are placed first. */
     };
 
+    struct Choice {
+        Worker *worker;
+        double cost; /**< See `placementCost`. */
+    };
+
+    /** Workers that can take a task of a step; kept while the tasks of the step are placed, so that they are examined once for all of them. */
+    struct Choices {
+        std::vector<Choice> workers;
+        std::size_t last{SIZE_MAX}; /**< Index of the worker chosen last. */
+        bool listed{false};
+    };
+
     [[nodiscard]] Task *findTask(const TaskName &name);
     [[nodiscard]] const Step *findStep(const TaskName &name) const;
     [[nodiscard]] JobEntry *findEntry(const std::string &id);
     [[nodiscard]] std::int64_t maxAttempts(const JobEntry &entry) const;
     void markChanged(JobEntry &entry);
+    void recordSaved(const std::string &id, std::uint64_t version, bool stored);
     void openOccurrence(JobEntry &entry, std::int64_t number, const std::vector<std::vector<TaskRecord>> *records);
     void openDueOccurrences(JobEntry &entry, std::int64_t wallMs);
+    void openOccurrences(std::int64_t wallMs);
 
+    void setUsed(const std::string &worker, const std::string &pool);
     void attach(JobEntry &entry, const TaskName &name, Task &task, Worker &worker, std::int64_t run, TaskPhase phase, core::TimePoint now);
     void detach(JobEntry &entry, const TaskName &name, Task &task);
     [[nodiscard]] Resources demandOf(const Step &step) const noexcept;
@@ -305,6 +327,7 @@
     void issueStop(Worker &worker, const TaskName &name, std::int64_t run);
     void stopTask(const TaskName &name, Task &task, core::TimePoint now);
     void removeEndedJobs();
+    /** Leaves the queued state; for a run that a worker has confirmed, as a start that was sent may be refused. */
     void markStarted(JobEntry &entry);
 
     [[nodiscard]] std::int64_t extendLease(Worker &worker, core::TimePoint now);
@@ -313,6 +336,8 @@
     /** Time by which all leases of previous owners have expired. */
     [[nodiscard]] core::TimePoint previousLeasesEnd() const noexcept;
     void advanceAcks(Worker &worker);
+    /** Releases the acknowledgements of run ends whose states are stored. */
+    void advanceAllAcks();
     void sweepWorkers(core::TimePoint now);
     void sweepTasks(core::TimePoint now);
     void paceBestEffort(Worker &worker, core::TimePoint now);
@@ -327,12 +352,17 @@
     void place(core::TimePoint now, std::int64_t wallMs);
     void placeStep(const Candidate &candidate, core::TimePoint now);
     void placeGang(const Candidate &candidate, core::TimePoint now);
+    /** Logs the runs that were placed for a step, given as `index:worker:run` separated by commas; nothing if there are none. */
+    void logPlacement(const Candidate &candidate, const std::string &placed);
     [[nodiscard]] std::map<std::string, PoolLoad> measureLoads(core::TimePoint now, std::int64_t wallMs) const;
     void addOccurrenceLoad(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, PoolLoad &load) const;
     [[nodiscard]] double slackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const;
     [[nodiscard]] bool isWithinTeamLimit(const JobEntry &entry, const Resources &demand) const;
-    [[nodiscard]] Worker *chooseWorker(const Candidate &candidate, const Step &step, core::TimePoint now);
+    void listChoices(const Candidate &candidate, const Step &step, Choices &choices, core::TimePoint now);
+    [[nodiscard]] Worker *chooseWorker(const Candidate &candidate, const Step &step, Choices &choices, core::TimePoint now);
     void indexWorkers();
+    /** Returns false if a demand certainly fits on no worker of a pool; valid during placement. */
+    [[nodiscard]] bool mayFit(const std::string &pool, const Resources &demand) const;
     [[nodiscard]] bool isUnplaceable(const std::string &pool, const Resources &demand) const;
     /** Returns true if a run on the worker was started after the worker's last failure. */
     [[nodiscard]] bool hasProbe(const Worker &worker) const;
@@ -358,12 +388,17 @@
     std::map<std::string, std::int64_t> m_earlyCancels; /**< Unix time of cancellation by job, for jobs that were cancelled before they were added. */
     std::set<std::string> m_restored; /**< Jobs added with a stored state, in which all tasks may be done while the job is not completed. */
     std::set<std::string> m_ended; /**< Ended jobs that await removal. */
+    std::set<std::string> m_unopened; /**< Jobs with occurrences that have not been opened. */
+    std::set<std::string> m_unstoredEnds; /**< Workers with run ends that are not stored. */
     std::map<std::string, std::string> m_usedWorkers;
+    std::uint64_t m_usedWorkersVersion{0};
     std::map<std::string, std::vector<Worker *>> m_poolWorkers; /**< Schedulable workers with a report and a known clock, by pool; valid during placement. */
+    std::map<std::string, Resources> m_poolRoom; /**< Largest free amount of each resource on one worker, by pool, at the start of a placement. */
     std::map<std::string, std::vector<Resources>> m_unplaceable; /**< Demands that fit on no worker, by pool; valid during placement. */
     std::map<std::string, PoolLoad> m_loads;
     core::TimePoint m_loadsAt;
     core::TimePoint m_sweptAt;
+    core::TimePoint m_tasksSweptAt;
     bool m_placementDue{true};
     core::TimePoint m_lastPlacement;
     Commands m_commands;
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -77,6 +77,8 @@
     std::uint64_t version{0}; /**< Incremented by each change that has to be stored. */
     std::uint64_t savedVersion{0}; /**< Highest version that is stored. */
     std::uint64_t savingVersion{0}; /**< Version whose save is in flight; 0 for none. */
+    JobState storedState{JobState::Queued}; /**< State in the store; a job without a stored state counts as queued. */
+    JobState savingState{JobState::Queued}; /**< State whose save is in flight. */
     bool predatesTerm{false}; /**< A previous owner may have started runs of the job. */
     std::int64_t activeTasks{0}; /**< Number of active tasks. */
     bool allSpeculative{false}; /**< All steps are speculative, so that duplicate runs are harmless. */
--- a/src/platform/service_clients.cpp
+++ b/src/platform/service_clients.cpp
@@ -97,24 +97,28 @@
                         });
 }
 
-void InstanceClient::sendCommand(const char *target, const std::string &body, std::int64_t token, std::function<void(jobs::InstanceOutcome)> onReply)
+void InstanceClient::sendCommand(const char *target,
+                                 const std::string &body,
+                                 const jobs::CommandPermit &permit,
+                                 std::function<void(jobs::InstanceOutcome)> onReply)
 {
     http::Exchange exchange = makeExchange(m_address, "POST", target, parseObject(body), internal::commandTimeout);
+    exchange.sendBefore = permit.sendBefore;
     exchange.request.headers.push_back({leaseHolderHeader, m_holder});
-    exchange.request.headers.push_back({fencingTokenHeader, absl::StrCat(token)});
+    exchange.request.headers.push_back({fencingTokenHeader, absl::StrCat(permit.token)});
     m_connections.start(std::move(exchange), [reply = std::move(onReply)](const http::ExchangeResult &result) {
         reply(internal::instanceOutcome(result));
     });
 }
 
-void InstanceClient::maintain(const jobs::MaintainCommand &command, std::int64_t token, std::function<void(jobs::InstanceOutcome)> onReply)
+void InstanceClient::maintain(const jobs::MaintainCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::InstanceOutcome)> onReply)
 {
-    this->sendCommand("/v1/machine-upkeep", json{{"machine", command.instance}, {"wave", command.wave}}.dump(), token, std::move(onReply));
+    this->sendCommand("/v1/machine-upkeep", json{{"machine", command.instance}, {"wave", command.wave}}.dump(), permit, std::move(onReply));
 }
 
-void InstanceClient::move(const jobs::MoveCommand &command, std::int64_t token, std::function<void(jobs::InstanceOutcome)> onReply)
+void InstanceClient::move(const jobs::MoveCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::InstanceOutcome)> onReply)
 {
-    this->sendCommand("/v1/machine-move", json{{"machine", command.instance}, {"pool", command.pool}}.dump(), token, std::move(onReply));
+    this->sendCommand("/v1/machine-move", json{{"machine", command.instance}, {"pool", command.pool}}.dump(), permit, std::move(onReply));
 }
 
 AdviceClient::AdviceClient(http::UpstreamConnections &connections, std::string address)
--- a/src/platform/service_clients.hpp
+++ b/src/platform/service_clients.hpp
@@ -22,11 +22,11 @@
     InstanceClient(http::UpstreamConnections &connections, std::string address, std::string holder);
 
     void list(std::function<void(std::optional<Instances>)> onReply) override;
-    void maintain(const jobs::MaintainCommand &command, std::int64_t token, std::function<void(jobs::InstanceOutcome)> onReply) override;
-    void move(const jobs::MoveCommand &command, std::int64_t token, std::function<void(jobs::InstanceOutcome)> onReply) override;
+    void maintain(const jobs::MaintainCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::InstanceOutcome)> onReply) override;
+    void move(const jobs::MoveCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::InstanceOutcome)> onReply) override;
 
 private:
-    void sendCommand(const char *target, const std::string &body, std::int64_t token, std::function<void(jobs::InstanceOutcome)> onReply);
+    void sendCommand(const char *target, const std::string &body, const jobs::CommandPermit &permit, std::function<void(jobs::InstanceOutcome)> onReply);
     void listPage(const std::string &page, const std::shared_ptr<Instances> &found, std::function<void(std::optional<Instances>)> onReply);
 
     http::UpstreamConnections &m_connections;
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -15,10 +15,23 @@
 constexpr core::Duration pollMargin = std::chrono::milliseconds{800};
 constexpr int otherIncarnationStatus = 421;
 
-http::Exchange makeCommand(const std::string &address, const std::string &worker, const char *target, const json &body, core::Duration timeout)
+/** Commands to one worker that are in flight at once; a new connection for each of many would cost more than waiting for the one before. */
+constexpr std::size_t maxConcurrentCommands = 2;
+
+http::Exchange makePoll(const std::string &address, const std::string &worker, const json &body, core::Duration timeout, core::TimePoint sendBefore)
+{
+    http::Exchange exchange = makeExchange(address, "POST", "/v1/hold", body, timeout);
+    exchange.request.headers.push_back({expectedWorkerHeader, worker});
+    exchange.sendBefore = sendBefore;
+    return exchange;
+}
+
+http::Exchange makeCommand(const std::string &address, const std::string &worker, const char *target, const json &body, core::TimePoint sendBefore)
 {
-    http::Exchange exchange = makeExchange(address, "POST", target, body, timeout);
+    http::Exchange exchange = makeExchange(address, "POST", target, body, commandTimeout);
     exchange.request.headers.push_back({expectedWorkerHeader, worker});
+    exchange.maxConcurrent = maxConcurrentCommands;
+    exchange.sendBefore = sendBefore;
     return exchange;
 }
 
@@ -79,48 +92,51 @@
 {
 }
 
-void WorkerClient::start(const jobs::StartCommand &command, std::int64_t token, std::function<void(jobs::StartReply)> onReply)
+void WorkerClient::start(const jobs::StartCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::StartReply)> onReply)
 {
-    json body{
-        {"task", jobs::toText(command.task)}, {"run", command.run}, {"spec", command.spec}, {"deadline_ms", command.deadlineMs}, {"fencing_token", token}};
+    json body{{"task", jobs::toText(command.task)},
+              {"run", command.run},
+              {"spec", command.spec},
+              {"deadline_ms", command.deadlineMs},
+              {"fencing_token", permit.token}};
     if (!command.checkpoint.empty()) {
         body["checkpoint"] = command.checkpoint;
     }
     if (!command.ticket.empty()) {
         body["ticket"] = command.ticket;
     }
-    m_connections.start(internal::makeCommand(command.address, command.worker, "/v1/run-start", body, internal::commandTimeout),
+    m_connections.start(internal::makeCommand(command.address, command.worker, "/v1/run-start", body, permit.sendBefore),
                         [reply = std::move(onReply)](const http::ExchangeResult &result) {
                             const json replyBody = parseObject(result.response.body);
                             reply(jobs::StartReply{internal::startOutcome(result, replyBody), readInteger(replyBody, "clock_ms")});
                         });
 }
 
-void WorkerClient::stop(const jobs::StopCommand &command, std::int64_t token, std::function<void(bool)> onReply)
+void WorkerClient::stop(const jobs::StopCommand &command, const jobs::CommandPermit &permit, std::function<void(bool)> onReply)
 {
-    const json body{{"task", jobs::toText(command.task)}, {"run", command.run}, {"fencing_token", token}};
-    m_connections.start(internal::makeCommand(command.address, command.worker, "/v1/run-stop", body, internal::commandTimeout),
+    const json body{{"task", jobs::toText(command.task)}, {"run", command.run}, {"fencing_token", permit.token}};
+    m_connections.start(internal::makeCommand(command.address, command.worker, "/v1/run-stop", body, permit.sendBefore),
                         [reply = std::move(onReply)](const http::ExchangeResult &result) {
                             reply(result.outcome == routing::ExchangeOutcome::Complete && result.response.status == 200);
                         });
 }
 
-void WorkerClient::pace(const jobs::PaceCommand &command, std::int64_t token)
+void WorkerClient::pace(const jobs::PaceCommand &command, const jobs::CommandPermit &permit)
 {
-    const json body{{"task", jobs::toText(command.task)}, {"run", command.run}, {"percent", command.percent}, {"fencing_token", token}};
-    m_connections.start(internal::makeCommand(command.address, command.worker, "/v1/pace", body, internal::commandTimeout), [](const http::ExchangeResult &) {
+    const json body{{"task", jobs::toText(command.task)}, {"run", command.run}, {"percent", command.percent}, {"fencing_token", permit.token}};
+    m_connections.start(internal::makeCommand(command.address, command.worker, "/v1/pace", body, permit.sendBefore), [](const http::ExchangeResult &) {
         // A lost command is not repeated; the worker keeps its old pace until the scheduler next changes the pace of the run.
     });
 }
 
-void WorkerClient::poll(const jobs::PollCommand &command, std::int64_t token, std::function<void(jobs::PollReply)> onReply)
+void WorkerClient::poll(const jobs::PollCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::PollReply)> onReply)
 {
-    json body{{"fencing_token", token}, {"ack_cursor", command.ackedEnd}, {"wait_ms", command.waitMs}};
+    json body{{"fencing_token", permit.token}, {"ack_cursor", command.ackedEnd}, {"wait_ms", command.waitMs}};
     if (command.deadlineMs > 0) {
         body["deadline_ms"] = command.deadlineMs;
     }
     const core::Duration timeout = std::chrono::milliseconds{command.waitMs} + internal::pollMargin;
-    m_connections.start(internal::makeCommand(command.address, command.worker, "/v1/hold", body, timeout),
+    m_connections.start(internal::makePoll(command.address, command.worker, body, timeout, permit.sendBefore),
                         [reply = std::move(onReply)](const http::ExchangeResult &result) {
                             jobs::PollReply pollReply;
                             if (result.outcome == routing::ExchangeOutcome::Complete && result.response.status == 200) {
--- a/src/platform/worker_client.hpp
+++ b/src/platform/worker_client.hpp
@@ -18,10 +18,10 @@
      */
     explicit WorkerClient(http::UpstreamConnections &connections);
 
-    void start(const jobs::StartCommand &command, std::int64_t token, std::function<void(jobs::StartReply)> onReply) override;
-    void stop(const jobs::StopCommand &command, std::int64_t token, std::function<void(bool)> onReply) override;
-    void pace(const jobs::PaceCommand &command, std::int64_t token) override;
-    void poll(const jobs::PollCommand &command, std::int64_t token, std::function<void(jobs::PollReply)> onReply) override;
+    void start(const jobs::StartCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::StartReply)> onReply) override;
+    void stop(const jobs::StopCommand &command, const jobs::CommandPermit &permit, std::function<void(bool)> onReply) override;
+    void pace(const jobs::PaceCommand &command, const jobs::CommandPermit &permit) override;
+    void poll(const jobs::PollCommand &command, const jobs::CommandPermit &permit, std::function<void(jobs::PollReply)> onReply) override;
 
 private:
     http::UpstreamConnections &m_connections;
--- a/test/emulator/judge.cpp
+++ b/test/emulator/judge.cpp
@@ -223,3 +223,23 @@
     waves.checker.maintenanceStarted("m1", 4, 3, waves.now);
     CHECK(waves.violatesOnly("too_many_down"));
 }
+
+TEST_CASE("a number of pending jobs below half of the jobs that wait violates an invariant", "[invariant_checker]")
+{
+    InvariantCheckerFixture fixture;
+    const core::TimePoint accepted = fixture.now;
+    fixture.checker.pendingReported("", 0, accepted + std::chrono::seconds{5}, accepted + std::chrono::seconds{5});
+    fixture.checker.pendingReported("", 1, accepted + std::chrono::seconds{6}, accepted + std::chrono::seconds{6});
+    CHECK(fixture.checker.violations().empty());
+    fixture.checker.pendingReported("", 0, accepted + std::chrono::seconds{6}, accepted + std::chrono::seconds{6});
+    CHECK(fixture.violatesOnly("pending_understated"));
+}
+
+TEST_CASE("a job that has started is not pending", "[invariant_checker]")
+{
+    InvariantCheckerFixture fixture;
+    const core::TimePoint asked = fixture.now + std::chrono::seconds{6};
+    fixture.start(fixture.makeRun());
+    fixture.checker.pendingReported("", 0, asked, asked);
+    CHECK(fixture.checker.violations().empty());
+}
--- a/test/oleanderwick/http/upstream_links.cpp
+++ b/test/oleanderwick/http/upstream_links.cpp
@@ -39,6 +39,23 @@
         return *result;
     }
 
+    /** Runs exchanges at the same time and returns their results in the order in which they ended. */
+    std::vector<http::ExchangeResult> sendTogether(const std::vector<http::Exchange> &exchanges)
+    {
+        std::vector<http::ExchangeResult> results;
+        for (const http::Exchange &exchange : exchanges) {
+            m_connections.start(exchange, [&](http::ExchangeResult ended) {
+                results.push_back(std::move(ended));
+                if (results.size() == exchanges.size()) {
+                    m_loop.stop();
+                }
+            });
+        }
+        m_loop.run();
+        m_loop.restart();
+        return results;
+    }
+
 private:
     http::Loop m_loop;
     http::UpstreamConnections m_connections{m_loop};
@@ -117,3 +134,58 @@
     }
     CHECK(upstream.connections() == 3);
 }
+
+TEST_CASE("UpstreamConnections sends nothing after the permission to send has run out", "[http]")
+{
+    RawUpstream upstream;
+    Sender sender;
+    http::Exchange exchange;
+    exchange.address = upstream.address();
+    exchange.request = http::Request{"GET", "/work", {}, ""};
+    exchange.requestId = "late";
+    exchange.timeout = std::chrono::seconds{20};
+    exchange.sendBefore = core::BootClock::now();
+    // The second exchange finds the connection of the first one idle.
+    for (int count = 0; count < 2; ++count) {
+        CHECK(sender.sendTogether({exchange})[0].outcome == ExchangeOutcome::NothingSent);
+    }
+    CHECK(upstream.maxRunsPerId() == 0);
+    exchange.sendBefore = core::TimePoint::max();
+    CHECK(sender.sendTogether({exchange})[0].outcome == ExchangeOutcome::Complete);
+}
+
+TEST_CASE("UpstreamConnections runs exchanges beyond the limit of an upstream one after another", "[http]")
+{
+    RawUpstream upstream;
+    Sender sender;
+    http::Exchange exchange;
+    exchange.address = upstream.address();
+    exchange.request = http::Request{"GET", "/work", {}, ""};
+    exchange.timeout = std::chrono::seconds{20};
+    exchange.maxConcurrent = 2;
+    for (const http::ExchangeResult &result : sender.sendTogether(std::vector<http::Exchange>(7, exchange))) {
+        CHECK(result.outcome == ExchangeOutcome::Complete);
+    }
+    CHECK(upstream.connections() == 2);
+}
+
+TEST_CASE("UpstreamConnections reports an exchange that waited in vain behind another one as not sent", "[http]")
+{
+    RawUpstream upstream;
+    upstream.setBehavior(Behavior::Silent);
+    Sender sender;
+    http::Exchange first;
+    first.address = upstream.address();
+    first.request = http::Request{"GET", "/work", {}, ""};
+    first.requestId = "first";
+    first.timeout = std::chrono::milliseconds{300};
+    first.maxConcurrent = 1;
+    http::Exchange second = first;
+    second.requestId = "second";
+    second.timeout = std::chrono::milliseconds{100};
+    const std::vector<http::ExchangeResult> results = sender.sendTogether({first, second});
+    CHECK(results[0].outcome == ExchangeOutcome::NothingSent);
+    CHECK(results[1].outcome == ExchangeOutcome::TimedOut);
+    upstream.setBehavior(Behavior::Answer);
+    CHECK(sender.sendTogether({first})[0].outcome == ExchangeOutcome::Complete);
+}
--- a/test/oleanderwick/jobnode/job_desk.cpp
+++ b/test/oleanderwick/jobnode/job_desk.cpp
@@ -44,6 +44,13 @@
         });
     }
 
+    jobnode::JobReply pending(const std::string &queue)
+    {
+        return call([this, &queue](core::TimePoint deadline, jobnode::JobService::OnReply onReply) {
+            service.pending(queue, deadline, std::move(onReply));
+        });
+    }
+
     jobnode::JobReply status()
     {
         return call([this](core::TimePoint deadline, jobnode::JobService::OnReply onReply) {
@@ -86,6 +93,27 @@
     CHECK(other.status().outcome == jobnode::JobCallOutcome::NotFound);
 }
 
+TEST_CASE("pending jobs are counted over all pages of the queue's markers", "[jobnode]")
+{
+    JobServiceFixture fixture;
+    jobs::StoreReply first = replyWith(jobs::StoreOutcome::Done);
+    first.items = {{"w/q/1", "1", 4}, {"w/q/2", "1", 5}};
+    first.more = true;
+    jobs::StoreReply second = replyWith(jobs::StoreOutcome::Done);
+    // The last marker belongs to the queue `q/r`.
+    second.items = {{"w/q/3", "1", 6}, {"w/q/r/4", "1", 7}};
+    fixture.store.replies = {first, second};
+    const jobnode::JobReply reply = fixture.pending("q");
+    CHECK(reply.outcome == jobnode::JobCallOutcome::Done);
+    CHECK(reply.pending == 3);
+}
+
+TEST_CASE("pending jobs are not said to be none while the store does not answer", "[jobnode]")
+{
+    JobServiceFixture fixture;
+    CHECK(fixture.pending("q").outcome == jobnode::JobCallOutcome::Unknown);
+}
+
 TEST_CASE("job metrics are written in the Prometheus text format", "[jobnode]")
 {
     jobnode::JobMetrics metrics;
--- a/test/oleanderwick/jobs/scheduler.cpp
+++ b/test/oleanderwick/jobs/scheduler.cpp
@@ -486,3 +486,54 @@
     REQUIRE(second.size() == 1);
     CHECK(second[0].run == 2);
 }
+
+TEST_CASE("a job is queued until a worker has confirmed the start of a task", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartCommand> refused = fleet.advance();
+    REQUIRE(refused.size() == 1);
+    CHECK(fleet.scheduler.findJob("a")->state == jobs::JobState::Queued);
+    fleet.scheduler.handleStartReply(refused[0], jobs::StartOutcome::NoRoom, fleet.clockMs(), fleet.now);
+    CHECK(fleet.scheduler.findJob("a")->state == jobs::JobState::Queued);
+    CHECK(fleet.save().empty());
+    const std::vector<jobs::StartCommand> starts = fleet.advance(std::chrono::seconds{2});
+    REQUIRE(starts.size() == 1);
+    fleet.accept(starts);
+    CHECK(fleet.scheduler.findJob("a")->state == jobs::JobState::Running);
+    const std::vector<jobs::SaveRequest> saves = fleet.scheduler.takeSaves(31);
+    REQUIRE(saves.size() == 1);
+    CHECK(saves[0].leavesQueue);
+    fleet.scheduler.handleSaved("a", saves[0].version, true);
+    fleet.end(starts[0], jobs::RunEndKind::Done);
+    const std::vector<jobs::SaveRequest> ended = fleet.scheduler.takeSaves(31);
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].record.state == jobs::JobState::Completed);
+    CHECK_FALSE(ended[0].leavesQueue);
+}
+
+TEST_CASE("a job that is cancelled while it is queued leaves the queue, also after a save that failed", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    fleet.scheduler.cancelJob("a", fleet.wallMs(), fleet.now);
+    const std::vector<jobs::SaveRequest> failed = fleet.scheduler.takeSaves(31);
+    REQUIRE(failed.size() == 1);
+    CHECK(failed[0].leavesQueue);
+    fleet.scheduler.handleSaved("a", failed[0].version, false);
+    const std::vector<jobs::SaveRequest> repeated = fleet.scheduler.takeSaves(31);
+    REQUIRE(repeated.size() == 1);
+    CHECK(repeated[0].leavesQueue);
+}
+
+TEST_CASE("the states that are taken to be saved fit into one change of the store", "[jobs]")
+{
+    JobFleet fleet;
+    for (int job = 0; job < 12; ++job) {
+        fleet.scheduler.addJob(JobFleet::makeJob("job" + std::to_string(job), {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+        fleet.scheduler.cancelJob("job" + std::to_string(job), fleet.wallMs(), fleet.now);
+    }
+    CHECK(fleet.scheduler.takeSaves(31).size() == 10);
+    CHECK(fleet.scheduler.takeSaves(31).size() == 2);
+}
