Drop exchanges that wait for a connection when their owner is destroyed

Found when reading the change: a waiting exchange and the table of connections refer to each other. The new test holds a value in two callbacks, one of them of a waiting exchange, and checks that both are freed. Two tests share how they make an exchange.

--- a/src/oleanderwick/http/upstream_links.cpp
+++ b/src/oleanderwick/http/upstream_links.cpp
@@ -111,6 +111,8 @@
     [[nodiscard]] bool admit(const std::string &address, std::size_t maxConcurrent, const std::shared_ptr<Attempt> &attempt);
     /** Starts the next waiting exchange in place of one that has ended. */
     void release(const std::string &address);
+    /** Drops all waiting exchanges without a result: they refer to this state, which refers to them. */
+    void abandonWaiting();
     /** Removes an exchange that gave up waiting. */
     void withdraw(const std::string &address, const Attempt *attempt);
 
@@ -372,6 +374,9 @@
 void ConnectionsState::release(const std::string &address)
 {
     const auto limited = m_limited.find(address);
+    if (limited == m_limited.end()) {
+        return;
+    }
     if (limited->second.waiting.empty()) {
         if (--limited->second.running == 0) {
             m_limited.erase(limited);
@@ -383,6 +388,12 @@
     next->admitted();
 }
 
+void ConnectionsState::abandonWaiting()
+{
+    const std::map<std::string, LimitedExchanges> abandoned = std::move(m_limited);
+    m_limited.clear();
+}
+
 void ConnectionsState::withdraw(const std::string &address, const Attempt *attempt)
 {
     std::erase_if(m_limited[address].waiting, [attempt](const std::shared_ptr<Attempt> &waiting) {
@@ -403,7 +414,10 @@
     });
 }
 
-UpstreamConnections::~UpstreamConnections() = default;
+UpstreamConnections::~UpstreamConnections()
+{
+    m_state->abandonWaiting();
+}
 
 void UpstreamConnections::start(Exchange exchange, OnResult onResult)
 {
--- a/src/oleanderwick/http/upstream_links.hpp
+++ b/src/oleanderwick/http/upstream_links.hpp
@@ -27,8 +27,7 @@
     bool freshConnection{false}; /**< Use only a connection that is new or was used within the last second. */
     std::size_t maxResponseBytes{8U << 20U};
     std::size_t maxIdleConnections{8}; /**< Maximum number of idle connections that are kept to the upstream afterwards. */
-    /** Maximum number of exchanges with a limit that use a connection to the upstream at the same time; further ones wait for one of them to end. 0 for none.
-     */
+    /** Maximum number of limited exchanges with the upstream at the same time; further ones wait for one of them to end. 0 for no limit. */
     std::size_t maxConcurrent{0};
     /** The request is not sent after this time, and then counts as `NothingSent`: for a permission that may run out while the exchange waits or connects. */
     core::TimePoint sendBefore{core::TimePoint::max()};
--- a/test/oleanderwick/http/upstream_links.cpp
+++ b/test/oleanderwick/http/upstream_links.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <memory>
 #include <optional>
 
 #include "oleanderwick/http/http.hpp"
@@ -62,6 +63,16 @@
     int m_number{0};
 };
 
+http::Exchange makeExchange(const std::string &address, const std::string &id, core::Duration timeout = std::chrono::seconds{20})
+{
+    http::Exchange exchange;
+    exchange.address = address;
+    exchange.request = http::Request{"GET", "/work", {}, ""};
+    exchange.requestId = id;
+    exchange.timeout = timeout;
+    return exchange;
+}
+
 } // namespace
 
 TEST_CASE("UpstreamConnections reports the outcome of an exchange for each behavior of the upstream", "[http]")
@@ -139,11 +150,7 @@
 {
     RawUpstream upstream;
     Sender sender;
-    http::Exchange exchange;
-    exchange.address = upstream.address();
-    exchange.request = http::Request{"GET", "/work", {}, ""};
-    exchange.requestId = "late";
-    exchange.timeout = std::chrono::seconds{20};
+    http::Exchange exchange = makeExchange(upstream.address(), "late");
     exchange.sendBefore = core::BootClock::now();
     // The second exchange finds the connection of the first one idle.
     for (int count = 0; count < 2; ++count) {
@@ -158,10 +165,7 @@
 {
     RawUpstream upstream;
     Sender sender;
-    http::Exchange exchange;
-    exchange.address = upstream.address();
-    exchange.request = http::Request{"GET", "/work", {}, ""};
-    exchange.timeout = std::chrono::seconds{20};
+    http::Exchange exchange = makeExchange(upstream.address(), "");
     exchange.maxConcurrent = 2;
     for (const http::ExchangeResult &result : sender.sendTogether(std::vector<http::Exchange>(7, exchange))) {
         CHECK(result.outcome == ExchangeOutcome::Complete);
@@ -174,18 +178,31 @@
     RawUpstream upstream;
     upstream.setBehavior(Behavior::Silent);
     Sender sender;
-    http::Exchange first;
-    first.address = upstream.address();
-    first.request = http::Request{"GET", "/work", {}, ""};
-    first.requestId = "first";
-    first.timeout = std::chrono::milliseconds{300};
+    http::Exchange first = makeExchange(upstream.address(), "first", std::chrono::milliseconds{300});
     first.maxConcurrent = 1;
-    http::Exchange second = first;
-    second.requestId = "second";
-    second.timeout = std::chrono::milliseconds{100};
+    http::Exchange second = makeExchange(upstream.address(), "second", std::chrono::milliseconds{100});
+    second.maxConcurrent = 1;
     const std::vector<http::ExchangeResult> results = sender.sendTogether({first, second});
     CHECK(results[0].outcome == ExchangeOutcome::NothingSent);
     CHECK(results[1].outcome == ExchangeOutcome::TimedOut);
     upstream.setBehavior(Behavior::Answer);
     CHECK(sender.sendTogether({first})[0].outcome == ExchangeOutcome::Complete);
 }
+
+TEST_CASE("UpstreamConnections frees exchanges that still wait when it is destroyed", "[http]")
+{
+    const std::shared_ptr<int> owned = std::make_shared<int>(0);
+    {
+        RawUpstream upstream;
+        upstream.setBehavior(Behavior::Silent);
+        http::Loop loop;
+        http::UpstreamConnections connections{loop};
+        http::Exchange exchange = makeExchange(upstream.address(), "waits");
+        exchange.maxConcurrent = 1;
+        for (int count = 0; count < 2; ++count) {
+            connections.start(exchange, [owned](const http::ExchangeResult &) {
+            });
+        }
+    }
+    CHECK(owned.use_count() == 1);
+}
