--- a/src/oleanderwick/jobnode/job_node.hpp
+++ b/src/oleanderwick/jobnode/job_node.hpp
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "job_desk.hpp"
-#include "tenure.hpp"
+#include "owner_term.hpp"
 
 namespace oleanderwick::jobnode
 {
--- a/src/oleanderwick/jobnode/tenure_saves.cpp
+++ b/src/oleanderwick/jobnode/owner_term_saves.cpp
@@ -1,4 +1,4 @@
-#include "tenure_state.hpp"
+#include "owner_term_state.hpp"
 
 #include <algorithm>
 
--- a/src/oleanderwick/jobnode/tenure_state.hpp
+++ b/src/oleanderwick/jobnode/owner_term_state.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tenure.hpp"
+#include "owner_term.hpp"
 
 namespace oleanderwick::jobnode
 {
