--- a/src/oleanderwick/jobnode/job_node.hpp
+++ b/src/oleanderwick/jobnode/job_node.hpp
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string>
 
-#include "job_desk.hpp"
+#include "job_service.hpp"
 #include "owner_term.hpp"
 
 namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/job_desk.cpp
+++ b/src/oleanderwick/jobnode/job_service.cpp
@@ -1,4 +1,4 @@
-#include "job_desk.hpp"
+#include "job_service.hpp"
 
 #include <algorithm>
 
--- a/test/oleanderwick/jobnode/job_desk.cpp
+++ b/test/oleanderwick/jobnode/job_service.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "oleanderwick/http/loop.hpp"
-#include "oleanderwick/jobnode/job_desk.hpp"
+#include "oleanderwick/jobnode/job_service.hpp"
 #include "support/scripted_store.hpp"
 
 using namespace oleanderwick;
