--- a/src/oleanderwick/jobs/jobs.hpp
+++ b/src/oleanderwick/jobs/jobs.hpp
@@ -5,10 +5,10 @@
  */
 
 #include "codec.hpp"
+#include "commands.hpp"
 #include "fwd.hpp"
 #include "maintenance_controller.hpp"
 #include "model.hpp"
-#include "orders.hpp"
 #include "pool_balancer.hpp"
 #include "scheduler.hpp"
 #include "table.hpp"
--- a/src/oleanderwick/jobs/ports.hpp
+++ b/src/oleanderwick/jobs/ports.hpp
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "../core/core.hpp"
+#include "commands.hpp"
 #include "maintenance_controller.hpp"
-#include "orders.hpp"
 #include "pool_balancer.hpp"
 
 namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "arrival_rate.hpp"
-#include "orders.hpp"
+#include "commands.hpp"
 #include "table.hpp"
 
 namespace oleanderwick::jobs
