--- a/src/oleanderwick/jobnode/job_node.hpp
+++ b/src/oleanderwick/jobnode/job_node.hpp
@@ -5,8 +5,8 @@
 #include <memory>
 #include <string>
 
-#include "job_desk.hpp"
-#include "tenure.hpp"
+#include "job_service.hpp"
+#include "owner_term.hpp"
 
 namespace oleanderwick::jobnode
 {
