Close availability zones on the job path

Operators could not take a zone out of service: the owner went on to start tasks and move instances there.

The owner follows the operators' closures with a watch of its own, listed anew at the start of its term, and starts nothing before that listing is complete. Workers of a closed zone are not schedulable and no room for the balancer; its instances are not moved. Continuous tasks leave one by one within their budget once open zones have room for them. Without a closed zone no decision changes.

--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -28,7 +28,7 @@
 MAX_LINES = 500
 # Names of the users' platform, which src/oleanderwick/ must not contain.
 PLATFORM_NAMES = ["Api-Key", "X-Lease-Holder", "X-Fencing-Token", "X-Expect-Instance", "X-Deadline-Ms", "/v1/kv-", "/v1/run-",
-                  "/v1/hold", "/v1/machine", "/v1/advise", "op/config", "op/wave", "api_keys", "mem_mb", "ack_cursor",
+                  "/v1/hold", "/v1/machine", "/v1/advise", "op/config", "op/wave", "op/evacuate", "api_keys", "mem_mb", "ack_cursor",
                   "fencing_token", "long_running", "max_per_server", "enforce_capacity", "expected_rev"]
 
 
--- a/src/emulator/world_state.hpp
+++ b/src/emulator/world_state.hpp
@@ -71,6 +71,11 @@
         return "workers/";
     }
 
+    std::string zoneClosurePrefix() const override
+    {
+        return "operators/closed-zones/";
+    }
+
     jobnode::OperatorUpdate parseOperatorItem(const jobs::StoreItem &item) override
     {
         jobnode::OperatorUpdate update;
--- a/src/oleanderwick/jobnode/job_node.cpp
+++ b/src/oleanderwick/jobnode/job_node.cpp
@@ -18,13 +18,17 @@
     , m_options{options}
     , m_log{log}
     , m_jobService{executor, ports.store, log}
+    , m_zoneClosures{ports.translator.zoneClosurePrefix()}
 {
+    m_log.metrics().setGauge("closed_zones", 0);
     Watcher::Callbacks operatorCallbacks;
     operatorCallbacks.onItem = [this](const jobs::StoreItem &item) {
         handleOperatorItem(item);
     };
-    operatorCallbacks.onRemoved = [](const std::string &) {
-        // Operators only add and replace items.
+    operatorCallbacks.onRemoved = [this](const std::string &key) {
+        if (m_zoneClosures.handleRemoval(key)) {
+            recordZone("zone_opened", key, 0);
+        }
     };
     operatorCallbacks.onListed = [] {
     };
@@ -71,8 +75,20 @@
     return m_config.configVersion;
 }
 
+void JobNode::recordZone(const char *event, const std::string &key, std::int64_t revision)
+{
+    const std::int64_t closed = static_cast<std::int64_t>(m_zoneClosures.zones().size());
+    m_log.metrics().setGauge("closed_zones", closed);
+    telemetry::Event line{event};
+    line.with("zone", m_zoneClosures.zoneOf(key)).with("revision", revision).with("closed", closed).with("owner", isOwner() ? 1 : 0);
+    m_log.add(event, line);
+}
+
 void JobNode::handleOperatorItem(const jobs::StoreItem &item)
 {
+    if (m_zoneClosures.handleItem(item)) {
+        recordZone("zone_closed", item.key, item.revision);
+    }
     OperatorUpdate update = m_ports.translator.parseOperatorItem(item);
     if (update.config.has_value() && update.configVersion > m_config.configVersion) {
         m_log.add("config", telemetry::Event{"config_in_force"}.with("version", update.configVersion).with("before", m_config.configVersion));
--- a/src/oleanderwick/jobnode/job_node.hpp
+++ b/src/oleanderwick/jobnode/job_node.hpp
@@ -7,6 +7,7 @@
 
 #include "job_desk.hpp"
 #include "tenure.hpp"
+#include "zone_closures.hpp"
 
 namespace oleanderwick::jobnode
 {
@@ -45,6 +46,7 @@
 
 private:
     void handleOperatorItem(const jobs::StoreItem &item);
+    void recordZone(const char *event, const std::string &key, std::int64_t revision);
     void becomeOwner(std::int64_t token);
 
     core::Executor &m_executor;
@@ -52,6 +54,7 @@
     OwnerOptions m_options;
     LogSink &m_log;
     JobService m_jobService;
+    ZoneClosures m_zoneClosures; /**< As this node knows them, for its log and metrics; an owner's term lists them itself. */
     OperatorUpdate m_config;
     std::map<std::int64_t, OperatorUpdate> m_waves;
     bool m_stopping{false};
--- a/src/oleanderwick/jobnode/tenure.cpp
+++ b/src/oleanderwick/jobnode/tenure.cpp
@@ -40,6 +40,7 @@
     , maintenance{commandDelay}
     , balancer{itsOptions.balancing, commandDelay}
     , startedAt{itsExecutor.now()}
+    , zoneClosures{itsPorts.translator.zoneClosurePrefix()}
 {
 }
 
@@ -227,6 +228,11 @@
         workersListed = true;
         restoreOnceLoaded();
     };
+    zoneClosures.follow(executor, ports.store, [this] {
+        scheduler.setClosedZones(zoneClosures.zones());
+        restoreOnceLoaded();
+        scheduleCycle();
+    });
     jobRequestWatcher = std::make_unique<Watcher>(
         executor, ports.store, keys::jobRequestPrefix, internal::watchTimeout, std::move(jobRequests), internal::jobRequestBatchDelay);
     workerWatcher = std::make_unique<Watcher>(
@@ -235,7 +241,7 @@
 
 void OwnerTerm::State::restoreOnceLoaded()
 {
-    if (ready || pendingLoads > 0 || !jobRequestsListed || !workersListed) {
+    if (ready || pendingLoads > 0 || !jobRequestsListed || !workersListed || !zoneClosures.isListed()) {
         return;
     }
     ready = true;
@@ -386,6 +392,7 @@
     m_state->stopped = true;
     m_state->jobRequestWatcher.reset();
     m_state->workerWatcher.reset();
+    m_state->zoneClosures.stop();
 }
 
 void OwnerTerm::applyUpdate(const OperatorUpdate &update)
--- a/src/oleanderwick/jobnode/tenure_orders.cpp
+++ b/src/oleanderwick/jobnode/tenure_orders.cpp
@@ -39,6 +39,7 @@
         if (evacuationDue) {
             lastEvacuationAt = now;
             evacuateDraining(now);
+            scheduler.evacuateClosedZones(now);
         }
         scheduler.advance(now, executor.wallMs());
         if (evacuationDue) {
@@ -244,7 +245,7 @@
         }
     }
     for (const jobs::MoveCommand &command : commands.moves) {
-        if (allowed) {
+        if (allowed && balancer.isAllowed(command, scheduler)) {
             sendMove(command);
         } else {
             balancer.handleReply(command, jobs::InstanceOutcome::Refused, scheduler, now);
--- a/src/oleanderwick/jobnode/tenure_state.hpp
+++ b/src/oleanderwick/jobnode/tenure_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tenure.hpp"
+#include "zone_closures.hpp"
 
 namespace oleanderwick::jobnode
 {
@@ -129,6 +130,7 @@
     int pendingLoads{4};
     bool jobRequestsListed{false};
     bool workersListed{false};
+    ZoneClosures zoneClosures;
 };
 
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/translator.hpp
+++ b/src/oleanderwick/jobnode/translator.hpp
@@ -30,6 +30,9 @@
     /** @return Prefix of the keys of workers; the rest of a key is the worker's name. */
     [[nodiscard]] virtual std::string workerPrefix() const = 0;
 
+    /** @return Prefix of the keys with which operators close zones; it starts with `operatorPrefix()`, and the rest of a key is the name of the zone. */
+    [[nodiscard]] virtual std::string zoneClosurePrefix() const = 0;
+
     /**
      * @brief Parses an item that operators wrote.
      * @param item Item of the store.
--- a/src/oleanderwick/jobs/leases.cpp
+++ b/src/oleanderwick/jobs/leases.cpp
@@ -298,11 +298,18 @@
         if (budgeted && unavailable >= step->maxUnavailable) {
             continue;
         }
-        logDecision("run_evacuated", toText(run.first), id, absl::StrCat("run=", run.second, " away=", unavailable, " allowed=", step->maxUnavailable));
-        stopTask(run.first, *task, now);
+        evacuateTask(id, run.first, unavailable, now);
     }
 }
 
+void Scheduler::evacuateTask(const std::string &worker, const TaskName &name, std::int64_t unavailable, core::TimePoint now)
+{
+    Task &task = *findTask(name);
+    const std::int64_t allowed = findStep(name)->maxUnavailable;
+    logDecision("run_evacuated", toText(name), worker, absl::StrCat("run=", task.run, " away=", unavailable, " allowed=", allowed));
+    stopTask(name, task, now);
+}
+
 void Scheduler::setCordoned(const std::string &id, bool cordoned)
 {
     const auto found = m_workers.find(id);
--- a/src/oleanderwick/jobs/maintenance_controller.cpp
+++ b/src/oleanderwick/jobs/maintenance_controller.cpp
@@ -197,8 +197,12 @@
     std::map<std::string, PoolAvailability> pools;
     for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
         PoolAvailability &pool = pools[item.second.pool];
-        pool.size += 1.0;
         const auto worker = scheduler.workers().find(item.second.worker);
+        if (worker != scheduler.workers().end() && worker->second.zoneClosed) {
+            // If they counted as unavailable, a closed zone would stop all waves of the pool.
+            continue;
+        }
+        pool.size += 1.0;
         const bool available = worker != scheduler.workers().end() && worker->second.registered && !worker->second.cordoned && !worker->second.entry.draining;
         pool.unavailable += available ? 0.0 : 1.0;
     }
@@ -218,6 +222,10 @@
     }
     const auto worker = scheduler.workers().find(instance.worker);
     const double runs = worker == scheduler.workers().end() ? 0.0 : static_cast<double>(worker->second.runs.size());
+    if (worker != scheduler.workers().end() && worker->second.zoneClosed) {
+        // It gets no new work anyway, so draining it takes no capacity away either.
+        return runs;
+    }
     const double unavailableShare = pool.size > 0.0 ? pool.unavailable / pool.size : 0.0;
     // Draining an instance whose worker is unregistered or cordoned costs no further capacity, so the limit applies only to the others.
     const bool uncordoned = worker != scheduler.workers().end() && worker->second.registered && !worker->second.cordoned;
--- a/src/oleanderwick/jobs/maintenance_controller.hpp
+++ b/src/oleanderwick/jobs/maintenance_controller.hpp
@@ -29,6 +29,7 @@
     std::string worker; /**< Worker that runs on it; empty if there is none. */
     InstanceState state{InstanceState::Down};
     Resources capacity; /**< Resources of a worker on this instance; 0 if not reported. */
+    std::string zone; /**< Availability zone; empty if not reported. */
 
     [[nodiscard]] bool operator==(const InstanceEntry &) const = default;
 };
--- a/src/oleanderwick/jobs/placement.cpp
+++ b/src/oleanderwick/jobs/placement.cpp
@@ -265,9 +265,9 @@
         && within(limit.gpu, use->second.gpu, after.gpu);
 }
 
-std::int64_t Scheduler::countOnWorker(const Worker &worker, const Candidate &candidate) const
+std::int64_t Scheduler::countOnWorker(const Worker &worker, const TaskName &name) const
 {
-    const TaskName first{candidate.entry->job.id, candidate.occurrence, candidate.step, 0};
+    const TaskName first{name.job, name.occurrence, name.step, 0};
     std::int64_t count = 0;
     for (auto run = worker.runs.lower_bound(first); run != worker.runs.end(); ++run) {
         if (run->first.job != first.job || run->first.occurrence != first.occurrence || run->first.step != first.step) {
@@ -301,7 +301,7 @@
     if (!step.requiredLabel.empty() && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end()) {
         return false;
     }
-    if (step.maxPerWorker > 0 && countOnWorker(worker, candidate) >= step.maxPerWorker) {
+    if (step.maxPerWorker > 0 && countOnWorker(worker, TaskName{candidate.entry->job.id, candidate.occurrence, candidate.step, 0}) >= step.maxPerWorker) {
         return false;
     }
     const auto queue = m_config.queues.find(candidate.entry->job.queue);
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -92,8 +92,35 @@
     return need;
 }
 
+bool PoolBalancer::isInClosedZone(const InstanceEntry &instance, const Scheduler &scheduler)
+{
+    const auto worker = scheduler.workers().find(instance.worker);
+    return scheduler.isZoneClosed(instance.zone) || (worker != scheduler.workers().end() && worker->second.zoneClosed);
+}
+
+bool PoolBalancer::isAllowed(const MoveCommand &command, const Scheduler &scheduler) const
+{
+    const auto instance = m_instances.find(command.instance);
+    return instance == m_instances.end() || scheduler.isStandby(command.pool) || !isInClosedZone(instance->second, scheduler);
+}
+
+void PoolBalancer::cancelClosedDrains(Scheduler &scheduler)
+{
+    std::erase_if(m_moves, [this, &scheduler](const std::pair<const std::string, InstanceMove> &item) {
+        const auto entry = m_instances.find(item.first);
+        const bool cancelled = item.second.draining && entry != m_instances.end() && isInClosedZone(entry->second, scheduler);
+        if (cancelled) {
+            scheduler.setCordoned(item.second.worker, false);
+        }
+        return cancelled;
+    });
+}
+
 bool PoolBalancer::isInService(const InstanceEntry &instance, const Scheduler &scheduler)
 {
+    if (isInClosedZone(instance, scheduler)) {
+        return false;
+    }
     if (instance.state != InstanceState::Up) {
         return instance.state == InstanceState::Moving;
     }
@@ -119,7 +146,8 @@
     for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
         const auto moving = m_moves.find(item.first);
         const std::string &pool = moving != m_moves.end() ? moving->second.to : item.second.pool;
-        if (!scheduler.isStandby(pool) && (moving != m_moves.end() || isInService(item.second, scheduler))) {
+        const bool arrives = moving != m_moves.end() && !isInClosedZone(item.second, scheduler);
+        if (!scheduler.isStandby(pool) && (arrives || isInService(item.second, scheduler))) {
             ++m_pools[pool].instanceCount;
         }
     }
@@ -218,7 +246,7 @@
     }
     for (const InstanceEntry *candidate : m_instancesByPool[pool]) {
         const InstanceEntry &instance = *candidate;
-        if (!canMove(instance, to, maintenance, now)) {
+        if (!canMove(instance, to, maintenance, now) || isInClosedZone(instance, scheduler)) {
             continue;
         }
         if (scheduler.isStandby(pool)) {
@@ -418,6 +446,7 @@
     }
     m_noneIdle.clear();
     m_noneDrainable.clear();
+    cancelClosedDrains(scheduler);
     countInstances(scheduler, now);
     updateNeeds(scheduler, now);
     advanceDrains(scheduler, maintenance, now);
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -93,6 +93,14 @@
      */
     void advance(Scheduler &scheduler, const MaintenanceController &maintenance, core::TimePoint now);
 
+    /**
+     * @brief Checks whether a move is still allowed; zones may have been closed since it was commanded.
+     * @param command Command that has not been sent.
+     * @param scheduler Scheduler that knows the closed zones.
+     * @return False if the instance is in a closed zone and would move into a serving pool.
+     */
+    [[nodiscard]] bool isAllowed(const MoveCommand &command, const Scheduler &scheduler) const;
+
     /** @return Commands issued since the last call; the outcome of each must be passed to `handleReply`. */
     [[nodiscard]] std::vector<MoveCommand> takeCommands();
 
@@ -128,6 +136,8 @@
     };
 
     [[nodiscard]] static bool isInService(const InstanceEntry &instance, const Scheduler &scheduler);
+    [[nodiscard]] static bool isInClosedZone(const InstanceEntry &instance, const Scheduler &scheduler);
+    void cancelClosedDrains(Scheduler &scheduler);
     void countInstances(Scheduler &scheduler, core::TimePoint now);
     void recordNeed(const std::string &name, const PoolState &pool, const PoolNeed &need, const PoolLoad &load);
     void updateInstanceCpu(const std::map<std::string, PoolLoad> &loads);
--- a/src/oleanderwick/jobs/pool_loads.cpp
+++ b/src/oleanderwick/jobs/pool_loads.cpp
@@ -70,6 +70,12 @@
             addOccurrenceLoad(item.second, occurrence.second, wallMs, load->second);
         }
     }
+    for (const std::pair<const std::string, std::int64_t> &stuck : m_evacuation.stuckTasks) {
+        const auto load = loads.find(stuck.first);
+        if (load != loads.end()) {
+            load->second.unplacedTasks += stuck.second;
+        }
+    }
     return loads;
 }
 
@@ -101,7 +107,7 @@
     double capacity = 0.0;
     double used = 0.0;
     for (const std::pair<const std::string, Worker> &item : m_workers) {
-        if (item.second.entry.pool == pool && item.second.registered && !item.second.cordoned) {
+        if (item.second.entry.pool == pool && item.second.registered && !item.second.cordoned && !item.second.zoneClosed) {
             capacity += static_cast<double>(item.second.entry.capacity.cpu);
             used += static_cast<double>(item.second.used.cpu);
         }
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -63,6 +63,7 @@
     if (!worker.registered || worker.entry != updated) {
         worker.entry = std::move(updated);
         worker.registered = true;
+        worker.zoneClosed = isZoneClosed(worker.entry.zone);
         m_placementDue = true;
     }
 }
@@ -297,7 +298,10 @@
     if (outcome == StartOutcome::Unknown) {
         worker.nextPollAt = now;
         if (entry->job.steps[command.task.step].speculative) {
-            // A duplicate run on another worker is harmless.
+            // A duplicate run on another worker is harmless, but in a closed zone none may start late.
+            if (worker.zoneClosed) {
+                issueStop(worker, command.task, command.run);
+            }
             detach(*entry, command.task, *task);
             task->notBefore = now;
             worker.quarantinedUntil = now + refusalDelay;
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -11,6 +11,7 @@
 #include "arrival_rate.hpp"
 #include "orders.hpp"
 #include "table.hpp"
+#include "zone_evacuation.hpp"
 
 namespace oleanderwick::jobs
 {
@@ -176,6 +177,18 @@
      */
     void evacuate(const std::string &id, core::TimePoint now);
 
+    /**
+     * @brief Replaces the closed zones. Workers of a closed zone get no new work; those of an opened zone get work at once.
+     * @param zones Names of all closed zones.
+     */
+    void setClosedZones(std::set<std::string> zones);
+
+    /**
+     * @brief Stops continuous tasks on workers of closed zones that other workers can take, one by one within their availability budgets.
+     * @param now Current time of the monotonic clock.
+     */
+    void evacuateClosedZones(core::TimePoint now);
+
     /**
      * @brief Handles expired leases, stalled runs and due occurrences, and places tasks that are ready.
      * @param now Current time of the monotonic clock.
@@ -256,6 +269,13 @@
      */
     [[nodiscard]] bool runsContinuous(const Worker &worker) const;
 
+    /**
+     * @brief Checks whether operators have closed a zone.
+     * @param zone Name of the zone; an empty one is never closed.
+     * @return True if the zone is closed.
+     */
+    [[nodiscard]] bool isZoneClosed(const std::string &zone) const;
+
     /** @return Load by pool, without standby pools, as last measured by `advance`. */
     [[nodiscard]] const std::map<std::string, PoolLoad> &poolLoads() const noexcept;
 
@@ -369,11 +389,17 @@
     [[nodiscard]] bool hasProbe(const Worker &worker) const;
     [[nodiscard]] bool canPlace(const Worker &worker, const Candidate &candidate, const Step &step, core::TimePoint now);
     [[nodiscard]] double placementCost(const Worker &worker, const Candidate &candidate, const Step &step) const;
-    [[nodiscard]] std::int64_t countOnWorker(const Worker &worker, const Candidate &candidate) const;
     void startTask(const Candidate &candidate, std::size_t index, Worker &worker, std::int64_t run, core::TimePoint now);
     [[nodiscard]] const std::string *ticketFor(const StepName &step, const std::string &worker, core::TimePoint now) const;
     void requestAdvice(const Candidate &candidate, core::TimePoint now);
     [[nodiscard]] std::int64_t countOthersUnavailable(const TaskName &name, core::TimePoint now) const;
+    void evacuateTask(const std::string &worker, const TaskName &name, std::int64_t unavailable, core::TimePoint now);
+    void evacuatePool(const std::string &pool, const std::vector<Worker *> &closed, core::TimePoint now);
+    /** Workers of open zones on which a continuous task could be placed, with their free capacity, or all of it that continuous tasks leave. */
+    [[nodiscard]] ZoneEvacuation::Hosts findHosts(const std::string &pool, bool besideContinuous, core::TimePoint now) const;
+    /** Reserves capacity for a task on the first host that can take it; false if there is none. */
+    [[nodiscard]] bool reserveHost(ZoneEvacuation::Hosts &hosts, const TaskName &name) const;
+    [[nodiscard]] std::int64_t countOnWorker(const Worker &worker, const TaskName &name) const;
     void logDecision(std::string event, std::string job, std::string worker, std::string detail);
 
     SchedulerLimits m_limits;
@@ -397,6 +423,7 @@
     std::map<std::string, std::vector<Worker *>> m_poolWorkers; /**< Schedulable workers with a report and a known clock, by pool; valid during placement. */
     std::map<std::string, Resources> m_poolRoom; /**< Largest free amount of each resource on one worker, by pool, at the start of a placement. */
     std::map<std::string, std::vector<Resources>> m_unplaceable; /**< Demands that fit on no worker, by pool; valid during placement. */
+    ZoneEvacuation m_evacuation;
     std::map<std::string, PoolLoad> m_loads;
     core::TimePoint m_loadsAt;
     core::TimePoint m_sweptAt;
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -100,6 +100,7 @@
     bool reported{false}; /**< The runs on the worker are known to this owner. */
     bool cordoned{false}; /**< Gets no new work because of maintenance or a move to another pool. */
     bool maintenancePending{false}; /**< A maintenance wave includes the worker and has not reached it yet. */
+    bool zoneClosed{false}; /**< Operators have closed the worker's zone. */
     std::int64_t incarnation{0}; /**< Newest known incarnation; 0 while unknown. */
     std::int64_t clockMs{0}; /**< Time of the worker's clock at `clockAt`; 0 while unknown. */
     core::TimePoint clockAt;
@@ -118,10 +119,10 @@
     std::int64_t ackedEnd{0}; /**< Run ends up to this number were acknowledged in a poll of the worker. */
     std::deque<PendingEnd> pendingEnds; /**< Processed run ends that are not stored yet, in the order of their numbers. */
 
-    /** @return True if the worker is registered, responsive, not cordoned and not draining. */
+    /** @return True if the worker is registered, responsive, not cordoned, not draining, and in an open zone. */
     [[nodiscard]] bool isSchedulable() const noexcept
     {
-        return registered && !cordoned && !unresponsive && !entry.draining;
+        return registered && !cordoned && !unresponsive && !entry.draining && !zoneClosed;
     }
 };
 
--- a/src/platform/service_clients.cpp
+++ b/src/platform/service_clients.cpp
@@ -85,7 +85,8 @@
                                                                        readString(row, "pool"),
                                                                        readString(row, "id"),
                                                                        internal::instanceState(readString(row, "state")),
-                                                                       capacity.is_object() ? readResources(capacity) : jobs::Resources{}};
+                                                                       capacity.is_object() ? readResources(capacity) : jobs::Resources{},
+                                                                       readString(row, "zone")};
                                 }
                             }
                             const json next = body.value("next_token", json{});
--- a/src/platform/store_translator.cpp
+++ b/src/platform/store_translator.cpp
@@ -48,6 +48,11 @@
     return "servers/";
 }
 
+std::string StoreTranslator::zoneClosurePrefix() const
+{
+    return "op/evacuate/";
+}
+
 jobnode::OperatorUpdate StoreTranslator::parseOperatorItem(const jobs::StoreItem &item)
 {
     jobnode::OperatorUpdate update;
--- a/src/platform/store_translator.hpp
+++ b/src/platform/store_translator.hpp
@@ -22,6 +22,7 @@
 
     [[nodiscard]] std::string operatorPrefix() const override;
     [[nodiscard]] std::string workerPrefix() const override;
+    [[nodiscard]] std::string zoneClosurePrefix() const override;
     [[nodiscard]] jobnode::OperatorUpdate parseOperatorItem(const jobs::StoreItem &item) override;
     [[nodiscard]] std::optional<jobs::WorkerEntry> parseWorker(const jobs::StoreItem &item) const override;
     [[nodiscard]] std::pair<std::string, std::string> waveStatus(std::int64_t number, const jobs::WaveProgress &progress) const override;
--- a/test/oleanderwick/jobs/maintenance_controller.cpp
+++ b/test/oleanderwick/jobs/maintenance_controller.cpp
@@ -22,7 +22,7 @@
 
 jobs::InstanceEntry makeInstance(const std::string &id, const std::string &worker, const std::string &pool = "pool")
 {
-    return {id, pool, worker, jobs::InstanceState::Up, {}};
+    return {id, pool, worker, jobs::InstanceState::Up, {}, {}};
 }
 
 } // namespace
--- a/test/support/job_fleet.hpp
+++ b/test/support/job_fleet.hpp
@@ -36,13 +36,14 @@
     }
 
     /** Registers a worker with `cpu` thousandths of a core and reports an empty list of runs for it. */
-    void addWorker(const std::string &id, std::int64_t cpu = 16'000)
+    void addWorker(const std::string &id, std::int64_t cpu = 16'000, const std::string &zone = "")
     {
         jobs::WorkerEntry entry;
         entry.id = id;
         entry.pool = "pool";
         entry.address = "127.0.0.1:1";
         entry.rack = "r1";
+        entry.zone = zone;
         entry.capacity = {cpu, 64'000, 0};
         entry.incarnation = 1;
         scheduler.registerWorker(entry, now);
