--- /dev/null
+++ b/src/oleanderwick/jobs/candidate_finder.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "candidate.hpp"
+#include "job_estimates.hpp"
+#include "worker_index.hpp"
+#include "worker_leases.hpp"
+
+namespace oleanderwick::jobs
+{
+
+/** @brief Finds the steps with tasks that can start; their order is not decided here. */
+class CandidateFinder
+{
+public:
+    /**
+     * @brief Creates the object for one owner's term.
+     * @param state State of the scheduler; must outlive this object.
+     * @param leases Says which runs of previous owners may exist; must outlive this object.
+     * @param estimates Estimates the slack of jobs; must outlive this object.
+     * @param index Workers that can take runs; must outlive this object.
+     */
+    CandidateFinder(StateTable &state, const WorkerLeases &leases, const JobEstimates &estimates, const WorkerIndex &index);
+
+    /**
+     * @brief Finds the candidates of a placement.
+     * @param now Current time of the monotonic clock.
+     * @param wallMs Unix time in milliseconds.
+     * @return The candidates in the order of their jobs' names; steps that certainly find no room are left out, unless they need tickets.
+     */
+    [[nodiscard]] std::vector<Candidate> find(core::TimePoint now, std::int64_t wallMs) const;
+
+private:
+    void addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found) const;
+
+    StateTable &m_state;
+    const WorkerLeases &m_leases;
+    const JobEstimates &m_estimates;
+    const WorkerIndex &m_index;
+};
+
+} // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/fwd.hpp
+++ b/src/oleanderwick/jobs/fwd.hpp
@@ -16,9 +16,9 @@
 struct Worker;
 struct WorkerReport;
 struct FleetConfig;
-class JobTable;
-class WorkerTable;
 class Scheduler;
+class StateTable;
+class CandidateOrder;
 class MaintenanceController;
 
 } // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/job_estimates.cpp
@@ -0,0 +1,47 @@
+#include "job_estimates.hpp"
+
+#include <algorithm>
+
+namespace oleanderwick::jobs
+{
+
+JobEstimates::JobEstimates(const StateTable &state)
+    : m_state{state}
+{
+}
+
+double JobEstimates::criticalPathMs(const Job &job, const Occurrence *progress)
+{
+    std::vector<double> ends(job.steps.size(), 0.0);
+    double longest = 0.0;
+    for (std::size_t index = 0; index < job.steps.size(); ++index) {
+        double start = 0.0;
+        for (const std::size_t before : job.steps[index].after) {
+            start = std::max(start, before < index ? ends[before] : 0.0);
+        }
+        const bool done = progress != nullptr && progress->steps[index].remaining == 0;
+        ends[index] = done ? 0.0 : start + static_cast<double>(job.steps[index].estimateMs);
+        longest = std::max(longest, ends[index]);
+    }
+    return longest;
+}
+
+bool JobEstimates::isStepReady(const Job &job, const Occurrence &occurrence, std::size_t step)
+{
+    const std::vector<std::size_t> &after = job.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&occurrence](std::size_t before) {
+        return before < occurrence.steps.size() && occurrence.steps[before].remaining == 0;
+    });
+}
+
+double JobEstimates::slackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const
+{
+    static const QueuePolicy unknownQueue;
+    const QueuePolicy *known = m_state.findQueue(entry.job.queue);
+    const QueuePolicy &policy = known == nullptr ? unknownQueue : *known;
+    const std::int64_t releaseMs = occurrence.dueMs > 0 ? occurrence.dueMs : entry.job.submittedMs;
+    const double objective = policy.criticalPathFactor * entry.criticalPathMs + static_cast<double>(policy.objectiveMs);
+    return static_cast<double>(releaseMs - wallMs) + objective - criticalPathMs(entry.job, &occurrence);
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/job_estimates.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "state_table.hpp"
+
+namespace oleanderwick::jobs
+{
+
+/** @brief What is estimated of a job's remaining time: its critical path, and its slack to the latency objective. */
+class JobEstimates
+{
+public:
+    /**
+     * @brief Creates the object for one owner's term.
+     * @param state State of the scheduler; must outlive this object.
+     */
+    explicit JobEstimates(const StateTable &state);
+
+    /**
+     * @brief Estimates the duration of the critical path.
+     * @param job Job whose steps are examined.
+     * @param progress Occurrence whose finished steps are left out; null to count all steps.
+     * @return Duration in milliseconds.
+     */
+    [[nodiscard]] static double criticalPathMs(const Job &job, const Occurrence *progress);
+
+    /**
+     * @brief Checks whether the tasks of a step may start.
+     * @param job Job of the step.
+     * @param occurrence Occurrence of the job.
+     * @param step Index of the step.
+     * @return True if all steps on which it depends are done.
+     */
+    [[nodiscard]] static bool isStepReady(const Job &job, const Occurrence &occurrence, std::size_t step);
+
+    /**
+     * @brief Estimates the time left to start the remaining steps without missing the latency objective.
+     * @param entry Job.
+     * @param occurrence Occurrence of the job.
+     * @param wallMs Unix time in milliseconds.
+     * @return Time in milliseconds; negative if the objective will be missed.
+     */
+    [[nodiscard]] double slackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const;
+
+private:
+    const StateTable &m_state;
+};
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/job_progress.cpp
@@ -0,0 +1,296 @@
+#include "job_progress.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "job_estimates.hpp"
+
+namespace oleanderwick::jobs
+{
+
+namespace internal
+{
+
+/** Run numbers left out for each task after a change of owner: the previous owner may have used them without storing it. */
+constexpr std::int64_t skippedRunNumbers = 8;
+
+/** Number of occurrences of a job. */
+std::int64_t occurrenceCount(const Job &job)
+{
+    return std::max<std::int64_t>(job.repeatCount, 1);
+}
+
+/** Unix time in milliseconds from which an occurrence may start; 0 for a job that does not repeat. */
+std::int64_t dueMs(const Job &job, std::int64_t occurrence)
+{
+    return job.repeatCount > 0 ? job.firstRunMs + occurrence * job.intervalMs : 0;
+}
+
+} // namespace internal
+
+JobProgress::JobProgress(const Collaborators &collaborators)
+    : m_with{collaborators}
+{
+}
+
+void JobProgress::add(Job job, const std::optional<JobRecord> &record, bool predatesTerm, core::TimePoint now)
+{
+    if (m_with.state.findJob(job.id) != nullptr || (record.has_value() && isFinal(record->state))) {
+        m_earlyCancels.erase(job.id);
+        return;
+    }
+    JobEntry &entry = m_with.state.jobs()[job.id];
+    entry.job = std::move(job);
+    m_with.output.logDecision("job_taken_in",
+                              entry.job.id,
+                              "",
+                              absl::StrCat("queue=",
+                                           entry.job.queue,
+                                           " pool=",
+                                           entry.job.pool,
+                                           " team=",
+                                           entry.job.team,
+                                           " steps=",
+                                           entry.job.steps.size(),
+                                           " former_owner=",
+                                           predatesTerm ? 1 : 0));
+    entry.predatesTerm = predatesTerm;
+    entry.criticalPathMs = JobEstimates::criticalPathMs(entry.job, nullptr);
+    entry.allSpeculative = std::all_of(entry.job.steps.begin(), entry.job.steps.end(), [](const Step &step) {
+        return step.speculative;
+    });
+    if (record.has_value()) {
+        entry.state = record->state;
+        entry.storedState = record->state;
+        entry.nextOccurrence = record->nextOccurrence;
+        for (const std::pair<const std::int64_t, std::vector<std::vector<TaskRecord>>> &saved : record->occurrences) {
+            openOccurrence(entry, saved.first, &saved.second);
+        }
+        m_restored.insert(entry.job.id);
+    } else if (!predatesTerm) {
+        m_with.loads.recordArrival(entry.job, now);
+    }
+    m_unopened.insert(entry.job.id);
+    const auto cancelled = m_earlyCancels.find(entry.job.id);
+    if (cancelled != m_earlyCancels.end()) {
+        end(entry, JobState::Cancelled, cancelled->second, now);
+        m_earlyCancels.erase(cancelled);
+    }
+    m_with.state.requestPlacement();
+}
+
+void JobProgress::cancel(const std::string &id, std::int64_t wallMs, core::TimePoint now)
+{
+    JobEntry *entry = m_with.state.findJob(id);
+    if (entry == nullptr) {
+        // When the store is listed, a cancellation may come before its job.
+        m_earlyCancels[id] = wallMs;
+        return;
+    }
+    if (!isFinal(entry->state)) {
+        end(*entry, JobState::Cancelled, wallMs, now);
+    }
+}
+
+void JobProgress::advance(core::TimePoint now, std::int64_t wallMs)
+{
+    completeRestored(now, wallMs);
+    openOccurrences(wallMs);
+    removeEnded();
+}
+
+void JobProgress::completeRestored(core::TimePoint now, std::int64_t wallMs)
+{
+    for (const std::string &id : m_restored) {
+        JobEntry *entry = m_with.state.findJob(id);
+        if (entry != nullptr && !isFinal(entry->state)) {
+            completeIfDone(*entry, wallMs, now);
+        }
+    }
+    m_restored.clear();
+}
+
+void JobProgress::openOccurrence(JobEntry &entry, std::int64_t number, const std::vector<std::vector<TaskRecord>> *records)
+{
+    Occurrence &occurrence = entry.occurrences[number];
+    occurrence.dueMs = internal::dueMs(entry.job, number);
+    for (std::size_t index = 0; index < entry.job.steps.size(); ++index) {
+        const Step &step = entry.job.steps[index];
+        StepState &state = occurrence.steps.emplace_back();
+        state.tasks.resize(static_cast<std::size_t>(step.count));
+        for (std::size_t task = 0; task < state.tasks.size(); ++task) {
+            if (records != nullptr && index < records->size() && task < (*records)[index].size()) {
+                state.tasks[task].record = (*records)[index][task];
+            }
+            if (entry.predatesTerm) {
+                state.tasks[task].record.lastRun += state.tasks[task].record.done ? 0 : internal::skippedRunNumbers;
+            }
+            if (state.tasks[task].record.done) {
+                state.tasks[task].phase = TaskPhase::Done;
+            } else {
+                ++state.remaining;
+            }
+        }
+        occurrence.remainingSteps += state.remaining > 0 ? 1 : 0;
+    }
+}
+
+void JobProgress::openDueOccurrences(JobEntry &entry, std::int64_t wallMs)
+{
+    while (entry.nextOccurrence < internal::occurrenceCount(entry.job) && internal::dueMs(entry.job, entry.nextOccurrence) <= wallMs) {
+        openOccurrence(entry, entry.nextOccurrence, nullptr);
+        ++entry.nextOccurrence;
+    }
+}
+
+void JobProgress::openOccurrences(std::int64_t wallMs)
+{
+    for (auto id = m_unopened.begin(); id != m_unopened.end();) {
+        JobEntry *entry = m_with.state.findJob(*id);
+        if (entry == nullptr || isFinal(entry->state)) {
+            id = m_unopened.erase(id);
+            continue;
+        }
+        const std::int64_t before = entry->nextOccurrence;
+        openDueOccurrences(*entry, wallMs);
+        if (before != entry->nextOccurrence) {
+            m_with.state.requestPlacement();
+            if (entry->job.repeatCount > 0) {
+                m_with.saves.markChanged(*entry);
+            }
+        }
+        const bool opened = entry->nextOccurrence >= internal::occurrenceCount(entry->job);
+        id = opened ? m_unopened.erase(id) : std::next(id);
+    }
+}
+
+void JobProgress::markStarted(JobEntry &entry)
+{
+    if (entry.state == JobState::Queued) {
+        entry.state = JobState::Running;
+        m_with.saves.markChanged(entry);
+    }
+}
+
+void JobProgress::handleSuccess(JobEntry &entry, const TaskName &name, std::int64_t wallMs, core::TimePoint now)
+{
+    const Step &step = entry.job.steps[name.step];
+    if (step.continuous) {
+        return;
+    }
+    Occurrence &occurrence = entry.occurrences.at(name.occurrence);
+    StepState &state = occurrence.steps[name.step];
+    // The success of one member completes the whole gang.
+    const std::size_t first = step.gang ? 0 : name.index;
+    const std::size_t last = step.gang ? state.tasks.size() : name.index + 1;
+    const std::size_t remainingBefore = state.remaining;
+    for (std::size_t index = first; index < last; ++index) {
+        Task &member = state.tasks[index];
+        if (member.record.done) {
+            continue;
+        }
+        member.record.done = true;
+        member.record.checkpoint.clear();
+        --state.remaining;
+        if (member.phase == TaskPhase::Waiting) {
+            member.phase = TaskPhase::Done;
+        } else if (!step.gang) {
+            // Another run of the task is still active; members of a gang end by themselves.
+            m_with.stopper.stop(TaskName{name.job, name.occurrence, name.step, index}, member, now);
+        }
+    }
+    if (state.remaining > 0 || remainingBefore == 0) {
+        return;
+    }
+    --occurrence.remainingSteps;
+    completeIfDone(entry, wallMs, now);
+}
+
+void JobProgress::completeIfDone(JobEntry &entry, std::int64_t wallMs, core::TimePoint now)
+{
+    const bool allOpened = entry.nextOccurrence >= internal::occurrenceCount(entry.job);
+    const bool allDone = !entry.occurrences.empty()
+        && std::all_of(entry.occurrences.begin(), entry.occurrences.end(), [](const std::pair<const std::int64_t, Occurrence> &other) {
+               return other.second.remainingSteps == 0;
+           });
+    if (allOpened && allDone) {
+        end(entry, JobState::Completed, wallMs, now);
+    }
+}
+
+std::int64_t JobProgress::maxAttempts(const JobEntry &entry) const
+{
+    const QueuePolicy *queue = m_with.state.findQueue(entry.job.queue);
+    return std::max<std::int64_t>(queue == nullptr ? entry.job.maxAttempts : queue->maxAttempts, 1);
+}
+
+void JobProgress::handleFailure(JobEntry &entry, const TaskName &name, Task &task, std::int64_t run, std::int64_t wallMs, core::TimePoint now)
+{
+    const Step &step = entry.job.steps[name.step];
+    if (step.continuous || task.record.done) {
+        return;
+    }
+    std::vector<std::int64_t> &failedRuns = task.record.failedRuns;
+    if (std::find(failedRuns.begin(), failedRuns.end(), run) != failedRuns.end()) {
+        // A previous owner has counted this failure, but the acknowledgement did not reach the worker in time.
+        return;
+    }
+    failedRuns.push_back(run);
+    std::set<std::int64_t> counted{failedRuns.begin(), failedRuns.end()};
+    if (step.gang) {
+        // Members that fail in the same run count as one failure of the gang.
+        for (const Task &member : entry.occurrences[name.occurrence].steps[name.step].tasks) {
+            counted.insert(member.record.failedRuns.begin(), member.record.failedRuns.end());
+        }
+    }
+    const std::int64_t failures = static_cast<std::int64_t>(counted.size());
+    const std::int64_t allowed = maxAttempts(entry);
+    if (failures >= allowed) {
+        m_with.output.logDecision("job_failed", entry.job.id, "", absl::StrCat("task=", toText(name), " failures=", failures, " allowed=", allowed));
+        end(entry, JobState::Failed, wallMs, now);
+    }
+}
+
+void JobProgress::end(JobEntry &entry, JobState state, std::int64_t wallMs, core::TimePoint now)
+{
+    entry.state = state;
+    entry.endedMs = wallMs;
+    m_with.output.logDecision("job_ended",
+                              entry.job.id,
+                              "",
+                              absl::StrCat("state=", std::string{toText(state)}, " age_ms=", wallMs - entry.job.submittedMs, " out=", entry.activeTasks));
+    for (std::pair<const std::int64_t, Occurrence> &occurrence : entry.occurrences) {
+        for (std::size_t step = 0; step < occurrence.second.steps.size(); ++step) {
+            std::vector<Task> &tasks = occurrence.second.steps[step].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].isActive()) {
+                    m_with.stopper.stop(TaskName{entry.job.id, occurrence.first, step, index}, tasks[index], now);
+                }
+            }
+        }
+    }
+    m_with.saves.markChanged(entry);
+    m_with.state.markEnded(entry);
+}
+
+void JobProgress::removeEnded()
+{
+    std::set<std::string> &ended = m_with.state.endedJobs();
+    for (auto id = ended.begin(); id != ended.end();) {
+        const JobEntry *entry = m_with.state.findJob(*id);
+        if (entry == nullptr) {
+            id = ended.erase(id);
+        } else if (entry->activeTasks == 0 && entry->savedVersion == entry->version) {
+            m_with.tickets.removeJob(*id);
+            m_with.state.jobs().erase(*id);
+            id = ended.erase(id);
+        } else {
+            ++id;
+        }
+    }
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/load_meter.cpp
@@ -0,0 +1,116 @@
+#include "load_meter.hpp"
+
+#include <algorithm>
+
+namespace oleanderwick::jobs
+{
+
+namespace internal
+{
+
+/** A pool is overloaded when waiting tasks of jobs that can meet their objective demand more than this multiple of its CPU. */
+constexpr double overloadFactor = 1.2;
+constexpr core::Duration measureInterval = std::chrono::milliseconds{40};
+
+} // namespace internal
+
+LoadMeter::LoadMeter(const StateTable &state, const JobEstimates &estimates)
+    : m_state{state}
+    , m_estimates{estimates}
+{
+}
+
+void LoadMeter::recordArrival(const Job &job, core::TimePoint now)
+{
+    std::int64_t work = 0;
+    for (const Step &step : job.steps) {
+        work += step.continuous ? 0 : step.count * step.each.cpu * step.estimateMs;
+    }
+    m_arrivals[job.pool].add(work, now);
+}
+
+void LoadMeter::advance(core::TimePoint now, std::int64_t wallMs)
+{
+    if (now - m_measuredAt >= internal::measureInterval) {
+        m_measuredAt = now;
+        m_loads = measure(now, wallMs);
+    }
+}
+
+const std::map<std::string, PoolLoad> &LoadMeter::loads() const noexcept
+{
+    return m_loads;
+}
+
+bool LoadMeter::isOverloaded(const std::string &pool) const
+{
+    const auto load = m_loads.find(pool);
+    return load != m_loads.end() && static_cast<double>(load->second.waitingCpu) > internal::overloadFactor * static_cast<double>(load->second.capacity);
+}
+
+std::map<std::string, PoolLoad> LoadMeter::measure(core::TimePoint now, std::int64_t wallMs) const
+{
+    std::map<std::string, PoolLoad> loads;
+    for (const std::pair<const std::string, PoolPolicy> &pool : m_state.config().pools) {
+        if (!pool.second.standby) {
+            const auto arrivals = m_arrivals.find(pool.first);
+            loads[pool.first].arrivingCpu = arrivals == m_arrivals.end() ? 0 : arrivals->second.requiredCpu(now);
+        }
+    }
+    for (const std::pair<const std::string, Worker> &item : m_state.workers()) {
+        const Worker &worker = item.second;
+        const auto load = loads.find(worker.entry.pool);
+        if (load != loads.end() && worker.isSchedulable()) {
+            ++load->second.workers;
+            load->second.capacity += worker.entry.capacity.cpu;
+        }
+    }
+    for (const std::pair<const std::string, JobEntry> &item : m_state.jobs()) {
+        const auto load = loads.find(item.second.job.pool);
+        if (load == loads.end() || isFinal(item.second.state)) {
+            continue;
+        }
+        for (const std::pair<const std::int64_t, Occurrence> &occurrence : item.second.occurrences) {
+            addOccurrenceLoad(item.second, occurrence.second, wallMs, load->second);
+        }
+    }
+    return loads;
+}
+
+void LoadMeter::addOccurrenceLoad(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, PoolLoad &load) const
+{
+    const bool late = m_estimates.slackMs(entry, occurrence, wallMs) < 0;
+    for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+        const Step &step = entry.job.steps[index];
+        const std::int64_t cpu = StateTable::demandOf(step).cpu;
+        if (step.continuous) {
+            load.continuousCpu += cpu * step.count;
+            for (const Task &task : occurrence.steps[index].tasks) {
+                load.unplacedTasks += task.phase == TaskPhase::Waiting ? 1 : 0;
+            }
+            const std::int64_t workersForStep = step.maxPerWorker > 0 ? (step.count + step.maxPerWorker - 1) / step.maxPerWorker : 1;
+            load.minWorkers = std::max(load.minWorkers, workersForStep);
+            continue;
+        }
+        const bool ready = occurrence.steps[index].remaining > 0 && JobEstimates::isStepReady(entry.job, occurrence, index);
+        for (const Task &task : occurrence.steps[index].tasks) {
+            (late ? load.runningLateCpu : load.runningCpu) += task.isActive() ? cpu : 0;
+            (late ? load.waitingLateCpu : load.waitingCpu) += ready && task.phase == TaskPhase::Waiting && !task.record.done ? cpu : 0;
+        }
+    }
+}
+
+double LoadMeter::cpuUtilization(const std::string &pool) const
+{
+    double capacity = 0.0;
+    double used = 0.0;
+    for (const std::pair<const std::string, Worker> &item : m_state.workers()) {
+        if (item.second.entry.pool == pool && item.second.registered && !item.second.cordoned) {
+            capacity += static_cast<double>(item.second.entry.capacity.cpu);
+            used += static_cast<double>(item.second.used.cpu);
+        }
+    }
+    return capacity > 0.0 ? used / capacity : 0.0;
+}
+
+} // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/model.hpp
+++ b/src/oleanderwick/jobs/model.hpp
@@ -74,6 +74,12 @@
     std::int64_t targetMs{0}; /**< Response time that a serving task must stay below; 0 for a step that does not serve. */
     std::int64_t maxUnavailable{0}; /**< Availability budget: maximum number of tasks that evacuation may leave unavailable; 0 for no budget. */
 
+    /** @return True for a step whose tasks serve requests within a target response time. */
+    [[nodiscard]] bool isServing() const noexcept
+    {
+        return targetMs > 0;
+    }
+
     [[nodiscard]] bool operator==(const Step &) const = default;
 };
 
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -1,25 +1,34 @@
 #include "scheduler.hpp"
 
-#include <algorithm>
 #include <array>
-
-#include <absl/strings/str_cat.h>
+#include <utility>
+
+#include "best_effort_pacer.hpp"
+#include "candidate_finder.hpp"
+#include "candidate_order.hpp"
+#include "job_estimates.hpp"
+#include "job_progress.hpp"
+#include "load_meter.hpp"
+#include "run_end_acks.hpp"
+#include "run_tracker.hpp"
+#include "save_queue.hpp"
+#include "scheduler_output.hpp"
+#include "state_table.hpp"
+#include "task_evacuation.hpp"
+#include "task_placer.hpp"
+#include "task_stopper.hpp"
+#include "ticket_table.hpp"
+#include "worker_chooser.hpp"
+#include "worker_health.hpp"
+#include "worker_index.hpp"
+#include "worker_leases.hpp"
+#include "worker_monitor.hpp"
+#include "worker_polls.hpp"
+#include "worker_registry.hpp"
 
 namespace oleanderwick::jobs
 {
 
-namespace internal
-{
-
-/** Run numbers left out for each task after a change of owner: the previous owner may have used them without storing it. */
-constexpr std::int64_t skippedRunNumbers = 8;
-/** A ticket is treated as expired this much early, since it must still be valid when the start arrives. */
-constexpr core::Duration ticketMargin = std::chrono::milliseconds{200};
-/** Decisions kept between two calls of `takeDecisions`; further ones are dropped. */
-constexpr std::size_t maxDecisions = 4096;
-
-} // namespace internal
-
 std::string_view toText(StartOutcome outcome) noexcept
 {
     constexpr std::array<std::string_view, 11> names{
@@ -27,315 +36,103 @@
     return names.at(static_cast<std::size_t>(outcome));
 }
 
+/** State and decisions, each of which uses only those above it. */
+struct Scheduler::Components {
+    Components(const SchedulerLimits &limits, core::TimePoint termStart)
+        : leases{state, limits, termStart}
+    {
+    }
+
+    StateTable state;
+    SchedulerOutput output;
+
+    JobEstimates estimates{state};
+    LoadMeter loads{state, estimates};
+    SaveQueue saves{state};
+    RunEndAcks acks{state};
+    TicketTable tickets{state};
+    TaskStopper stopper{state, output};
+    WorkerHealth health{state, output};
+
+    WorkerLeases leases;
+    WorkerPolls polls{state, leases};
+    JobProgress jobs{{state, loads, saves, tickets, stopper, output}};
+    RunTracker runs{{state, jobs, health, acks, saves, tickets, stopper, output}};
+    WorkerRegistry registry{state, output};
+    WorkerMonitor monitor{{state, leases, registry, runs, acks, output}};
+    BestEffortPacer pacer{state, output};
+    TaskEvacuation evacuation{state, stopper, output};
+
+    WorkerIndex index;
+    CandidateFinder finder{state, leases, estimates, index};
+    std::unique_ptr<CandidateOrder> order{std::make_unique<SlackOrder>(loads)};
+    WorkerChooser chooser{state, tickets, health, index};
+    TaskPlacer placer{{state, leases, tickets, index, finder, *order, chooser, output}};
+};
+
 Scheduler::Scheduler(const SchedulerLimits &limits, core::TimePoint now)
-    : m_limits{limits}
-    , m_termStart{now}
+    : m_components{std::make_unique<Components>(limits, now)}
 {
 }
 
+Scheduler::~Scheduler() = default;
+
 void Scheduler::configure(FleetConfig config)
 {
-    m_config = std::move(config);
-    m_placementDue = true;
+    m_components->state.configure(std::move(config));
 }
 
 void Scheduler::registerWorker(const WorkerEntry &entry, core::TimePoint now)
 {
-    Worker &worker = m_workers[entry.id];
-    if (entry.incarnation != 0 && worker.incarnation != 0 && entry.incarnation < worker.incarnation) {
-        return;
-    }
-    const bool isNewIncarnation = worker.entry.id.empty() || (entry.incarnation != 0 && entry.incarnation != worker.incarnation);
-    if (worker.entry.pool != entry.pool || worker.entry.draining != entry.draining || isNewIncarnation) {
-        logDecision("worker_listed", "", entry.id, absl::StrCat("pool=", entry.pool, " draining=", entry.draining ? 1 : 0, " born=", entry.incarnation));
-    }
-    if (entry.incarnation != 0 && worker.incarnation != 0 && entry.incarnation > worker.incarnation) {
-        resetIncarnation(worker, entry.incarnation, now);
-    }
-    if (entry.incarnation != 0) {
-        worker.incarnation = entry.incarnation;
-    }
-    // A worker does not stop draining within an incarnation, so a later entry without the flag counts as out of date.
-    const bool draining = entry.draining || (worker.entry.draining && !isNewIncarnation);
-    WorkerEntry updated = entry;
-    updated.draining = draining;
-    // Most entries are heartbeats, which change nothing here.
-    if (!worker.registered || worker.entry != updated) {
-        worker.entry = std::move(updated);
-        worker.registered = true;
-        m_placementDue = true;
-    }
+    m_components->registry.add(entry, now);
 }
 
 void Scheduler::unregisterWorker(const std::string &id)
 {
-    const auto found = m_workers.find(id);
-    if (found != m_workers.end() && found->second.registered) {
-        found->second.registered = false;
-        logDecision("worker_unlisted", "", id, absl::StrCat("runs=", found->second.runs.size()));
-    }
+    m_components->registry.remove(id);
 }
 
 void Scheduler::restoreWorker(const std::string &id, const std::string &pool)
 {
-    Worker &worker = m_workers[id];
-    if (!worker.registered) {
-        worker.entry.id = id;
-        worker.entry.pool = pool;
-    }
-    setUsed(id, pool);
-}
-
-void Scheduler::setUsed(const std::string &id, const std::string &pool)
-{
-    const auto known = m_usedWorkers.find(id);
-    if (known == m_usedWorkers.end() || known->second != pool) {
-        m_usedWorkers.insert_or_assign(id, pool);
-        ++m_usedWorkersVersion;
-    }
+    m_components->registry.restore(id, pool);
 }
 
 void Scheduler::addJob(Job job, const std::optional<JobRecord> &record, bool predatesTerm, core::TimePoint now)
 {
-    if (m_jobs.contains(job.id) || (record.has_value() && isFinal(record->state))) {
-        m_earlyCancels.erase(job.id);
-        return;
-    }
-    JobEntry &entry = m_jobs[job.id];
-    entry.job = std::move(job);
-    logDecision("job_taken_in",
-                entry.job.id,
-                "",
-                absl::StrCat("queue=",
-                             entry.job.queue,
-                             " pool=",
-                             entry.job.pool,
-                             " team=",
-                             entry.job.team,
-                             " steps=",
-                             entry.job.steps.size(),
-                             " former_owner=",
-                             predatesTerm ? 1 : 0));
-    entry.predatesTerm = predatesTerm;
-    entry.criticalPathMs = criticalPathMs(entry.job, nullptr);
-    entry.allSpeculative = std::all_of(entry.job.steps.begin(), entry.job.steps.end(), [](const Step &step) {
-        return step.speculative;
-    });
-    if (record.has_value()) {
-        entry.state = record->state;
-        entry.storedState = record->state;
-        entry.nextOccurrence = record->nextOccurrence;
-        for (const std::pair<const std::int64_t, std::vector<std::vector<TaskRecord>>> &saved : record->occurrences) {
-            openOccurrence(entry, saved.first, &saved.second);
-        }
-        m_restored.insert(entry.job.id);
-    } else if (!predatesTerm) {
-        recordArrival(entry.job, now);
-    }
-    m_unopened.insert(entry.job.id);
-    const auto cancelled = m_earlyCancels.find(entry.job.id);
-    if (cancelled != m_earlyCancels.end()) {
-        endJob(entry, JobState::Cancelled, cancelled->second, now);
-        m_earlyCancels.erase(cancelled);
-    }
-    m_placementDue = true;
-}
-
-void Scheduler::openOccurrence(JobEntry &entry, std::int64_t number, const std::vector<std::vector<TaskRecord>> *records)
-{
-    Occurrence &occurrence = entry.occurrences[number];
-    occurrence.dueMs = entry.job.repeatCount > 0 ? entry.job.firstRunMs + number * entry.job.intervalMs : 0;
-    for (std::size_t index = 0; index < entry.job.steps.size(); ++index) {
-        const Step &step = entry.job.steps[index];
-        StepState &state = occurrence.steps.emplace_back();
-        state.tasks.resize(static_cast<std::size_t>(step.count));
-        for (std::size_t task = 0; task < state.tasks.size(); ++task) {
-            if (records != nullptr && index < records->size() && task < (*records)[index].size()) {
-                state.tasks[task].record = (*records)[index][task];
-            }
-            if (entry.predatesTerm) {
-                state.tasks[task].record.lastRun += state.tasks[task].record.done ? 0 : internal::skippedRunNumbers;
-            }
-            if (state.tasks[task].record.done) {
-                state.tasks[task].phase = TaskPhase::Done;
-            } else {
-                ++state.remaining;
-            }
-        }
-        occurrence.remainingSteps += state.remaining > 0 ? 1 : 0;
-    }
-}
-
-void Scheduler::openDueOccurrences(JobEntry &entry, std::int64_t wallMs)
-{
-    const std::int64_t count = std::max<std::int64_t>(entry.job.repeatCount, 1);
-    while (entry.nextOccurrence < count) {
-        const std::int64_t dueMs = entry.job.repeatCount > 0 ? entry.job.firstRunMs + entry.nextOccurrence * entry.job.intervalMs : 0;
-        if (dueMs > wallMs) {
-            return;
-        }
-        openOccurrence(entry, entry.nextOccurrence, nullptr);
-        ++entry.nextOccurrence;
-    }
+    m_components->jobs.add(std::move(job), record, predatesTerm, now);
 }
 
 void Scheduler::cancelJob(const std::string &id, std::int64_t wallMs, core::TimePoint now)
 {
-    JobEntry *entry = findEntry(id);
-    if (entry == nullptr) {
-        // When the store is listed, a cancellation may come before its job.
-        m_earlyCancels[id] = wallMs;
-        return;
-    }
-    if (!isFinal(entry->state)) {
-        endJob(*entry, JobState::Cancelled, wallMs, now);
-    }
+    m_components->jobs.cancel(id, wallMs, now);
 }
 
 void Scheduler::handleReport(const std::string &id, const WorkerReport &report, core::TimePoint sentAt, core::TimePoint now, std::int64_t wallMs)
 {
-    const auto found = m_workers.find(id);
-    if (found == m_workers.end()) {
-        return;
-    }
-    Worker &worker = found->second;
-    worker.pollInFlight = false;
-    const std::int64_t before = worker.incarnation;
-    if (report.incarnation != 0 && worker.incarnation != 0 && report.incarnation < worker.incarnation) {
-        return;
-    }
-    if (report.incarnation != 0 && report.incarnation != worker.incarnation) {
-        resetIncarnation(worker, report.incarnation, now);
+    const Worker *worker = m_components->monitor.handleReport(id, report, sentAt, now, wallMs);
+    if (worker != nullptr) {
+        m_components->pacer.adjust(*worker, now);
     }
-    if (!worker.reported) {
-        logDecision("worker_held", "", id, absl::StrCat("running=", report.running.size(), " ended=", report.ended.size(), " clock_ms=", report.clockMs));
-    }
-    recordClock(worker, report.clockMs, now);
-    if (!worker.reported || report.incarnation != before) {
-        // Its runs may have a lease of unknown length: from a previous owner, or given to an incarnation that this owner did not know.
-        worker.leaseExpiresBy = std::max(worker.leaseExpiresBy, now + maxLeaseDuration());
-    }
-    worker.unresponsive = false;
-    worker.lastReplyAt = now;
-    for (const ReportedEnd &end : report.ended) {
-        if (end.number > worker.lastEnd) {
-            handleRunEnd(worker, end, now, wallMs);
-            worker.lastEnd = end.number;
-        }
-    }
-    for (const ReportedRun &reported : report.running) {
-        handleReportedRun(worker, reported, now);
-    }
-    handleMissingRuns(worker, report, sentAt, now);
-    worker.reported = true;
-    advanceAcks(worker);
-    paceBestEffort(worker, now);
-    worker.nextPollAt = now;
-    m_placementDue = true;
 }
 
 void Scheduler::handlePollFailure(const std::string &id, bool gone, core::TimePoint now)
 {
-    constexpr core::Duration retryDelay = std::chrono::milliseconds{400};
-    const auto found = m_workers.find(id);
-    if (found == m_workers.end()) {
-        return;
-    }
-    Worker &worker = found->second;
-    worker.pollInFlight = false;
-    worker.nextPollAt = now + retryDelay;
-    if (!worker.unresponsive) {
-        logDecision("worker_silent",
-                    "",
-                    id,
-                    absl::StrCat("gone=", gone ? 1 : 0, " runs=", worker.runs.size(), " seen_ms_ago=", core::milliseconds(now - worker.lastReplyAt)));
-    }
-    worker.unresponsive = true;
-    if (!gone) {
-        dropSpeculative(worker, now);
-    }
-    if (gone) {
-        // The worker process has ended: its address refuses connections or belongs to another worker.
-        dropRuns(worker, "worker_gone", now);
-        worker.reported = true;
-        worker.leaseExpiresBy = now;
-    }
+    m_components->monitor.handlePollFailure(id, gone, now);
+}
+
+void Scheduler::handleRunningWorkers(const std::set<std::string> &running, core::TimePoint requestedAt, core::TimePoint now)
+{
+    m_components->monitor.handleRunningWorkers(running, requestedAt, now);
 }
 
 void Scheduler::handleStartReply(const StartCommand &command, StartOutcome outcome, std::int64_t clockMs, core::TimePoint now)
 {
-    constexpr core::Duration refusalDelay = std::chrono::milliseconds{1500};
-    constexpr core::Duration noRoomDelay = std::chrono::milliseconds{150};
-    const auto found = m_workers.find(command.worker);
-    JobEntry *entry = findEntry(command.task.job);
-    Task *task = findTask(command.task);
-    if (found == m_workers.end() || entry == nullptr || task == nullptr) {
-        return;
-    }
-    Worker &worker = found->second;
-    if (clockMs > 0) {
-        recordClock(worker, clockMs, now);
-        worker.lastReplyAt = now;
-    }
-    if (outcome != StartOutcome::Started) {
-        logDecision("start_refused", toText(command.task), command.worker, absl::StrCat("run=", command.run, " answer=", std::string{toText(outcome)}));
-    }
-    if (!task->isActive() || task->run != command.run || task->worker != command.worker) {
-        return;
-    }
-    m_placementDue = true;
-    if (outcome == StartOutcome::Started) {
-        markStarted(*entry);
-        if (task->phase == TaskPhase::Starting) {
-            task->phase = TaskPhase::Running;
-            task->since = now;
-            task->progressChangedAt = now;
-        }
-        worker.nextPollAt = std::min(worker.nextPollAt, now);
-        return;
-    }
-    if (outcome == StartOutcome::Unknown) {
-        worker.nextPollAt = now;
-        if (entry->job.steps[command.task.step].speculative) {
-            // A duplicate run on another worker is harmless.
-            detach(*entry, command.task, *task);
-            task->notBefore = now;
-            worker.quarantinedUntil = now + refusalDelay;
-        } else if (task->phase == TaskPhase::Starting) {
-            task->phase = TaskPhase::Uncertain;
-            task->since = now;
-        }
-        return;
-    }
-    detach(*entry, command.task, *task);
-    task->notBefore = now;
-    if (outcome == StartOutcome::Unhealthy || outcome == StartOutcome::NotSent || outcome == StartOutcome::OtherIncarnation) {
-        worker.quarantinedUntil = now + refusalDelay;
-    }
-    if (outcome == StartOutcome::NoRoom || outcome == StartOutcome::TooLate) {
-        worker.quarantinedUntil = now + noRoomDelay;
-        worker.nextPollAt = now;
-    }
-    if (outcome == StartOutcome::NoTicket) {
-        m_advice.erase(StepName{command.task.job, command.task.occurrence, command.task.step});
-    }
-    if (outcome == StartOutcome::Invalid) {
-        task->notBefore = now + refusalDelay;
-    }
+    m_components->runs.handleStartReply(command, outcome, clockMs, now);
 }
 
 void Scheduler::handleStopReply(const StopCommand &command, bool acknowledged, core::TimePoint now)
 {
-    Task *task = findTask(command.task);
-    if (task == nullptr || !task->isActive() || task->run != command.run || task->worker != command.worker || !acknowledged) {
-        return;
-    }
-    task->stopAcknowledged = true;
-    task->since = now;
-    const auto found = m_workers.find(command.worker);
-    if (found != m_workers.end()) {
-        found->second.nextPollAt = now;
-    }
+    m_components->runs.handleStopReply(command, acknowledged, now);
 }
 
 void Scheduler::handleAdvice(const AdviceRequest &request,
@@ -343,94 +140,136 @@
                              core::Duration validFor,
                              core::TimePoint now)
 {
-    Advice &advice = m_advice[request.step];
-    advice.requestInFlight = false;
-    if (!tickets.has_value()) {
-        return;
+    m_components->tickets.handleAdvice(request, tickets, validFor, now);
+    if (tickets.has_value()) {
+        m_components->state.requestPlacement();
     }
-    for (const std::string &worker : request.workers) {
-        const auto ticket = tickets->find(worker);
-        if (ticket != tickets->end()) {
-            advice.tickets[worker] = ticket->second;
-        }
-        // A worker that was refused for the step stays refused, because the step does not change.
-        advice.validUntil[worker] = ticket != tickets->end() ? now + validFor - internal::ticketMargin : core::TimePoint::max();
+}
+
+void Scheduler::handleSaved(const std::string &job, std::uint64_t version, bool stored)
+{
+    m_components->saves.handleSaved(job, version, stored);
+    m_components->acks.advanceAll();
+}
+
+void Scheduler::handleSaved(const std::vector<SaveRequest> &saves, bool stored)
+{
+    for (const SaveRequest &request : saves) {
+        m_components->saves.handleSaved(request.job, request.version, stored);
     }
-    m_placementDue = true;
+    m_components->acks.advanceAll();
+}
+
+void Scheduler::setCordoned(const std::string &id, bool cordoned)
+{
+    m_components->registry.setCordoned(id, cordoned);
+}
+
+void Scheduler::setMaintenancePending(const std::string &id)
+{
+    m_components->registry.setMaintenancePending(id);
+}
+
+void Scheduler::evacuate(const std::string &id, core::TimePoint now)
+{
+    m_components->evacuation.evacuate(id, now);
+}
+
+void Scheduler::advance(core::TimePoint now, std::int64_t wallMs)
+{
+    m_components->monitor.advance(now);
+    m_components->runs.advance(now);
+    m_components->jobs.advance(now, wallMs);
+    m_components->loads.advance(now, wallMs);
+    m_components->placer.advance(now, wallMs);
 }
 
 Commands Scheduler::takeCommands()
 {
-    Commands commands;
-    std::swap(commands, m_commands);
-    return commands;
+    return m_components->output.takeCommands();
 }
 
 std::vector<Decision> Scheduler::takeDecisions()
 {
-    std::vector<Decision> decisions;
-    std::swap(decisions, m_decisions);
-    return decisions;
+    return m_components->output.takeDecisions();
+}
+
+std::vector<PollCommand> Scheduler::takePolls(core::TimePoint now)
+{
+    return m_components->polls.take(now);
+}
+
+std::vector<SaveRequest> Scheduler::takeSaves(std::size_t maxEntries)
+{
+    return m_components->saves.take(maxEntries);
+}
+
+bool Scheduler::hasUnsaved() const noexcept
+{
+    return m_components->saves.hasUnsaved();
+}
+
+bool Scheduler::hasUnsavedEnd() const noexcept
+{
+    return m_components->saves.hasUnsavedEnd();
 }
 
 const std::map<std::string, Worker> &Scheduler::workers() const noexcept
 {
-    return m_workers;
+    return std::as_const(m_components->state).workers();
 }
 
 const JobEntry *Scheduler::findJob(const std::string &id) const
 {
-    const auto found = m_jobs.find(id);
-    return found == m_jobs.end() ? nullptr : &found->second;
+    return m_components->state.findJob(id);
 }
 
-std::uint64_t Scheduler::usedWorkersVersion() const noexcept
+double Scheduler::cpuUtilization(const std::string &pool) const
 {
-    return m_usedWorkersVersion;
+    return m_components->loads.cpuUtilization(pool);
 }
 
-const std::map<std::string, std::string> &Scheduler::usedWorkers() const noexcept
+bool Scheduler::isStandby(const std::string &pool) const
 {
-    return m_usedWorkers;
+    const std::map<std::string, PoolPolicy> &pools = m_components->state.config().pools;
+    const auto found = pools.find(pool);
+    return found != pools.end() && found->second.standby;
 }
 
-JobEntry *Scheduler::findEntry(const std::string &id)
+std::vector<std::string> Scheduler::standbyPools() const
 {
-    const auto found = m_jobs.find(id);
-    return found == m_jobs.end() ? nullptr : &found->second;
+    std::vector<std::string> pools;
+    for (const std::pair<const std::string, PoolPolicy> &pool : m_components->state.config().pools) {
+        if (pool.second.standby) {
+            pools.push_back(pool.first);
+        }
+    }
+    return pools;
 }
 
-Task *Scheduler::findTask(const TaskName &name)
+bool Scheduler::isIdle(const std::string &id, core::TimePoint now) const
 {
-    JobEntry *entry = findEntry(name.job);
-    if (entry == nullptr) {
-        return nullptr;
-    }
-    const auto occurrence = entry->occurrences.find(name.occurrence);
-    if (occurrence == entry->occurrences.end() || name.step >= occurrence->second.steps.size()) {
-        return nullptr;
-    }
-    std::vector<Task> &tasks = occurrence->second.steps[name.step].tasks;
-    return name.index < tasks.size() ? &tasks[name.index] : nullptr;
+    return m_components->leases.isIdle(id, now);
 }
 
-const Step *Scheduler::findStep(const TaskName &name) const
+bool Scheduler::runsContinuous(const Worker &worker) const
 {
-    const JobEntry *entry = findJob(name.job);
-    return entry == nullptr || name.step >= entry->job.steps.size() ? nullptr : &entry->job.steps[name.step];
+    return m_components->state.runsContinuous(worker);
 }
 
-std::int64_t Scheduler::maxAttempts(const JobEntry &entry) const
+const std::map<std::string, PoolLoad> &Scheduler::poolLoads() const noexcept
 {
-    const auto queue = m_config.queues.find(entry.job.queue);
-    return std::max<std::int64_t>(queue == m_config.queues.end() ? entry.job.maxAttempts : queue->second.maxAttempts, 1);
+    return m_components->loads.loads();
 }
 
-void Scheduler::logDecision(std::string event, std::string job, std::string worker, std::string detail)
+std::uint64_t Scheduler::usedWorkersVersion() const noexcept
 {
-    if (m_decisions.size() < internal::maxDecisions) {
-        m_decisions.push_back(Decision{std::move(event), std::move(job), std::move(worker), std::move(detail)});
-    }
+    return m_components->state.usedWorkersVersion();
+}
+
+const std::map<std::string, std::string> &Scheduler::usedWorkers() const noexcept
+{
+    return m_components->state.usedWorkers();
 }
 
 } // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -1,32 +1,26 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "arrival_rate.hpp"
 #include "commands.hpp"
+#include "scheduler_limits.hpp"
 #include "table.hpp"
 
 namespace oleanderwick::jobs
 {
 
-/** @brief Limits of the platform that the scheduler observes; the settings may override them. */
-struct SchedulerLimits {
-    core::Duration maxLease{std::chrono::seconds{6}}; /**< Longest lease that a worker accepts. */
-
-    [[nodiscard]] bool operator==(const SchedulerLimits &) const = default;
-};
-
 /**
  * @brief Places the tasks of all jobs on workers, maintains the workers' leases and processes run ends; performs no I/O.
  *
  * Only the current owner runs a scheduler. State that is not in the store is recovered from the workers, which report their
- * running runs and their run ends.
+ * running runs and their run ends. This class is a facade: `StateTable` has the state, and each kind of decision is an object of
+ * its own (docs/design/scheduler-structure.md).
  */
 class Scheduler
 {
@@ -37,6 +31,9 @@
      * @param now Start of the term on the monotonic clock.
      */
     Scheduler(const SchedulerLimits &limits, core::TimePoint now);
+    ~Scheduler();
+    Scheduler(const Scheduler &) = delete;
+    Scheduler &operator=(const Scheduler &) = delete;
 
     /** @name Modifiers */
     /** @{ */
@@ -268,143 +265,8 @@
     /** @} */
 
 private:
-    /** Rank of a job within its priority; lower values are placed first. */
-    enum class Rank : std::uint8_t {
-        InProgress, /**< Has started and can meet its latency objective. */
-        Timely, /**< Can meet its latency objective. */
-        Late, /**< Will miss its latency objective. */
-    };
-
-    struct Candidate {
-        JobEntry *entry;
-        std::int64_t occurrence;
-        std::size_t step;
-        std::int64_t priority;
-        Rank rank;
-        double slackMs; /**< Time left to start the remaining steps without missing the latency objective; negative if it will be missed. */
-        double sortKey; /**< Sort key within a priority and rank; lower values are placed first. */
-    };
-
-    struct Choice {
-        Worker *worker;
-        double cost; /**< See `placementCost`. */
-    };
-
-    /** Workers that can take a task of a step; kept while the tasks of the step are placed, so that they are examined once for all of them. */
-    struct Choices {
-        std::vector<Choice> workers;
-        std::size_t last{SIZE_MAX}; /**< Index of the worker chosen last. */
-        bool listed{false};
-    };
-
-    [[nodiscard]] Task *findTask(const TaskName &name);
-    [[nodiscard]] const Step *findStep(const TaskName &name) const;
-    [[nodiscard]] JobEntry *findEntry(const std::string &id);
-    [[nodiscard]] std::int64_t maxAttempts(const JobEntry &entry) const;
-    void markChanged(JobEntry &entry);
-    void addUnsaved(JobEntry &entry);
-    void recordSaved(const std::string &id, std::uint64_t version, bool stored);
-    void openOccurrence(JobEntry &entry, std::int64_t number, const std::vector<std::vector<TaskRecord>> *records);
-    void openDueOccurrences(JobEntry &entry, std::int64_t wallMs);
-    void openOccurrences(std::int64_t wallMs);
-
-    void setUsed(const std::string &worker, const std::string &pool);
-    void attach(JobEntry &entry, const TaskName &name, Task &task, Worker &worker, std::int64_t run, TaskPhase phase, core::TimePoint now);
-    void detach(JobEntry &entry, const TaskName &name, Task &task);
-    [[nodiscard]] Resources demandOf(const Step &step) const noexcept;
-    void dropSpeculative(Worker &worker, core::TimePoint now);
-    void dropRuns(Worker &worker, std::string_view reason, core::TimePoint now);
-    [[nodiscard]] bool mayHaveEnded(const Worker &worker, core::TimePoint requestedAt) const;
-    void resetIncarnation(Worker &worker, std::int64_t incarnation, core::TimePoint now);
-
-    void handleRunEnd(Worker &worker, const ReportedEnd &end, core::TimePoint now, std::int64_t wallMs);
-    void handleSuccess(JobEntry &entry, const TaskName &name, std::int64_t wallMs, core::TimePoint now);
-    void completeIfDone(JobEntry &entry, std::int64_t wallMs, core::TimePoint now);
-    void handleFailure(JobEntry &entry, const TaskName &name, Task &task, std::int64_t run, std::int64_t wallMs, core::TimePoint now);
-    void handleReportedRun(Worker &worker, const ReportedRun &reported, core::TimePoint now);
-    void handleMissingRuns(Worker &worker, const WorkerReport &report, core::TimePoint sentAt, core::TimePoint now);
-    void updateQuarantine(Worker &worker, RunEndKind kind, core::TimePoint now);
-    void endJob(JobEntry &entry, JobState state, std::int64_t wallMs, core::TimePoint now);
-    void issueStop(Worker &worker, const TaskName &name, std::int64_t run);
-    void stopTask(const TaskName &name, Task &task, core::TimePoint now);
-    void removeEndedJobs();
-    /** Leaves the queued state; for a run that a worker has confirmed, as a start that was sent may be refused. */
-    void markStarted(JobEntry &entry);
-
-    [[nodiscard]] std::int64_t extendLease(Worker &worker, core::TimePoint now);
-    void recordClock(Worker &worker, std::int64_t clockMs, core::TimePoint now) const;
-    [[nodiscard]] core::Duration maxLeaseDuration() const noexcept;
-    /** Time by which all leases of previous owners have expired. */
-    [[nodiscard]] core::TimePoint previousLeasesEnd() const noexcept;
-    void advanceAcks(Worker &worker);
-    /** Releases the acknowledgements of run ends whose states are stored. */
-    void advanceAllAcks();
-    void sweepWorkers(core::TimePoint now);
-    void sweepTasks(core::TimePoint now);
-    void paceBestEffort(Worker &worker, core::TimePoint now);
-
-    void recordArrival(const Job &job, core::TimePoint now);
-    [[nodiscard]] bool arePreviousRunsKnown(const std::string &pool, core::TimePoint now) const;
-    [[nodiscard]] std::vector<Candidate> collectCandidates(core::TimePoint now, std::int64_t wallMs);
-    void addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found);
-    [[nodiscard]] bool isStepReady(const JobEntry &entry, const Occurrence &occurrence, std::size_t step) const;
-    /** Estimated duration of the critical path in milliseconds, without steps that `progress`, if given, has as done. */
-    [[nodiscard]] static double criticalPathMs(const Job &job, const Occurrence *progress);
-    void place(core::TimePoint now, std::int64_t wallMs);
-    void placeStep(const Candidate &candidate, core::TimePoint now);
-    void placeGang(const Candidate &candidate, core::TimePoint now);
-    /** Logs the runs that were placed for a step, given as `index:worker:run` separated by commas; nothing if there are none. */
-    void logPlacement(const Candidate &candidate, const std::string &placed);
-    [[nodiscard]] std::map<std::string, PoolLoad> measureLoads(core::TimePoint now, std::int64_t wallMs) const;
-    void addOccurrenceLoad(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, PoolLoad &load) const;
-    [[nodiscard]] double slackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const;
-    [[nodiscard]] bool isWithinTeamLimit(const JobEntry &entry, const Resources &demand) const;
-    void listChoices(const Candidate &candidate, const Step &step, Choices &choices, core::TimePoint now);
-    [[nodiscard]] Worker *chooseWorker(const Candidate &candidate, const Step &step, Choices &choices, core::TimePoint now);
-    void indexWorkers();
-    /** Returns false if a demand certainly fits on no worker of a pool; valid during placement. */
-    [[nodiscard]] bool mayFit(const std::string &pool, const Resources &demand) const;
-    [[nodiscard]] bool isUnplaceable(const std::string &pool, const Resources &demand) const;
-    /** Returns true if a run on the worker was started after the worker's last failure. */
-    [[nodiscard]] bool hasProbe(const Worker &worker) const;
-    [[nodiscard]] bool canPlace(const Worker &worker, const Candidate &candidate, const Step &step, core::TimePoint now);
-    [[nodiscard]] double placementCost(const Worker &worker, const Candidate &candidate, const Step &step) const;
-    [[nodiscard]] std::int64_t countOnWorker(const Worker &worker, const Candidate &candidate) const;
-    void startTask(const Candidate &candidate, std::size_t index, Worker &worker, std::int64_t run, core::TimePoint now);
-    [[nodiscard]] const std::string *ticketFor(const StepName &step, const std::string &worker, core::TimePoint now) const;
-    void requestAdvice(const Candidate &candidate, core::TimePoint now);
-    [[nodiscard]] std::int64_t countOthersUnavailable(const TaskName &name, core::TimePoint now) const;
-    void logDecision(std::string event, std::string job, std::string worker, std::string detail);
-
-    SchedulerLimits m_limits;
-    core::TimePoint m_termStart;
-    FleetConfig m_config;
-    std::map<std::string, JobEntry> m_jobs;
-    std::map<std::string, Worker> m_workers;
-    std::map<std::string, Resources> m_teamUse;
-    std::map<StepName, Advice> m_advice;
-    std::map<std::string, ArrivalRate> m_arrivals; /**< Recently arrived work by pool. */
-    std::uint64_t m_lastUnsaved{0}; /**< Highest number in `m_unsaved` so far. */
-    std::map<std::uint64_t, std::string> m_unsaved; /**< Jobs with a state that is neither stored nor being stored, in the order in which they changed. */
-    std::map<std::uint64_t, std::string> m_unsavedEnds; /**< Subset of `m_unsaved`: jobs that have ended. */
-    std::map<std::string, std::int64_t> m_earlyCancels; /**< Unix time of cancellation by job, for jobs that were cancelled before they were added. */
-    std::set<std::string> m_restored; /**< Jobs added with a stored state, in which all tasks may be done while the job is not completed. */
-    std::set<std::string> m_ended; /**< Ended jobs that await removal. */
-    std::set<std::string> m_unopened; /**< Jobs with occurrences that have not been opened. */
-    std::set<std::string> m_unstoredEnds; /**< Workers with run ends that are not stored. */
-    std::map<std::string, std::string> m_usedWorkers;
-    std::uint64_t m_usedWorkersVersion{0};
-    std::map<std::string, std::vector<Worker *>> m_poolWorkers; /**< Schedulable workers with a report and a known clock, by pool; valid during placement. */
-    std::map<std::string, Resources> m_poolRoom; /**< Largest free amount of each resource on one worker, by pool, at the start of a placement. */
-    std::map<std::string, std::vector<Resources>> m_unplaceable; /**< Demands that fit on no worker, by pool; valid during placement. */
-    std::map<std::string, PoolLoad> m_loads;
-    core::TimePoint m_loadsAt;
-    core::TimePoint m_sweptAt;
-    core::TimePoint m_tasksSweptAt;
-    bool m_placementDue{true};
-    core::TimePoint m_lastPlacement;
-    Commands m_commands;
-    std::vector<Decision> m_decisions;
+    struct Components;
+    std::unique_ptr<Components> m_components;
 };
 
 } // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/scheduler_limits.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <chrono>
+
+#include "../core/core.hpp"
+
+namespace oleanderwick::jobs
+{
+
+/** @brief Limits of the platform that the scheduler observes; the settings may override them. */
+struct SchedulerLimits {
+    core::Duration maxLease{std::chrono::seconds{6}}; /**< Longest lease that a worker accepts. */
+
+    [[nodiscard]] bool operator==(const SchedulerLimits &) const = default;
+};
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/state_table.cpp
@@ -0,0 +1,224 @@
+#include "state_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace oleanderwick::jobs
+{
+
+void StateTable::configure(FleetConfig config)
+{
+    m_config = std::move(config);
+    requestPlacement();
+}
+
+const FleetConfig &StateTable::config() const noexcept
+{
+    return m_config;
+}
+
+const QueuePolicy *StateTable::findQueue(const std::string &name) const
+{
+    const auto found = m_config.queues.find(name);
+    return found == m_config.queues.end() ? nullptr : &found->second;
+}
+
+std::map<std::string, JobEntry> &StateTable::jobs() noexcept
+{
+    return m_jobs;
+}
+
+const std::map<std::string, JobEntry> &StateTable::jobs() const noexcept
+{
+    return m_jobs;
+}
+
+JobEntry *StateTable::findJob(const std::string &id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const JobEntry *StateTable::findJob(const std::string &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+TaskReference StateTable::findTask(const TaskName &name)
+{
+    TaskReference reference;
+    reference.entry = findJob(name.job);
+    if (reference.entry == nullptr || name.step >= reference.entry->job.steps.size()) {
+        return reference;
+    }
+    reference.step = &reference.entry->job.steps[name.step];
+    const auto occurrence = reference.entry->occurrences.find(name.occurrence);
+    if (occurrence != reference.entry->occurrences.end()) {
+        std::vector<Task> &tasks = occurrence->second.steps[name.step].tasks;
+        reference.task = name.index < tasks.size() ? &tasks[name.index] : nullptr;
+    }
+    return reference;
+}
+
+const Step *StateTable::findStep(const TaskName &name) const
+{
+    const JobEntry *entry = findJob(name.job);
+    return entry == nullptr || name.step >= entry->job.steps.size() ? nullptr : &entry->job.steps[name.step];
+}
+
+const Task &StateTable::taskOf(const JobEntry &entry, const TaskName &name)
+{
+    return entry.occurrences.at(name.occurrence).steps[name.step].tasks[name.index];
+}
+
+void StateTable::markEnded(const JobEntry &entry)
+{
+    if (entry.activeTasks == 0) {
+        m_endedJobs.insert(entry.job.id);
+    }
+}
+
+std::set<std::string> &StateTable::endedJobs() noexcept
+{
+    return m_endedJobs;
+}
+
+std::map<std::string, Worker> &StateTable::workers() noexcept
+{
+    return m_workers;
+}
+
+const std::map<std::string, Worker> &StateTable::workers() const noexcept
+{
+    return m_workers;
+}
+
+Worker *StateTable::findWorker(const std::string &id)
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+const Worker *StateTable::findWorker(const std::string &id) const
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+bool StateTable::runsContinuous(const Worker &worker) const
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [this](const std::pair<const TaskName, std::int64_t> &run) {
+        const Step *step = findStep(run.first);
+        return step != nullptr && step->continuous;
+    });
+}
+
+void StateTable::addUsedWorker(const std::string &id, const std::string &pool)
+{
+    const auto known = m_usedWorkers.find(id);
+    if (known == m_usedWorkers.end() || known->second != pool) {
+        m_usedWorkers.insert_or_assign(id, pool);
+        ++m_usedWorkersVersion;
+    }
+}
+
+void StateTable::removeUsedWorker(const std::string &id)
+{
+    m_usedWorkersVersion += m_usedWorkers.erase(id);
+}
+
+const std::map<std::string, std::string> &StateTable::usedWorkers() const noexcept
+{
+    return m_usedWorkers;
+}
+
+std::uint64_t StateTable::usedWorkersVersion() const noexcept
+{
+    return m_usedWorkersVersion;
+}
+
+Resources StateTable::demandOf(const Step &step) noexcept
+{
+    // The CPU time of a best-effort task does not count against the worker's capacity.
+    return step.bestEffort ? Resources{0, step.each.memory, step.each.gpu} : step.each;
+}
+
+void StateTable::attach(JobEntry &entry, const TaskName &name, Task &task, Worker &worker, std::int64_t run, TaskPhase phase, core::TimePoint now)
+{
+    const Step &step = entry.job.steps[name.step];
+    task.phase = phase;
+    task.worker = worker.entry.id;
+    task.run = run;
+    task.since = now;
+    task.startedAt = now;
+    task.progressChangedAt = now;
+    task.percent = 0;
+    task.measurement = 0;
+    task.pace = 100;
+    task.stopAcknowledged = false;
+    task.stopSentAt = {};
+    task.record.lastRun = std::max(task.record.lastRun, run);
+    worker.runs[name] = run;
+    worker.used = worker.used + demandOf(step);
+    Resources &teamUse = m_teamUse[entry.job.team];
+    teamUse = teamUse + step.each;
+    ++entry.activeTasks;
+    addUsedWorker(worker.entry.id, worker.entry.pool);
+}
+
+void StateTable::detach(JobEntry &entry, const TaskName &name, Task &task)
+{
+    if (!task.isActive()) {
+        return;
+    }
+    const Step &step = entry.job.steps[name.step];
+    const auto worker = m_workers.find(task.worker);
+    if (worker != m_workers.end()) {
+        worker->second.runs.erase(name);
+        worker->second.used = worker->second.used - demandOf(step);
+    }
+    Resources &teamUse = m_teamUse[entry.job.team];
+    teamUse = teamUse - step.each;
+    --entry.activeTasks;
+    task.phase = task.record.done ? TaskPhase::Done : TaskPhase::Waiting;
+    task.worker.clear();
+    task.percent = 0;
+    requestPlacement();
+    if (isFinal(entry.state)) {
+        markEnded(entry);
+    }
+}
+
+bool StateTable::isWithinTeamLimit(const std::string &team, const Resources &demand) const
+{
+    const auto policy = m_config.teams.find(team);
+    const auto use = m_teamUse.find(team);
+    if (policy == m_config.teams.end() || use == m_teamUse.end()) {
+        return true;
+    }
+    const Resources after = use->second + demand;
+    const auto within = [](std::int64_t limit, std::int64_t used, std::int64_t wanted) {
+        return limit == 0 || used == 0 || wanted <= limit;
+    };
+    const Resources &limit = policy->second.limit;
+    return within(limit.cpu, use->second.cpu, after.cpu) && within(limit.memory, use->second.memory, after.memory)
+        && within(limit.gpu, use->second.gpu, after.gpu);
+}
+
+void StateTable::requestPlacement() noexcept
+{
+    m_placementRequested = true;
+}
+
+void StateTable::clearPlacementRequest() noexcept
+{
+    m_placementRequested = false;
+}
+
+bool StateTable::isPlacementRequested() const noexcept
+{
+    return m_placementRequested;
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/state_table.hpp
@@ -0,0 +1,206 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "table.hpp"
+
+namespace oleanderwick::jobs
+{
+
+/** @brief A task with the job and step that it belongs to; valid until the job is removed. */
+struct TaskReference {
+    JobEntry *entry{nullptr}; /**< Null if the job is unknown. */
+    const Step *step{nullptr}; /**< Null if the job is unknown or has no such step. */
+    Task *task{nullptr}; /**< Null if any part of the name is unknown; otherwise the others are set. */
+};
+
+/**
+ * @brief What the scheduler knows of jobs, workers and the use of resources by teams, with the indexes that belong to them.
+ *
+ * Decides nothing. Whatever takes part in a decision reads it here, and whatever starts or ends a run does so by `attach` and
+ * `detach`, which keep the capacity of workers, the use of teams and the indexes consistent.
+ */
+class StateTable
+{
+public:
+    StateTable() = default;
+    StateTable(const StateTable &) = delete;
+    StateTable &operator=(const StateTable &) = delete;
+
+    /** @name Configuration */
+    /** @{ */
+
+    /**
+     * @brief Replaces the configuration.
+     * @param config New configuration of the fleet.
+     */
+    void configure(FleetConfig config);
+
+    /** @return Current configuration of the fleet. */
+    [[nodiscard]] const FleetConfig &config() const noexcept;
+
+    /**
+     * @brief Finds the scheduling parameters of a queue.
+     * @param name Name of the queue.
+     * @return The parameters, or null if the queue is unknown; valid until the next `configure`.
+     */
+    [[nodiscard]] const QueuePolicy *findQueue(const std::string &name) const;
+
+    /** @} */
+    /** @name Jobs */
+    /** @{ */
+
+    /** @return All jobs by name, including ended ones that await removal. */
+    [[nodiscard]] std::map<std::string, JobEntry> &jobs() noexcept;
+    [[nodiscard]] const std::map<std::string, JobEntry> &jobs() const noexcept;
+
+    /**
+     * @brief Finds a job.
+     * @param id Name of the job.
+     * @return The job, or null if it is unknown.
+     */
+    [[nodiscard]] JobEntry *findJob(const std::string &id);
+    [[nodiscard]] const JobEntry *findJob(const std::string &id) const;
+
+    /**
+     * @brief Finds a task with its job and step.
+     * @param name Name of the task.
+     * @return The task; members that are unknown are null.
+     */
+    [[nodiscard]] TaskReference findTask(const TaskName &name);
+
+    /**
+     * @brief Finds the step of a task.
+     * @param name Name of the task.
+     * @return The step, or null if the job is unknown or has no such step.
+     */
+    [[nodiscard]] const Step *findStep(const TaskName &name) const;
+
+    /**
+     * @brief Finds a task that is known to exist, such as one in `Worker::runs` whose job exists.
+     * @param entry Job of the task.
+     * @param name Name of the task.
+     * @return The task.
+     */
+    [[nodiscard]] static const Task &taskOf(const JobEntry &entry, const TaskName &name);
+
+    /**
+     * @brief Marks an ended job for removal if none of its tasks is active; otherwise `detach` does so later.
+     * @param entry Job in a final state.
+     */
+    void markEnded(const JobEntry &entry);
+
+    /** @return Names of the ended jobs without active tasks; whoever removes a job erases its name here. */
+    [[nodiscard]] std::set<std::string> &endedJobs() noexcept;
+
+    /** @} */
+    /** @name Workers */
+    /** @{ */
+
+    /** @return All workers by name, including those that are no longer registered. */
+    [[nodiscard]] std::map<std::string, Worker> &workers() noexcept;
+    [[nodiscard]] const std::map<std::string, Worker> &workers() const noexcept;
+
+    /**
+     * @brief Finds a worker.
+     * @param id Name of the worker.
+     * @return The worker, or null if it is unknown.
+     */
+    [[nodiscard]] Worker *findWorker(const std::string &id);
+    [[nodiscard]] const Worker *findWorker(const std::string &id) const;
+
+    /**
+     * @brief Checks whether a worker has runs of continuous tasks.
+     * @param worker Worker to check.
+     * @return True if such a run is, or may be, on the worker.
+     */
+    [[nodiscard]] bool runsContinuous(const Worker &worker) const;
+
+    /**
+     * @brief Lists a worker among those that may have runs.
+     * @param id Name of the worker.
+     * @param pool Pool of the worker.
+     */
+    void addUsedWorker(const std::string &id, const std::string &pool);
+
+    /**
+     * @brief Removes a worker from those that may have runs.
+     * @param id Name of the worker; ignored if it is not listed.
+     */
+    void removeUsedWorker(const std::string &id);
+
+    /** @return Pool by worker, for the workers that may have runs. */
+    [[nodiscard]] const std::map<std::string, std::string> &usedWorkers() const noexcept;
+
+    /** @return Number that changes with each change of `usedWorkers`. */
+    [[nodiscard]] std::uint64_t usedWorkersVersion() const noexcept;
+
+    /** @} */
+    /** @name Runs */
+    /** @{ */
+
+    /**
+     * @brief Computes what a task takes from the capacity of its worker.
+     * @param step Step of the task.
+     * @return Its demand, without the CPU of a best-effort task, which does not count.
+     */
+    [[nodiscard]] static Resources demandOf(const Step &step) noexcept;
+
+    /**
+     * @brief Records a run of a task that has none.
+     * @param entry Job of the task.
+     * @param name Name of the task.
+     * @param task The task.
+     * @param worker Worker of the run.
+     * @param run Number of the run.
+     * @param phase Phase of the task from now on.
+     * @param now Current time of the monotonic clock.
+     */
+    void attach(JobEntry &entry, const TaskName &name, Task &task, Worker &worker, std::int64_t run, TaskPhase phase, core::TimePoint now);
+
+    /**
+     * @brief Records that the run of a task no longer exists; without effect if the task has none.
+     * @param entry Job of the task.
+     * @param name Name of the task.
+     * @param task The task.
+     */
+    void detach(JobEntry &entry, const TaskName &name, Task &task);
+
+    /**
+     * @brief Checks whether a team may use more resources.
+     * @param team Name of the team.
+     * @param demand Resources in addition to those in use.
+     * @return True if its limit allows this, or it uses nothing yet of a resource that it would exceed.
+     */
+    [[nodiscard]] bool isWithinTeamLimit(const std::string &team, const Resources &demand) const;
+
+    /** @} */
+    /** @name Need of a placement */
+    /** @{ */
+
+    /** @brief Records a change after which a task may find a worker that it did not find before. */
+    void requestPlacement() noexcept;
+
+    /** @brief Records the start of a placement. */
+    void clearPlacementRequest() noexcept;
+
+    /** @return True if `requestPlacement` was called since the last placement started, or none has been. */
+    [[nodiscard]] bool isPlacementRequested() const noexcept;
+
+    /** @} */
+
+private:
+    FleetConfig m_config;
+    std::map<std::string, JobEntry> m_jobs;
+    std::set<std::string> m_endedJobs;
+    std::map<std::string, Worker> m_workers;
+    std::map<std::string, std::string> m_usedWorkers;
+    std::uint64_t m_usedWorkersVersion{0};
+    std::map<std::string, Resources> m_teamUse;
+    bool m_placementRequested{true};
+};
+
+} // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -47,6 +47,16 @@
         return phase != TaskPhase::Waiting && phase != TaskPhase::Done;
     }
 
+    /**
+     * @brief Checks whether a run of the task may be started, as far as the task itself is concerned.
+     * @param now Current time of the monotonic clock.
+     * @return True if it is waiting, not done, and not to be started later.
+     */
+    [[nodiscard]] bool mayStart(core::TimePoint now) const noexcept
+    {
+        return phase == TaskPhase::Waiting && !record.done && notBefore <= now;
+    }
+
     /** @return True for a running continuous task that is fully started and so counts as available. */
     [[nodiscard]] bool isAvailable() const noexcept
     {
--- /dev/null
+++ b/src/oleanderwick/jobs/task_evacuation.cpp
@@ -0,0 +1,53 @@
+#include "task_evacuation.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include "worker_polls.hpp"
+
+namespace oleanderwick::jobs
+{
+
+TaskEvacuation::TaskEvacuation(StateTable &state, TaskStopper &stopper, SchedulerOutput &output)
+    : m_state{state}
+    , m_stopper{stopper}
+    , m_output{output}
+{
+}
+
+std::int64_t TaskEvacuation::countOthersUnavailable(const JobEntry &entry, const TaskName &name, core::TimePoint now) const
+{
+    // A worker that has not replied for longer than a poll takes may have been lost together with its tasks.
+    constexpr core::Duration maxReplyAge = std::chrono::milliseconds{internal::maxPollWaitMs + 700};
+    const std::vector<Task> &tasks = entry.occurrences.at(name.occurrence).steps[name.step].tasks;
+    std::int64_t unavailable = 0;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const Worker *worker = m_state.findWorker(tasks[index].worker);
+        const bool reachable = worker != nullptr && !worker->unresponsive && now - worker->lastReplyAt <= maxReplyAge;
+        unavailable += index != name.index && !(tasks[index].isAvailable() && reachable) ? 1 : 0;
+    }
+    return unavailable;
+}
+
+void TaskEvacuation::evacuate(const std::string &id, core::TimePoint now)
+{
+    const Worker *worker = m_state.findWorker(id);
+    if (worker == nullptr) {
+        return;
+    }
+    for (const std::pair<const TaskName, std::int64_t> &run : worker->runs) {
+        const TaskReference reference = m_state.findTask(run.first);
+        if (reference.task == nullptr || !reference.step->continuous || reference.task->phase != TaskPhase::Running) {
+            continue;
+        }
+        const Step &step = *reference.step;
+        const bool budgeted = step.maxUnavailable > 0 && !worker->entry.draining;
+        const std::int64_t unavailable = budgeted ? countOthersUnavailable(*reference.entry, run.first, now) : 0;
+        if (budgeted && unavailable >= step.maxUnavailable) {
+            continue;
+        }
+        m_output.logDecision("run_evacuated", toText(run.first), id, absl::StrCat("run=", run.second, " away=", unavailable, " allowed=", step.maxUnavailable));
+        m_stopper.stop(run.first, *reference.task, now);
+    }
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/task_placer.cpp
@@ -0,0 +1,144 @@
+#include "task_placer.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include <absl/strings/str_cat.h>
+
+namespace oleanderwick::jobs
+{
+
+TaskPlacer::TaskPlacer(const Collaborators &collaborators)
+    : m_with{collaborators}
+{
+}
+
+void TaskPlacer::advance(core::TimePoint now, std::int64_t wallMs)
+{
+    constexpr core::Duration maxPlacementInterval = std::chrono::milliseconds{100};
+    // A placement examines each job, so that with many jobs it would take up all of the time if every event caused one.
+    constexpr core::Duration placementIntervalPerJob = std::chrono::microseconds{5};
+    const core::Duration interval = std::min(maxPlacementInterval, placementIntervalPerJob * static_cast<std::int64_t>(m_with.state.jobs().size()));
+    if (now - m_lastPlacement >= (m_with.state.isPlacementRequested() ? interval : maxPlacementInterval)) {
+        m_with.state.clearPlacementRequest();
+        m_lastPlacement = now;
+        place(now, wallMs);
+    }
+}
+
+void TaskPlacer::place(core::TimePoint now, std::int64_t wallMs)
+{
+    m_with.index.rebuild(m_with.state);
+    m_with.order.arrange(m_with.finder.find(now, wallMs));
+    for (const Candidate *candidate = m_with.order.next(); candidate != nullptr; candidate = m_with.order.next()) {
+        if (candidate->needsTicket) {
+            requestTickets(*candidate, now);
+        }
+        if (candidate->definition().gang) {
+            placeGang(*candidate, now);
+        } else {
+            placeStep(*candidate, now);
+        }
+    }
+}
+
+void TaskPlacer::requestTickets(const Candidate &candidate, core::TimePoint now)
+{
+    std::optional<AdviceRequest> request = m_with.tickets.makeRequest(candidate.stepName(), candidate.entry->job.pool, now);
+    if (request.has_value()) {
+        m_with.output.commands().adviceRequests.push_back(*std::move(request));
+    }
+}
+
+void TaskPlacer::placeStep(const Candidate &candidate, core::TimePoint now)
+{
+    const Step &step = candidate.definition();
+    std::vector<Task> &tasks = candidate.tasks();
+    std::string placed;
+    WorkerChooser::Choices choices;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        Task &task = tasks[index];
+        if (!task.mayStart(now)) {
+            continue;
+        }
+        const bool allowed = m_with.state.isWithinTeamLimit(candidate.entry->job.team, step.each);
+        Worker *worker = allowed ? m_with.chooser.choose(candidate, choices, now) : nullptr;
+        if (worker == nullptr) {
+            break;
+        }
+        startTask(candidate, index, *worker, task.record.lastRun + 1, now);
+        absl::StrAppend(&placed, placed.empty() ? "" : ",", index, ":", worker->entry.id, ":", task.run);
+    }
+    logPlacement(candidate, placed);
+}
+
+void TaskPlacer::logPlacement(const Candidate &candidate, const std::string &placed)
+{
+    if (!placed.empty()) {
+        m_with.output.logDecision(
+            "step_placed", toText(candidate.taskName(0)), "", absl::StrCat("runs=", placed, " slack_ms=", std::llround(candidate.slackMs)));
+    }
+}
+
+void TaskPlacer::placeGang(const Candidate &candidate, core::TimePoint now)
+{
+    const Step &step = candidate.definition();
+    std::vector<Task> &tasks = candidate.tasks();
+    const bool allWait = std::all_of(tasks.begin(), tasks.end(), [now](const Task &task) {
+        return task.phase == TaskPhase::Waiting && task.notBefore <= now;
+    });
+    const std::int64_t count = static_cast<std::int64_t>(tasks.size());
+    const Resources whole{step.each.cpu * count, step.each.memory * count, step.each.gpu * count};
+    if (!allWait || !m_with.state.isWithinTeamLimit(candidate.entry->job.team, whole)) {
+        return;
+    }
+    std::int64_t run = 0;
+    std::string checkpoint;
+    for (const Task &task : tasks) {
+        run = std::max(run, task.record.lastRun + 1);
+        checkpoint = std::max(checkpoint, task.record.checkpoint);
+    }
+    // Places task by task and rolls back if one of them does not fit.
+    const std::size_t before = m_with.output.commands().starts.size();
+    std::string placements;
+    WorkerChooser::Choices choices;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        Worker *worker = m_with.chooser.choose(candidate, choices, now);
+        if (worker == nullptr) {
+            m_with.output.commands().starts.resize(before);
+            for (std::size_t placed = 0; placed < index; ++placed) {
+                m_with.state.detach(*candidate.entry, candidate.taskName(placed), tasks[placed]);
+                tasks[placed].record.lastRun = run - 1;
+            }
+            return;
+        }
+        tasks[index].record.checkpoint = checkpoint;
+        startTask(candidate, index, *worker, run, now);
+        absl::StrAppend(&placements, placements.empty() ? "" : ",", index, ":", worker->entry.id, ":", run);
+    }
+    logPlacement(candidate, placements);
+}
+
+void TaskPlacer::startTask(const Candidate &candidate, std::size_t index, Worker &worker, std::int64_t run, core::TimePoint now)
+{
+    JobEntry &entry = *candidate.entry;
+    Task &task = candidate.tasks()[index];
+    const bool wasIdle = worker.runs.empty();
+    TaskName name = candidate.taskName(index);
+    m_with.state.attach(entry, name, task, worker, run, TaskPhase::Starting, now);
+    const std::string *ticket = m_with.tickets.find(candidate.stepName(), worker.entry.id, now);
+    StartCommand command{worker.entry.id,
+                         worker.entry.address,
+                         std::move(name),
+                         run,
+                         entry.job.spec,
+                         m_with.leases.extend(worker, now),
+                         task.record.checkpoint,
+                         ticket == nullptr ? std::string{} : *ticket};
+    if (wasIdle) {
+        worker.nextPollAt = now + std::chrono::milliseconds{50};
+    }
+    m_with.output.commands().starts.push_back(std::move(command));
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/worker_chooser.cpp
@@ -0,0 +1,212 @@
+#include "worker_chooser.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace oleanderwick::jobs
+{
+
+namespace internal
+{
+
+/** Placement costs without unit, added to a CPU usage cost of 0 to 1; interferenceCost counts per run in conflict, failureCost per failure in a row. */
+constexpr double otherRackCost = 10.0;
+constexpr double splitRacksCost = 5.0;
+constexpr double interferenceCost = 2.0;
+constexpr double maintenanceCost = 3.0;
+constexpr double failureCost = 1.0;
+/** Continuous tasks keep their instance from being moved to another pool or to standby, so they are packed on few workers. */
+constexpr double spreadCost = 1.0;
+/** Cost of a worker that can no longer take a task. */
+constexpr double excluded = std::numeric_limits<double>::max();
+
+bool isAnyStep(const Step & /*step*/)
+{
+    return true;
+}
+
+bool hasAffinity(const Step &step)
+{
+    return !step.affinityRack.empty();
+}
+
+bool wantsSameRack(const Step &step)
+{
+    return step.sameRack;
+}
+
+bool isContinuous(const Step &step)
+{
+    return step.continuous;
+}
+
+bool mayInterfere(const Step &step)
+{
+    return step.bestEffort || step.isServing();
+}
+
+} // namespace internal
+
+const std::array<WorkerChooser::CostTerm, WorkerChooser::termCount> WorkerChooser::costTerms{{
+    {internal::isAnyStep, &WorkerChooser::addUsage},
+    {internal::hasAffinity, &WorkerChooser::addOtherRack},
+    {internal::wantsSameRack, &WorkerChooser::addSplitRacks},
+    {internal::isContinuous, &WorkerChooser::addMaintenance},
+    {internal::isContinuous, &WorkerChooser::addSpread},
+    {internal::mayInterfere, &WorkerChooser::addInterference},
+    {internal::isAnyStep, &WorkerChooser::addFailures},
+}};
+
+WorkerChooser::WorkerChooser(const StateTable &state, const TicketTable &tickets, const WorkerHealth &health, WorkerIndex &index)
+    : m_state{state}
+    , m_tickets{tickets}
+    , m_health{health}
+    , m_index{index}
+{
+}
+
+Worker *WorkerChooser::choose(const Candidate &candidate, Choices &choices, core::TimePoint now)
+{
+    const Step &step = candidate.definition();
+    if (m_index.isUnplaceable(candidate.entry->job.pool, StateTable::demandOf(step))) {
+        return nullptr;
+    }
+    if (!choices.m_listed || step.sameRack) {
+        // With `sameRack`, the cost of each worker depends on the workers chosen before.
+        list(candidate, choices, now);
+    } else if (choices.m_last < choices.m_workers.size()) {
+        // Of all workers, only the last one chosen has changed.
+        Choice &last = choices.m_workers[choices.m_last];
+        last.cost = canPlace(*last.worker, candidate, now) ? costOf(*last.worker, candidate, choices) : internal::excluded;
+    }
+    const auto best = std::min_element(choices.m_workers.begin(), choices.m_workers.end(), [](const Choice &left, const Choice &right) {
+        return left.cost < right.cost;
+    });
+    if (best == choices.m_workers.end() || best->cost == internal::excluded) {
+        return nullptr;
+    }
+    choices.m_last = static_cast<std::size_t>(best - choices.m_workers.begin());
+    return best->worker;
+}
+
+void WorkerChooser::list(const Candidate &candidate, Choices &choices, core::TimePoint now)
+{
+    const Step &step = candidate.definition();
+    if (!choices.m_listed) {
+        choices.m_listed = true;
+        std::size_t count = 0;
+        for (const CostTerm &term : costTerms) {
+            if (term.appliesTo(step)) {
+                choices.m_terms[count++] = term.add;
+            }
+        }
+    }
+    const std::string &pool = candidate.entry->job.pool;
+    const Resources demand = StateTable::demandOf(step);
+    bool fitsSomewhere = false;
+    choices.m_workers.clear();
+    for (Worker *worker : m_index.workersOf(pool)) {
+        if (!fits(demand, worker->entry.capacity - worker->used)) {
+            continue;
+        }
+        fitsSomewhere = true;
+        if (canPlace(*worker, candidate, now)) {
+            choices.m_workers.push_back(Choice{worker, costOf(*worker, candidate, choices)});
+        }
+    }
+    if (!fitsSomewhere) {
+        m_index.markUnplaceable(pool, demand);
+    }
+}
+
+bool WorkerChooser::canPlace(const Worker &worker, const Candidate &candidate, core::TimePoint now) const
+{
+    const Step &step = candidate.definition();
+    if (!m_health.mayStart(worker, now) || !fits(StateTable::demandOf(step), worker.entry.capacity - worker.used)) {
+        return false;
+    }
+    const std::vector<std::string> &labels = worker.entry.labels;
+    if (!step.requiredLabel.empty() && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end()) {
+        return false;
+    }
+    if (step.maxPerWorker > 0 && countOnWorker(worker, candidate) >= step.maxPerWorker) {
+        return false;
+    }
+    return !candidate.needsTicket || m_tickets.find(candidate.stepName(), worker.entry.id, now) != nullptr;
+}
+
+std::int64_t WorkerChooser::countOnWorker(const Worker &worker, const Candidate &candidate)
+{
+    const TaskName first = candidate.taskName(0);
+    std::int64_t count = 0;
+    for (auto run = worker.runs.lower_bound(first); run != worker.runs.end(); ++run) {
+        if (run->first.job != first.job || run->first.occurrence != first.occurrence || run->first.step != first.step) {
+            break;
+        }
+        ++count;
+    }
+    return count;
+}
+
+double WorkerChooser::costOf(const Worker &worker, const Candidate &candidate, const Choices &choices) const
+{
+    double cost = 0.0;
+    for (const AddCost add : choices.m_terms) {
+        if (add == nullptr) {
+            break;
+        }
+        cost = (this->*add)(cost, worker, candidate);
+    }
+    return cost;
+}
+
+double WorkerChooser::addUsage(double cost, const Worker &worker, const Candidate &candidate) const
+{
+    const double capacity = static_cast<double>(std::max<std::int64_t>(worker.entry.capacity.cpu, 1));
+    const double used = static_cast<double>(worker.used.cpu) / capacity;
+    // Prefers full workers, so that others stay empty and can be moved; a best-effort task prefers workers with spare CPU time.
+    return cost + (candidate.definition().bestEffort ? used : 1.0 - used);
+}
+
+double WorkerChooser::addOtherRack(double cost, const Worker &worker, const Candidate &candidate) const
+{
+    return worker.entry.rack != candidate.definition().affinityRack ? cost + internal::otherRackCost : cost;
+}
+
+double WorkerChooser::addSplitRacks(double cost, const Worker &worker, const Candidate &candidate) const
+{
+    const std::vector<Task> &tasks = candidate.tasks();
+    const bool split = std::any_of(tasks.begin(), tasks.end(), [this, &worker](const Task &task) {
+        const Worker *other = task.isActive() ? m_state.findWorker(task.worker) : nullptr;
+        return other != nullptr && other->entry.rack != worker.entry.rack;
+    });
+    return split ? cost + internal::splitRacksCost : cost;
+}
+
+double WorkerChooser::addMaintenance(double cost, const Worker &worker, const Candidate & /*candidate*/) const
+{
+    return worker.maintenancePending ? cost + internal::maintenanceCost : cost;
+}
+
+double WorkerChooser::addSpread(double cost, const Worker &worker, const Candidate & /*candidate*/) const
+{
+    return m_state.runsContinuous(worker) ? cost : cost + internal::spreadCost;
+}
+
+double WorkerChooser::addInterference(double cost, const Worker &worker, const Candidate &candidate) const
+{
+    const Step &step = candidate.definition();
+    for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
+        const Step *other = m_state.findStep(run.first);
+        const bool disturbs = other != nullptr && ((step.bestEffort && other->isServing()) || (step.isServing() && other->bestEffort));
+        cost += disturbs ? internal::interferenceCost : 0.0;
+    }
+    return cost;
+}
+
+double WorkerChooser::addFailures(double cost, const Worker &worker, const Candidate & /*candidate*/) const
+{
+    return cost + internal::failureCost * static_cast<double>(worker.consecutiveFailures);
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/worker_chooser.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "candidate.hpp"
+#include "ticket_table.hpp"
+#include "worker_health.hpp"
+#include "worker_index.hpp"
+
+namespace oleanderwick::jobs
+{
+
+/** @brief Chooses the worker for a task: of those that can take it, the one with the lowest cost. */
+class WorkerChooser
+{
+public:
+    class Choices;
+
+    /**
+     * @brief Creates the object for one owner's term.
+     * @param state State of the scheduler; must outlive this object.
+     * @param tickets Tickets for steps; must outlive this object.
+     * @param health Says which workers may get runs; must outlive this object.
+     * @param index Workers that can take runs; must outlive this object.
+     */
+    WorkerChooser(const StateTable &state, const TicketTable &tickets, const WorkerHealth &health, WorkerIndex &index);
+
+    /**
+     * @brief Chooses a worker for the next task of a step.
+     * @param candidate Step of the task.
+     * @param choices Empty for the first task of the step; the same object for its further ones, with a run placed on each worker chosen before.
+     * @param now Current time of the monotonic clock.
+     * @return The worker; null if none can take the task.
+     */
+    [[nodiscard]] Worker *choose(const Candidate &candidate, Choices &choices, core::TimePoint now);
+
+private:
+    /** Function that adds a cost to the sum of those before it; adding one by one keeps the rounding of equal sums equal. */
+    using AddCost = double (WorkerChooser::*)(double cost, const Worker &worker, const Candidate &candidate) const;
+
+    /** Cost that depends on the worker, for the steps to which it applies. */
+    struct CostTerm {
+        bool (*appliesTo)(const Step &step);
+        AddCost add;
+    };
+
+    static constexpr std::size_t termCount = 7;
+
+    struct Choice {
+        Worker *worker;
+        double cost; /**< Sum of the terms; costs have no unit. */
+    };
+
+    void list(const Candidate &candidate, Choices &choices, core::TimePoint now);
+    [[nodiscard]] bool canPlace(const Worker &worker, const Candidate &candidate, core::TimePoint now) const;
+    [[nodiscard]] static std::int64_t countOnWorker(const Worker &worker, const Candidate &candidate);
+    [[nodiscard]] double costOf(const Worker &worker, const Candidate &candidate, const Choices &choices) const;
+
+    [[nodiscard]] double addUsage(double cost, const Worker &worker, const Candidate &candidate) const;
+    [[nodiscard]] double addOtherRack(double cost, const Worker &worker, const Candidate &candidate) const;
+    [[nodiscard]] double addSplitRacks(double cost, const Worker &worker, const Candidate &candidate) const;
+    [[nodiscard]] double addMaintenance(double cost, const Worker &worker, const Candidate &candidate) const;
+    [[nodiscard]] double addSpread(double cost, const Worker &worker, const Candidate &candidate) const;
+    [[nodiscard]] double addInterference(double cost, const Worker &worker, const Candidate &candidate) const;
+    [[nodiscard]] double addFailures(double cost, const Worker &worker, const Candidate &candidate) const;
+
+    static const std::array<CostTerm, termCount> costTerms;
+
+    const StateTable &m_state;
+    const TicketTable &m_tickets;
+    const WorkerHealth &m_health;
+    WorkerIndex &m_index;
+};
+
+/** @brief Workers that can take a task of a step; kept while the tasks of the step are placed, so that they are examined once for all of them. */
+class WorkerChooser::Choices
+{
+    friend class WorkerChooser;
+
+    std::vector<Choice> m_workers;
+    std::size_t m_last{SIZE_MAX}; /**< Index of the worker chosen last. */
+    bool m_listed{false};
+    std::array<AddCost, termCount> m_terms{}; /**< Terms that apply to the step; null after the last one. */
+};
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/worker_index.cpp
@@ -0,0 +1,48 @@
+#include "worker_index.hpp"
+
+#include <algorithm>
+
+namespace oleanderwick::jobs
+{
+
+void WorkerIndex::rebuild(StateTable &state)
+{
+    m_workers.clear();
+    m_room.clear();
+    m_unplaceable.clear();
+    for (std::pair<const std::string, Worker> &item : state.workers()) {
+        Worker &worker = item.second;
+        if (worker.isSchedulable() && worker.reported && worker.clockMs > 0) {
+            m_workers[worker.entry.pool].push_back(&worker);
+            const Resources room = worker.entry.capacity - worker.used;
+            Resources &largest = m_room[worker.entry.pool];
+            largest = Resources{std::max(largest.cpu, room.cpu), std::max(largest.memory, room.memory), std::max(largest.gpu, room.gpu)};
+        }
+    }
+}
+
+const std::vector<Worker *> &WorkerIndex::workersOf(const std::string &pool)
+{
+    return m_workers[pool];
+}
+
+bool WorkerIndex::mayFit(const std::string &pool, const Resources &demand) const
+{
+    const auto room = m_room.find(pool);
+    return room != m_room.end() && fits(demand, room->second);
+}
+
+void WorkerIndex::markUnplaceable(const std::string &pool, const Resources &demand)
+{
+    m_unplaceable[pool].push_back(demand);
+}
+
+bool WorkerIndex::isUnplaceable(const std::string &pool, const Resources &demand) const
+{
+    const auto known = m_unplaceable.find(pool);
+    return known != m_unplaceable.end() && std::any_of(known->second.begin(), known->second.end(), [&demand](const Resources &rejected) {
+               return demand.cpu >= rejected.cpu && demand.memory >= rejected.memory && demand.gpu >= rejected.gpu;
+           });
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/worker_monitor.cpp
@@ -0,0 +1,140 @@
+#include "worker_monitor.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+#include <absl/strings/str_cat.h>
+
+namespace oleanderwick::jobs
+{
+
+WorkerMonitor::WorkerMonitor(const Collaborators &collaborators)
+    : m_with{collaborators}
+{
+}
+
+Worker *WorkerMonitor::handleReport(const std::string &id, const WorkerReport &report, core::TimePoint sentAt, core::TimePoint now, std::int64_t wallMs)
+{
+    Worker *found = m_with.state.findWorker(id);
+    if (found == nullptr) {
+        return nullptr;
+    }
+    Worker &worker = *found;
+    worker.pollInFlight = false;
+    const std::int64_t before = worker.incarnation;
+    if (report.incarnation != 0 && worker.incarnation != 0 && report.incarnation < worker.incarnation) {
+        return nullptr;
+    }
+    if (report.incarnation != 0 && report.incarnation != worker.incarnation) {
+        m_with.registry.resetIncarnation(worker, report.incarnation, now);
+    }
+    if (!worker.reported) {
+        m_with.output.logDecision(
+            "worker_held", "", id, absl::StrCat("running=", report.running.size(), " ended=", report.ended.size(), " clock_ms=", report.clockMs));
+    }
+    WorkerLeases::recordClock(worker, report.clockMs, now);
+    if (!worker.reported || report.incarnation != before) {
+        // Its runs may have a lease of unknown length: from a previous owner, or given to an incarnation that this owner did not know.
+        worker.leaseExpiresBy = std::max(worker.leaseExpiresBy, now + m_with.leases.maxDuration());
+    }
+    worker.unresponsive = false;
+    worker.lastReplyAt = now;
+    m_with.runs.handleReport(worker, report, sentAt, now, wallMs);
+    worker.reported = true;
+    m_with.acks.advance(worker);
+    worker.nextPollAt = now;
+    m_with.state.requestPlacement();
+    return found;
+}
+
+void WorkerMonitor::handlePollFailure(const std::string &id, bool gone, core::TimePoint now)
+{
+    constexpr core::Duration retryDelay = std::chrono::milliseconds{400};
+    Worker *worker = m_with.state.findWorker(id);
+    if (worker == nullptr) {
+        return;
+    }
+    worker->pollInFlight = false;
+    worker->nextPollAt = now + retryDelay;
+    if (!worker->unresponsive) {
+        m_with.output.logDecision(
+            "worker_silent",
+            "",
+            id,
+            absl::StrCat("gone=", gone ? 1 : 0, " runs=", worker->runs.size(), " seen_ms_ago=", core::milliseconds(now - worker->lastReplyAt)));
+    }
+    worker->unresponsive = true;
+    if (gone) {
+        // The worker process has ended: its address refuses connections or belongs to another worker.
+        handleEnd(*worker, "worker_gone", now);
+    } else {
+        m_with.runs.dropSpeculative(*worker, now);
+    }
+}
+
+void WorkerMonitor::handleEnd(Worker &worker, std::string_view reason, core::TimePoint now)
+{
+    m_with.runs.dropRuns(worker, reason, now);
+    worker.reported = true;
+    worker.leaseExpiresBy = now;
+}
+
+bool WorkerMonitor::mayHaveEnded(const Worker &worker, core::TimePoint requestedAt) const
+{
+    if ((worker.registered && !worker.unresponsive) || worker.lastReplyAt >= requestedAt || (worker.reported && worker.runs.empty())) {
+        return false;
+    }
+    return std::none_of(worker.runs.begin(), worker.runs.end(), [this, requestedAt](const std::pair<const TaskName, std::int64_t> &run) {
+        const JobEntry *entry = m_with.state.findJob(run.first.job);
+        return entry != nullptr && StateTable::taskOf(*entry, run.first).since >= requestedAt;
+    });
+}
+
+void WorkerMonitor::handleRunningWorkers(const std::set<std::string> &running, core::TimePoint requestedAt, core::TimePoint now)
+{
+    for (std::pair<const std::string, Worker> &item : m_with.state.workers()) {
+        Worker &worker = item.second;
+        if (running.contains(item.first) || !mayHaveEnded(worker, requestedAt)) {
+            continue;
+        }
+        m_with.output.logDecision("worker_ended",
+                                  "",
+                                  item.first,
+                                  absl::StrCat("listed=",
+                                               worker.registered ? 1 : 0,
+                                               " silent=",
+                                               worker.unresponsive ? 1 : 0,
+                                               " runs=",
+                                               worker.runs.size(),
+                                               " list_age_ms=",
+                                               core::milliseconds(now - requestedAt)));
+        handleEnd(worker, "worker_ended", now);
+        m_with.state.requestPlacement();
+    }
+}
+
+void WorkerMonitor::advance(core::TimePoint now)
+{
+    constexpr core::Duration sweepInterval = std::chrono::milliseconds{50};
+    constexpr core::Duration removalDelay = std::chrono::seconds{20};
+    if (now - m_sweptAt < sweepInterval) {
+        return;
+    }
+    m_sweptAt = now;
+    std::map<std::string, Worker> &workers = m_with.state.workers();
+    for (auto item = workers.begin(); item != workers.end();) {
+        Worker &worker = item->second;
+        const core::TimePoint runsEndBy = m_with.leases.runsEndBy(worker);
+        if (!worker.runs.empty() && now > runsEndBy) {
+            m_with.runs.dropRuns(worker, "lease_over", now);
+        }
+        const bool unused = !worker.registered && worker.runs.empty() && !worker.pollInFlight && now > runsEndBy;
+        if (unused) {
+            m_with.state.removeUsedWorker(item->first);
+        }
+        const bool removable = unused && now - std::max(worker.lastReplyAt, m_with.leases.termStart()) > removalDelay;
+        item = removable ? workers.erase(item) : std::next(item);
+    }
+}
+
+} // namespace oleanderwick::jobs
--- /dev/null
+++ b/src/oleanderwick/jobs/worker_polls.cpp
@@ -0,0 +1,77 @@
+#include "worker_polls.hpp"
+
+#include <utility>
+
+namespace oleanderwick::jobs
+{
+
+namespace internal
+{
+
+/** Wait of a poll where best-effort tasks disturb serving ones, so that a rise of the response times is noticed in time. */
+constexpr std::int64_t servingPollWaitMs = 500;
+/** Minimum delay of a poll after the last reply while run ends are not stored: as they are unacknowledged, it would return at once. */
+constexpr core::Duration unstoredPollDelay = std::chrono::milliseconds{1000};
+/** Delay of acknowledging run ends to an idle worker, so that one poll acknowledges several. */
+constexpr core::Duration idleAckDelay = std::chrono::milliseconds{500};
+
+} // namespace internal
+
+WorkerPolls::WorkerPolls(StateTable &state, const WorkerLeases &leases)
+    : m_state{state}
+    , m_leases{leases}
+{
+}
+
+bool WorkerPolls::isDue(const Worker &worker, core::TimePoint now)
+{
+    if (worker.pollInFlight || worker.nextPollAt > now || worker.entry.address.empty()) {
+        return false;
+    }
+    const bool unstored = !worker.pendingEnds.empty() && worker.reported && now - worker.lastReplyAt < internal::unstoredPollDelay;
+    const bool unacknowledged = worker.storedEnd > worker.ackedEnd && now - worker.lastReplyAt >= internal::idleAckDelay;
+    const bool needed = !worker.reported || worker.unresponsive || !worker.runs.empty() || unacknowledged || !worker.pendingEnds.empty();
+    return !unstored && needed && (worker.registered || !worker.runs.empty() || !worker.unresponsive);
+}
+
+std::int64_t WorkerPolls::waitMs(const Worker &worker) const
+{
+    if (!worker.reported || worker.unresponsive || worker.runs.empty() || !worker.pendingEnds.empty()) {
+        return 0;
+    }
+    bool serving = false;
+    bool bestEffort = false;
+    for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
+        const TaskReference reference = m_state.findTask(run.first);
+        if (reference.task != nullptr && reference.task->phase == TaskPhase::Uncertain) {
+            return 0;
+        }
+        serving = serving || (reference.step != nullptr && reference.step->isServing());
+        bestEffort = bestEffort || (reference.step != nullptr && reference.step->bestEffort);
+    }
+    return serving && bestEffort ? internal::servingPollWaitMs : internal::maxPollWaitMs;
+}
+
+std::vector<PollCommand> WorkerPolls::take(core::TimePoint now)
+{
+    std::vector<PollCommand> polls;
+    for (std::pair<const std::string, Worker> &item : m_state.workers()) {
+        Worker &worker = item.second;
+        if (!isDue(worker, now)) {
+            continue;
+        }
+        PollCommand poll;
+        poll.worker = item.first;
+        poll.address = worker.entry.address;
+        // The lease of an unresponsive worker is not extended, so that its tasks can be started elsewhere once it expires.
+        poll.deadlineMs = worker.unresponsive || worker.runs.empty() ? 0 : m_leases.extend(worker, now);
+        poll.ackedEnd = worker.storedEnd;
+        poll.waitMs = waitMs(worker);
+        worker.ackedEnd = worker.storedEnd;
+        worker.pollInFlight = true;
+        polls.push_back(std::move(poll));
+    }
+    return polls;
+}
+
+} // namespace oleanderwick::jobs
