--- /dev/null
+++ b/src/oleanderwick/jobs/task_evacuation.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "scheduler_output.hpp"
+#include "state_table.hpp"
+#include "task_stopper.hpp"
+
+namespace oleanderwick::jobs
+{
+
+/** @brief Takes continuous tasks off workers within the availability budgets of their steps. */
+class TaskEvacuation
+{
+public:
+    /**
+     * @brief Creates the object for one owner's term.
+     * @param state State of the scheduler; must outlive this object.
+     * @param stopper Stops the runs; must outlive this object.
+     * @param output Receives the decisions to be logged; must outlive this object.
+     */
+    TaskEvacuation(StateTable &state, TaskStopper &stopper, SchedulerOutput &output);
+
+    /** @brief See `Scheduler::evacuate`. */
+    void evacuate(const std::string &worker, core::TimePoint now);
+
+    /**
+     * @brief Stops a running continuous task.
+     * @param worker Worker of the run.
+     * @param name Name of the task.
+     * @param unavailable Number of other tasks of its step that are not available, for the log.
+     * @param now Current time of the monotonic clock.
+     */
+    void evacuateTask(const std::string &worker, const TaskName &name, std::int64_t unavailable, core::TimePoint now);
+
+    /**
+     * @brief Counts the tasks of a step, without one of them, that are not available, or on a worker that has not been heard of for some time.
+     * @param entry Job of the step.
+     * @param name Name of the task that is not counted.
+     * @param now Current time of the monotonic clock.
+     * @return Number of tasks.
+     */
+    [[nodiscard]] std::int64_t countOthersUnavailable(const JobEntry &entry, const TaskName &name, core::TimePoint now) const;
+
+private:
+    StateTable &m_state;
+    TaskStopper &m_stopper;
+    SchedulerOutput &m_output;
+};
+
+} // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/zone_evacuation.cpp
+++ b/src/oleanderwick/jobs/zone_evacuation.cpp
@@ -5,8 +5,6 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
-#include "scheduler.hpp"
-
 namespace oleanderwick::jobs
 {
 
@@ -22,11 +20,16 @@
 
 } // namespace internal
 
-bool Scheduler::reserveHost(ZoneEvacuation::Hosts &hosts, const TaskName &name) const
+ZoneEvacuation::ZoneEvacuation(const Collaborators &collaborators)
+    : m_with{collaborators}
+{
+}
+
+bool ZoneEvacuation::reserveHost(Hosts &hosts, const TaskName &name) const
 {
-    const Step &step = *findStep(name);
-    const Resources demand = demandOf(step);
-    const auto host = std::find_if(hosts.begin(), hosts.end(), [this, &step, &demand, &name](const ZoneEvacuation::Host &candidate) {
+    const Step &step = *m_with.state.findStep(name);
+    const Resources demand = StateTable::demandOf(step);
+    const auto host = std::find_if(hosts.begin(), hosts.end(), [&step, &demand, &name](const Host &candidate) {
         const std::vector<std::string> &labels = candidate.worker->entry.labels;
         const bool labelled = step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
         if (!labelled || !fits(demand, candidate.available)) {
@@ -35,7 +38,7 @@
         const std::int64_t reserved = std::count_if(candidate.reservedFor.begin(), candidate.reservedFor.end(), [&name](const TaskName &other) {
             return other.job == name.job && other.occurrence == name.occurrence && other.step == name.step;
         });
-        return step.maxPerWorker == 0 || countOnWorker(*candidate.worker, name) + reserved < step.maxPerWorker;
+        return step.maxPerWorker == 0 || StateTable::countOnWorker(*candidate.worker, name) + reserved < step.maxPerWorker;
     });
     if (host == hosts.end()) {
         return false;
@@ -45,128 +48,135 @@
     return true;
 }
 
-bool Scheduler::isZoneClosed(const std::string &zone) const
-{
-    return m_evacuation.closedZones.contains(zone);
-}
-
-void Scheduler::setClosedZones(std::set<std::string> zones)
+void ZoneEvacuation::setClosedZones(std::set<std::string> zones)
 {
     zones.erase("");
-    if (zones == m_evacuation.closedZones) {
+    if (zones == m_with.state.closedZones()) {
         return;
     }
     if (zones.empty()) {
-        m_evacuation = ZoneEvacuation{};
+        m_leaving.clear();
+        m_waitingSince.clear();
+        m_poolsWithoutRoom.clear();
+        m_with.loads.setStuckTasks({});
     }
-    m_evacuation.closedZones = std::move(zones);
+    const std::string names = zones.empty() ? "none" : absl::StrJoin(zones, ",");
+    m_with.state.setClosedZones(std::move(zones));
     std::size_t closedWorkers = 0;
     std::size_t runs = 0;
-    for (std::pair<const std::string, Worker> &item : m_workers) {
-        item.second.zoneClosed = isZoneClosed(item.second.entry.zone);
+    for (const std::pair<const std::string, Worker> &item : m_with.state.workers()) {
         closedWorkers += item.second.zoneClosed ? 1 : 0;
         runs += item.second.zoneClosed ? item.second.runs.size() : 0;
     }
-    m_placementDue = true;
-    logDecision(
-        "closed_zones",
-        "",
-        "",
-        absl::StrCat(
-            "zones=", m_evacuation.closedZones.empty() ? "none" : absl::StrJoin(m_evacuation.closedZones, ","), " workers=", closedWorkers, " runs=", runs));
+    m_with.output.logDecision("closed_zones", "", "", absl::StrCat("zones=", names, " workers=", closedWorkers, " runs=", runs));
 }
 
-void Scheduler::evacuateClosedZones(core::TimePoint now)
+void ZoneEvacuation::advance(core::TimePoint now)
 {
-    if (m_evacuation.closedZones.empty() || now - m_evacuation.checkedAt < internal::evacuationSearchInterval) {
+    const std::set<std::string> &closedZones = m_with.state.closedZones();
+    if (closedZones.empty() || now - m_searchedAt < internal::evacuationSearchInterval) {
         return;
     }
-    m_evacuation.checkedAt = now;
+    m_searchedAt = now;
     std::map<std::string, std::vector<Worker *>> closedWorkers;
     std::set<std::string> openPools;
-    for (std::pair<const std::string, Worker> &item : m_workers) {
+    for (std::pair<const std::string, Worker> &item : m_with.state.workers()) {
         if (item.second.zoneClosed) {
             closedWorkers[item.second.entry.pool].push_back(&item.second);
         } else if (item.second.registered) {
             openPools.insert(item.second.entry.pool);
         }
     }
-    m_evacuation.stuckTasks.clear();
+    m_stuckTasks.clear();
     std::set<std::string> poolsWithoutRoom;
     for (const std::pair<const std::string, std::vector<Worker *>> &pool : closedWorkers) {
-        if (!openPools.contains(pool.first) && !isStandby(pool.first)) {
+        if (!openPools.contains(pool.first) && !m_with.state.isStandby(pool.first)) {
             poolsWithoutRoom.insert(pool.first);
-            if (!m_evacuation.poolsWithoutRoom.contains(pool.first)) {
-                const std::string zones = absl::StrJoin(m_evacuation.closedZones, ",");
-                logDecision("evacuation_leaves_no_room", "", "", absl::StrCat("pool=", pool.first, " closed=", zones, " workers=", pool.second.size()));
+            if (!m_poolsWithoutRoom.contains(pool.first)) {
+                const std::string zones = absl::StrJoin(closedZones, ",");
+                const std::string detail = absl::StrCat("pool=", pool.first, " closed=", zones, " workers=", pool.second.size());
+                m_with.output.logDecision("evacuation_leaves_no_room", "", "", detail);
             }
         }
         evacuatePool(pool.first, pool.second, now);
     }
-    m_evacuation.poolsWithoutRoom = std::move(poolsWithoutRoom);
+    m_poolsWithoutRoom = std::move(poolsWithoutRoom);
+    m_with.loads.setStuckTasks(m_stuckTasks);
 }
 
-void Scheduler::evacuatePool(const std::string &pool, const std::vector<Worker *> &closed, core::TimePoint now)
+std::vector<ZoneEvacuation::Leaver> ZoneEvacuation::findLeavers(const std::vector<Worker *> &closed)
 {
-    std::vector<std::pair<std::string, TaskName>> candidates;
+    std::vector<Leaver> leavers;
     for (const Worker *worker : closed) {
         for (const std::pair<const TaskName, std::int64_t> &run : worker->runs) {
-            const Step *step = findStep(run.first);
-            const Task *task = findTask(run.first);
+            const TaskReference reference = m_with.state.findTask(run.first);
             // The continuous tasks of a draining worker leave in any case.
-            if (step != nullptr && step->continuous && task != nullptr && task->phase == TaskPhase::Running && !worker->entry.draining) {
-                candidates.emplace_back(worker->entry.id, run.first);
+            const bool running = reference.task != nullptr && reference.step->continuous && reference.task->phase == TaskPhase::Running;
+            if (running && !worker->entry.draining) {
+                leavers.push_back(Leaver{worker->entry.id, run.first});
             }
         }
     }
-    std::erase_if(m_evacuation.leaving, [this, &pool](const TaskName &name) {
-        const JobEntry *entry = findJob(name.job);
-        const Task *task = findTask(name);
-        const auto worker = task == nullptr ? m_workers.end() : m_workers.find(task->worker);
-        const bool placed = worker != m_workers.end() && !worker->second.zoneClosed;
-        return entry == nullptr || (entry->job.pool == pool && (task == nullptr || placed));
+    return leavers;
+}
+
+void ZoneEvacuation::forgetArrived(const std::string &pool)
+{
+    std::erase_if(m_leaving, [this, &pool](const TaskName &name) {
+        const TaskReference reference = m_with.state.findTask(name);
+        if (reference.task == nullptr) {
+            return true;
+        }
+        const Worker *worker = m_with.state.findWorker(reference.task->worker);
+        return reference.entry->job.pool == pool && worker != nullptr && !worker->zoneClosed;
     });
-    if (candidates.empty()) {
-        m_evacuation.waitingSince.erase(pool);
+}
+
+void ZoneEvacuation::evacuatePool(const std::string &pool, const std::vector<Worker *> &closed, core::TimePoint now)
+{
+    forgetArrived(pool);
+    const std::vector<Leaver> leavers = findLeavers(closed);
+    if (leavers.empty()) {
+        m_waitingSince.erase(pool);
         return;
     }
-    ZoneEvacuation::Hosts free = findHosts(pool, false, now);
-    ZoneEvacuation::Hosts besideContinuous = findHosts(pool, true, now);
-    for (const TaskName &name : m_evacuation.leaving) {
-        if (findJob(name.job)->job.pool == pool) {
+    Hosts free = findHosts(pool, false, now);
+    Hosts besideContinuous = findHosts(pool, true, now);
+    for (const TaskName &name : m_leaving) {
+        if (m_with.state.findJob(name.job)->job.pool == pool) {
             (void)reserveHost(free, name);
             (void)reserveHost(besideContinuous, name);
         }
     }
-    const auto waiting = m_evacuation.waitingSince.find(pool);
-    const bool waitedLongEnough = waiting != m_evacuation.waitingSince.end() && now - waiting->second >= internal::roomWait;
+    const auto waiting = m_waitingSince.find(pool);
+    const bool waitedLongEnough = waiting != m_waitingSince.end() && now - waiting->second >= internal::roomWait;
     bool waits = false;
-    for (const std::pair<std::string, TaskName> &candidate : candidates) {
+    for (const Leaver &leaver : leavers) {
         // Tasks without a budget leave one at a time, too, as each is away until it has started elsewhere.
-        const std::int64_t unavailable = countOthersUnavailable(candidate.second, now);
-        if (unavailable >= std::max<std::int64_t>(findStep(candidate.second)->maxUnavailable, 1)) {
+        const std::int64_t unavailable = m_with.tasks.countOthersUnavailable(*m_with.state.findJob(leaver.name.job), leaver.name, now);
+        if (unavailable >= std::max<std::int64_t>(m_with.state.findStep(leaver.name)->maxUnavailable, 1)) {
             continue;
         }
-        const bool fitsNow = reserveHost(free, candidate.second);
-        const bool fitsLater = reserveHost(besideContinuous, candidate.second);
+        const bool fitsNow = reserveHost(free, leaver.name);
+        const bool fitsLater = reserveHost(besideContinuous, leaver.name);
         if (fitsNow || (fitsLater && waitedLongEnough)) {
-            evacuateTask(candidate.first, candidate.second, unavailable, now);
-            m_evacuation.leaving.insert(candidate.second);
+            m_with.tasks.evacuateTask(leaver.worker, leaver.name, unavailable, now);
+            m_leaving.insert(leaver.name);
         }
         waits = waits || !fitsNow;
-        m_evacuation.stuckTasks[pool] += fitsNow || fitsLater ? 0 : 1;
+        m_stuckTasks[pool] += fitsNow || fitsLater ? 0 : 1;
     }
     if (waits) {
-        m_evacuation.waitingSince.emplace(pool, now);
+        m_waitingSince.emplace(pool, now);
     } else {
-        m_evacuation.waitingSince.erase(pool);
+        m_waitingSince.erase(pool);
     }
 }
 
-ZoneEvacuation::Hosts Scheduler::findHosts(const std::string &pool, bool besideContinuous, core::TimePoint now) const
+ZoneEvacuation::Hosts ZoneEvacuation::findHosts(const std::string &pool, bool besideContinuous, core::TimePoint now) const
 {
-    ZoneEvacuation::Hosts hosts;
-    for (const std::pair<const std::string, Worker> &item : m_workers) {
+    Hosts hosts;
+    for (const std::pair<const std::string, Worker> &item : m_with.state.workers()) {
         const Worker &worker = item.second;
         const bool sound = worker.quarantinedUntil <= now && worker.consecutiveFailures < internal::failuresOfUnsoundHost;
         if (worker.entry.pool != pool || !worker.isSchedulable() || !worker.reported || worker.clockMs == 0 || !sound) {
@@ -174,12 +184,12 @@
         }
         Resources available = worker.entry.capacity - worker.used;
         for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
-            const Step *step = findStep(run.first);
+            const Step *step = m_with.state.findStep(run.first);
             if (besideContinuous && step != nullptr && !step->continuous) {
-                available = available + demandOf(*step);
+                available = available + StateTable::demandOf(*step);
             }
         }
-        hosts.push_back(ZoneEvacuation::Host{&worker, available, {}});
+        hosts.push_back(Host{&worker, available, {}});
     }
     return hosts;
 }
