--- a/src/oleanderwick/jobs/candidate_order.cpp
+++ b/src/oleanderwick/jobs/candidate_order.cpp
@@ -32,12 +32,10 @@
     m_next = 0;
     m_ranked.clear();
     m_ranked.reserve(candidates.size());
-    const JobEntry *entry = nullptr;
     bool overloaded = false;
     for (const Candidate &candidate : candidates) {
-        if (candidate.entry != entry) {
-            entry = candidate.entry;
-            overloaded = m_loads.isOverloaded(entry->job.pool);
+        if (m_ranked.empty() || m_ranked.back().candidate.entry != candidate.entry) {
+            overloaded = m_loads.isOverloaded(candidate.entry->job.pool);
         }
         m_ranked.push_back(rank(candidate, overloaded));
     }
