Emulate watches that are silent until the store compacts its history

The store model only knew a compaction at one instant. On the platform watches may deliver nothing for 1 to 3.4 s before it, while changes are made.

--- a/src/emulator/deployment.cpp
+++ b/src/emulator/deployment.cpp
@@ -9,12 +9,15 @@
 namespace internal
 {
 
-constexpr std::array<std::string_view, 20> faultKindNames{
+constexpr std::array<std::string_view, 21> faultKindNames{
     "node_kill",        "node_freeze",  "rolling_restart",     "all_nodes_killed", "store_silent",  "store_busy",
     "store_turns_away", "store_slow",   "store_loses_answers", "store_forgets",    "worker_crash",  "worker_cut",
     "worker_slow",      "worker_fails", "worker_hangs",        "orders_late",      "worker_leaves", "wave",
     "cancellations",    "burst",
+    "watches_silent",
 };
+/** Kinds that are drawn; a kind that is added doesn't change what a seed draws. */
+constexpr std::size_t drawnKinds = static_cast<std::size_t>(FaultKind::Burst) + 1;
 constexpr int maxFaults = 8;
 
 } // namespace internal
@@ -46,7 +49,7 @@
 {
     std::mt19937_64 random{seed};
     std::uniform_int_distribution<int> count{2, internal::maxFaults};
-    std::uniform_int_distribution<std::size_t> kind{0, internal::faultKindNames.size() - 1};
+    std::uniform_int_distribution<std::size_t> kind{0, internal::drawnKinds - 1};
     std::uniform_real_distribution<double> at{0.5, deployment.loadDurationS * 0.8};
     std::uniform_real_distribution<double> duration{0.5, 7.0};
     std::uniform_real_distribution<double> share{0.05, 0.4};
--- a/src/emulator/deployment.hpp
+++ b/src/emulator/deployment.hpp
@@ -57,6 +57,7 @@
     Wave, /**< A maintenance wave is requested for some instances. */
     Cancellations, /**< Half of the jobs are cancelled right after they were accepted. */
     Burst, /**< One queue receives additional jobs at four times its base rate. */
+    StoreWatchesSilent, /**< Watches deliver nothing for 1 to 3.4 s at a time, each time until a compaction; `drawFaults` doesn't draw it. */
 };
 
 /** @brief One fault of a simulation. */
@@ -85,6 +86,7 @@
     WorkerParameters workers;
     core::Duration migrationTime{std::chrono::milliseconds{1500}}; /**< Time that the move of an instance to another pool takes. */
     core::Duration maintenanceTime{std::chrono::milliseconds{2000}}; /**< Time that the maintenance of an instance takes. */
+    bool notifyOwner{false}; /**< Nodes notify the owner of stored jobs and cancels. */
     std::vector<Fault> faults;
 };
 
--- a/src/emulator/store_model.cpp
+++ b/src/emulator/store_model.cpp
@@ -108,8 +108,19 @@
     }
 }
 
+void StoreModel::silenceWatches()
+{
+    m_watchesSilent = true;
+}
+
+bool StoreModel::areWatchesSilent() const noexcept
+{
+    return m_watchesSilent;
+}
+
 void StoreModel::compact()
 {
+    m_watchesSilent = false;
     m_history.clear();
     m_compactedRevision = m_revision;
     std::map<std::uint64_t, Watch> cut;
@@ -146,6 +157,9 @@
 
 void StoreModel::notifyWatches()
 {
+    if (m_watchesSilent) {
+        return;
+    }
     std::vector<std::pair<OnChanges, jobs::StoreReply>> due;
     for (auto watch = m_watches.begin(); watch != m_watches.end();) {
         std::optional<jobs::StoreReply> changes = changesSince(watch->second.prefix, watch->second.after);
@@ -163,7 +177,7 @@
 
 std::uint64_t StoreModel::watch(const std::string &prefix, std::int64_t after, OnChanges onChanges)
 {
-    const std::optional<jobs::StoreReply> changes = changesSince(prefix, after);
+    const std::optional<jobs::StoreReply> changes = m_watchesSilent ? std::nullopt : changesSince(prefix, after);
     if (changes.has_value()) {
         onChanges(*changes);
         return 0;
@@ -177,8 +191,10 @@
     const auto found = m_watches.find(watch);
     if (found != m_watches.end()) {
         const OnChanges onChanges = std::move(found->second.onChanges);
+        // The revision of a reply without changes says that nothing was written up to it.
+        const std::int64_t revision = m_watchesSilent ? found->second.after : m_revision;
         m_watches.erase(found);
-        onChanges(internal::makeReply(jobs::StoreOutcome::Done, m_revision));
+        onChanges(internal::makeReply(jobs::StoreOutcome::Done, revision));
     }
 }
 
--- a/src/emulator/store_model.hpp
+++ b/src/emulator/store_model.hpp
@@ -57,9 +57,12 @@
      */
     void extendLeases(core::Duration span);
 
-    /** @brief Drops the history; pending watches are answered with `Compacted`. */
+    /** @brief Drops the history; pending watches are answered with `Compacted`, and watches deliver changes again. */
     void compact();
 
+    /** @brief Stops the delivery of changes to watches until `compact`; everything else works as usual. */
+    void silenceWatches();
+
     /**
      * @brief Watches for changes.
      * @param prefix Prefix of the keys.
@@ -70,7 +73,7 @@
     std::uint64_t watch(const std::string &prefix, std::int64_t after, OnChanges onChanges);
 
     /**
-     * @brief Ends a pending watch; it is answered with the current revision and without changes.
+     * @brief Ends a pending watch; it is answered without changes and with the current revision or, while watches are silent, the one it started after.
      * @param watch Number of the watch; ignored if it was already answered.
      */
     void cancelWatch(std::uint64_t watch);
@@ -94,6 +97,9 @@
      */
     [[nodiscard]] jobs::StoreReply list(const std::string &prefix, const std::string &after) const;
 
+    /** @return True from `silenceWatches` to the next `compact`. */
+    [[nodiscard]] bool areWatchesSilent() const noexcept;
+
     /** @} */
 
 private:
@@ -122,6 +128,7 @@
     void notifyWatches();
 
     std::int64_t m_revision{1};
+    bool m_watchesSilent{false};
     std::int64_t m_compactedRevision{0}; /**< Changes up to this revision are no longer in the history. */
     std::int64_t m_lastLease{0};
     std::uint64_t m_lastWatch{0};
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -22,9 +22,10 @@
     m_callbacks.behaviorOf = [this](const WorkerModel &worker, const jobs::TaskName &task, std::int64_t run) {
         return behaviorOf(worker, task, run);
     };
-    m_callbacks.onStarted = [this](const WorkerModel &, const EmulatedRun &run) {
+    m_callbacks.onStarted = [this](const WorkerModel &worker, const EmulatedRun &run) {
         m_runStarted = true;
         m_startedRun = run;
+        noteStart(worker.entry.id, run.task.job);
     };
     m_callbacks.onEnded = [this](const WorkerModel &worker, const EmulatedRun &run, jobs::RunEndKind kind) {
         m_checker.ended(worker, run, kind);
@@ -51,6 +52,26 @@
     return probability > 0.0 && std::bernoulli_distribution{std::min(probability, 1.0)}(m_random);
 }
 
+void Simulation::noteSilentEvent(const std::string &name)
+{
+    if (m_store.areWatchesSilent() && !m_started.contains(name)) {
+        m_silentEvents.emplace(name, now());
+    }
+}
+
+void Simulation::noteStart(const std::string &worker, const std::string &job)
+{
+    const std::pair<const std::string &, std::vector<double> &> awaited[]{{worker, m_report.silentWorkerDelaysS}, {job, m_report.silentJobDelaysS}};
+    for (const std::pair<const std::string &, std::vector<double> &> &item : awaited) {
+        m_started.insert(item.first);
+        const auto event = m_silentEvents.find(item.first);
+        if (event != m_silentEvents.end()) {
+            item.second.push_back(std::chrono::duration<double>{now() - event->second}.count());
+            m_silentEvents.erase(event);
+        }
+    }
+}
+
 TaskBehavior Simulation::behaviorOf(const WorkerModel &worker, const jobs::TaskName &task, std::int64_t run)
 {
     (void)run;
@@ -99,6 +120,7 @@
     const double clockRate = std::uniform_real_distribution<double>{minClockRate, 1.0}(m_random);
     m_workers[entry.id] = std::make_unique<WorkerModel>(entry, name, m_deployment.workers, clockRate, m_callbacks, now());
     publish(*m_workers[entry.id]);
+    noteSilentEvent(entry.id);
 }
 
 void Simulation::publish(const WorkerModel &worker)
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -31,6 +31,8 @@
     std::uint64_t storeCalls{0};
     double instanceSeconds{0.0}; /**< Total time of the instances in pools that are not on standby. */
     double continuousShare{0.0}; /**< Share of the continuous tasks that were running, over all samples. */
+    std::vector<double> silentJobDelaysS; /**< Seconds from the acknowledgement to the first start of jobs acknowledged while watches were silent. */
+    std::vector<double> silentWorkerDelaysS; /**< Seconds from the appearance to the first start of workers that appeared while watches were silent. */
     std::vector<Violation> violations;
     std::vector<std::pair<double, int>> backlog; /**< Seconds since the load began (negative in the warm-up) and accepted, unfinished non-continuous jobs. */
 };
@@ -117,6 +119,9 @@
     void injectFault(const Fault &fault);
     void injectNodeFault(const Fault &fault);
     void injectStoreFault(const Fault &fault);
+    void silenceWatches(core::TimePoint end);
+    void noteSilentEvent(const std::string &name); /**< Job was acknowledged, or worker appeared; its first start is awaited if watches are silent. */
+    void noteStart(const std::string &worker, const std::string &job);
     void injectWorkerFault(const Fault &fault);
     void startWave(const Fault &fault);
     void injectLoadFault(const Fault &fault);
@@ -146,6 +151,8 @@
     double m_lateCommandShare{0.0}; /**< Share of commands that time out at the sender and are executed, and answered, later. */
     bool m_runStarted{false}; /**< The command that is being executed started a run. */
     EmulatedRun m_startedRun;
+    std::map<std::string, core::TimePoint> m_silentEvents; /**< Jobs and workers whose first start is awaited, since when. */
+    std::set<std::string> m_started; /**< Jobs, and workers on which one started. */
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<std::unique_ptr<Node>> m_stoppedNodes; /**< Kept until the end, since pending calls may still refer to them. */
     std::map<std::string, jobs::Job> m_jobs;
--- a/src/emulator/world_load.cpp
+++ b/src/emulator/world_load.cpp
@@ -131,6 +131,7 @@
         client->accepted = true;
         m_report.accepted += client->continuous ? 0 : 1;
         m_checker.accepted(client->job.id, now());
+        noteSilentEvent(client->job.id);
         if (!client->continuous && chance(m_cancellationShare)) {
             cancel(client);
         }
--- a/src/emulator/world_troubles.cpp
+++ b/src/emulator/world_troubles.cpp
@@ -58,12 +58,13 @@
 void Simulation::injectFault(const Fault &fault)
 {
     /** Handler of each kind, in the order of `FaultKind`. */
-    static constexpr std::array<void (Simulation::*)(const Fault &), 20> handlers{
+    static constexpr std::array<void (Simulation::*)(const Fault &), 21> handlers{
         &Simulation::injectNodeFault,   &Simulation::injectNodeFault,   &Simulation::injectNodeFault,   &Simulation::injectNodeFault,
         &Simulation::injectStoreFault,  &Simulation::injectStoreFault,  &Simulation::injectStoreFault,  &Simulation::injectStoreFault,
         &Simulation::injectStoreFault,  &Simulation::injectStoreFault,  &Simulation::injectWorkerFault, &Simulation::injectWorkerFault,
         &Simulation::injectWorkerFault, &Simulation::injectWorkerFault, &Simulation::injectWorkerFault, &Simulation::injectWorkerFault,
         &Simulation::injectWorkerFault, &Simulation::startWave,         &Simulation::injectLoadFault,   &Simulation::injectLoadFault,
+        &Simulation::injectStoreFault,
     };
     (this->*handlers.at(static_cast<std::size_t>(fault.kind)))(fault);
 }
@@ -95,6 +96,10 @@
         m_store.compact();
         return;
     }
+    if (fault.kind == FaultKind::StoreWatchesSilent) {
+        silenceWatches(now() + duration);
+        return;
+    }
     if (fault.kind == FaultKind::StoreRefusesSomeNodes) {
         const std::vector<std::size_t> nodes = selectNodes(fault.share);
         m_refusedNodes.insert(nodes.begin(), nodes.end());
@@ -119,6 +124,23 @@
     });
 }
 
+void Simulation::silenceWatches(core::TimePoint end)
+{
+    constexpr double minSilenceS = 1.0;
+    constexpr double maxSilenceS = 3.4;
+    /** Time in which watches deliver between two silences. */
+    constexpr core::Duration pause = std::chrono::milliseconds{500};
+    m_store.silenceWatches();
+    m_timeline.after(internal::fromS(std::uniform_real_distribution<double>{minSilenceS, maxSilenceS}(m_random)), [this, end] {
+        m_store.compact();
+        m_timeline.after(pause, [this, end] {
+            if (now() + internal::fromS(minSilenceS) <= end) {
+                silenceWatches(end);
+            }
+        });
+    });
+}
+
 void Simulation::injectWorkerFault(const Fault &fault)
 {
     const core::Duration duration = internal::fromS(fault.durationS);
