Notify the owner of stored jobs and cancels, and read what its watches miss

Cause: when the store compacts its history, its watches may deliver nothing for 1 to 3.4 s; jobs acknowledged and workers moved in that time reached the owner only with the listing after the compaction.

Change: with the setting notifyOwner the node that stored a job or a cancel sends a notice to the address in the owner's key. The owner reads the record if its watch has delivered no change for five checks of 20 ms, and in the same way the registry entries of workers that the list of instances names.

--- a/src/emulator/deployment.cpp
+++ b/src/emulator/deployment.cpp
@@ -13,8 +13,7 @@
     "node_kill",        "node_freeze",  "rolling_restart",     "all_nodes_killed", "store_silent",  "store_busy",
     "store_turns_away", "store_slow",   "store_loses_answers", "store_forgets",    "worker_crash",  "worker_cut",
     "worker_slow",      "worker_fails", "worker_hangs",        "orders_late",      "worker_leaves", "wave",
-    "cancellations",    "burst",
-    "watches_silent",
+    "cancellations",    "burst",        "watches_silent",
 };
 /** Kinds that are drawn; a kind that is added doesn't change what a seed draws. */
 constexpr std::size_t drawnKinds = static_cast<std::size_t>(FaultKind::Burst) + 1;
--- a/src/emulator/deployment.hpp
+++ b/src/emulator/deployment.hpp
@@ -87,6 +87,7 @@
     core::Duration migrationTime{std::chrono::milliseconds{1500}}; /**< Time that the move of an instance to another pool takes. */
     core::Duration maintenanceTime{std::chrono::milliseconds{2000}}; /**< Time that the maintenance of an instance takes. */
     bool notifyOwner{false}; /**< Nodes notify the owner of stored jobs and cancels. */
+    double lostNoticeShare{0.0}; /**< Share of the messages with notices that are lost. */
     std::vector<Fault> faults;
 };
 
--- a/src/emulator/links.cpp
+++ b/src/emulator/links.cpp
@@ -11,6 +11,7 @@
 
 constexpr core::Duration oneWayLatency = std::chrono::microseconds{500};
 constexpr core::Duration storeTimeout = std::chrono::milliseconds{1500};
+constexpr core::Duration noticeTimeout = std::chrono::milliseconds{500};
 constexpr core::Duration commandTimeout = std::chrono::milliseconds{800};
 /** Late commands take effect after a random delay of `minCommandDelayS` to this. */
 constexpr double maxCommandDelayS = 12.0;
@@ -286,6 +287,37 @@
     });
 }
 
+NoticeLink::NoticeLink(Simulation &simulation, core::Executor &executor)
+    : m_simulation{simulation}
+    , m_executor{executor}
+{
+}
+
+void NoticeLink::send(const std::string &address, const std::vector<jobnode::OwnerNotice> &notices, std::function<void(jobnode::NoticeOutcome)> onReply)
+{
+    ++m_simulation.m_report.noticeMessages;
+    const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+    const std::function<void(jobnode::NoticeOutcome)> answer = [answered, reply = std::move(onReply)](jobnode::NoticeOutcome outcome) {
+        if (!*answered) {
+            *answered = true;
+            reply(outcome);
+        }
+    };
+    m_executor.after(internal::noticeTimeout, [answer] {
+        answer(jobnode::NoticeOutcome::Undelivered);
+    });
+    if (m_simulation.chance(m_simulation.m_deployment.lostNoticeShare)) {
+        return;
+    }
+    m_simulation.m_timeline.after(internal::oneWayLatency, [this, address, text = jobnode::toText(notices), answer] {
+        m_simulation.deliverNotices(address, text, [this, answer](jobnode::NoticeOutcome outcome) {
+            m_executor.after(internal::oneWayLatency, [answer, outcome] {
+                answer(outcome);
+            });
+        });
+    });
+}
+
 InstanceLink::InstanceLink(Simulation &simulation, core::Executor &executor)
     : m_simulation{simulation}
     , m_executor{executor}
--- a/src/emulator/links.hpp
+++ b/src/emulator/links.hpp
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "oleanderwick/jobnode/owner_notifier.hpp"
 #include "oleanderwick/jobnode/translator.hpp"
 #include "oleanderwick/jobs/ports.hpp"
 #include "world.hpp"
@@ -50,6 +51,19 @@
     core::Executor &m_executor;
 };
 
+/** @brief Connection of one node to the others for notices to the owner; their addresses are their numbers, as `node-3`. */
+class NoticeLink final : public jobnode::OwnerNoticePort
+{
+public:
+    NoticeLink(Simulation &simulation, core::Executor &executor);
+
+    void send(const std::string &address, const std::vector<jobnode::OwnerNotice> &notices, std::function<void(jobnode::NoticeOutcome)> onReply) override;
+
+private:
+    Simulation &m_simulation;
+    core::Executor &m_executor;
+};
+
 /** @brief Connection of one node to the emulated instances. */
 class InstanceLink final : public jobs::InstancePort
 {
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -263,6 +263,24 @@
     });
 }
 
+void Simulation::deliverNotices(const std::string &address, const std::string &text, const std::function<void(jobnode::NoticeOutcome)> &onReply)
+{
+    const auto node = std::find_if(m_nodes.begin(), m_nodes.end(), [&address](const std::unique_ptr<Node> &candidate) {
+        return candidate != nullptr && address == internal::noticeAddress(candidate->index);
+    });
+    if (node == m_nodes.end()) {
+        return;
+    }
+    Node *target = node->get();
+    target->executor.post([this, target, text, onReply] {
+        const absl::StatusOr<std::vector<jobnode::OwnerNotice>> notices = jobnode::noticesFromText(text);
+        const bool isOwner = notices.ok() && target->node.handleNotices(*notices);
+        m_timeline.after(core::Duration::zero(), [onReply, isOwner] {
+            onReply(isOwner ? jobnode::NoticeOutcome::Delivered : jobnode::NoticeOutcome::NotOwner);
+        });
+    });
+}
+
 Simulation::Node *Simulation::randomReadyNode()
 {
     std::vector<Node *> ready;
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -29,6 +29,7 @@
     std::uint64_t polls{0}; /**< Polls of workers. */
     std::uint64_t moves{0}; /**< Instances moved to another pool. */
     std::uint64_t storeCalls{0};
+    std::uint64_t noticeMessages{0}; /**< Messages with notices to the owner. */
     double instanceSeconds{0.0}; /**< Total time of the instances in pools that are not on standby. */
     double continuousShare{0.0}; /**< Share of the continuous tasks that were running, over all samples. */
     std::vector<double> silentJobDelaysS; /**< Seconds from the acknowledgement to the first start of jobs acknowledged while watches were silent. */
@@ -72,6 +73,7 @@
 private:
     friend class StoreLink;
     friend class WorkerLink;
+    friend class NoticeLink;
     friend class InstanceLink;
 
     struct Node;
@@ -105,6 +107,8 @@
 
     void startNode(std::size_t index);
     void stopNode(std::size_t index, bool planned);
+    /** Passes a message with notices to a node; `onReply` isn't called if it is down. */
+    void deliverNotices(const std::string &address, const std::string &text, const std::function<void(jobnode::NoticeOutcome)> &onReply);
     [[nodiscard]] std::vector<std::size_t> selectNodes(double share);
     [[nodiscard]] std::vector<std::string> selectWorkers(double share);
 
--- a/src/emulator/world_state.hpp
+++ b/src/emulator/world_state.hpp
@@ -27,6 +27,19 @@
     return std::chrono::microseconds{static_cast<std::int64_t>(seconds * 1e6)};
 }
 
+inline std::string noticeAddress(std::size_t node)
+{
+    return absl::StrCat("node-", node);
+}
+
+inline jobnode::OwnerOptions ownerOptionsOf(const Deployment &deployment, std::size_t node)
+{
+    jobnode::OwnerOptions options;
+    options.notifyOwner = deployment.notifyOwner;
+    options.noticeAddress = noticeAddress(node);
+    return options;
+}
+
 /** @brief Passes batches of log lines to `Simulation::onLog`. */
 class SimulationLogOutput final : public jobnode::LogOutput
 {
@@ -125,8 +138,13 @@
         , store{executor, direct, log}
         , workers{simulation, executor}
         , instances{simulation, executor}
+        , notices{simulation, executor}
         , translator{simulation.m_configs, simulation.m_waves, simulation.m_entries}
-        , node{executor, jobnode::Ports{store, workers, instances, advice, translator}, name, {}, log}
+        , node{executor,
+               jobnode::Ports{store, workers, instances, advice, translator, &notices},
+               name,
+               internal::ownerOptionsOf(simulation.m_deployment, nodeIndex),
+               log}
     {
     }
 
@@ -137,6 +155,7 @@
     jobnode::FailoverStore store;
     WorkerLink workers;
     InstanceLink instances;
+    NoticeLink notices;
     internal::UnusedAdvice advice;
     internal::SimulationTranslator translator;
     jobnode::JobNode node;
--- a/src/oleanderwick/jobnode/fwd.hpp
+++ b/src/oleanderwick/jobnode/fwd.hpp
@@ -10,6 +10,9 @@
 class JobNode;
 class LogSink;
 class Translator;
+class OwnerNoticePort;
+class OwnerNotifier;
+class MissedChanges;
 struct Ports;
 
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/job_metrics.cpp
+++ b/src/oleanderwick/jobnode/job_metrics.cpp
@@ -15,10 +15,19 @@
 constexpr unsigned binCount = 24;
 constexpr double minSeconds = 0.05;
 constexpr double maxSeconds = 200.0;
+constexpr double minIntakeSeconds = 0.005;
+constexpr double maxIntakeSeconds = 10.0;
 
 struct Series {
     telemetry::DurationHistogram durations{telemetry::makeDurationHistogram(binCount, minSeconds, maxSeconds)};
     double sum{0.0};
+
+    void record(core::Duration duration)
+    {
+        const double seconds = std::chrono::duration<double>{duration}.count();
+        durations(seconds);
+        sum += seconds;
+    }
 };
 
 } // namespace internal
@@ -27,6 +36,7 @@
     std::map<std::string, std::uint64_t> events;
     std::map<std::string, std::int64_t> gauges;
     std::map<std::pair<std::string, std::string>, internal::Series> series;
+    std::map<std::string, internal::Series> intake; /**< By source. */
 };
 
 JobMetrics::JobMetrics()
@@ -36,17 +46,24 @@
 
 JobMetrics::~JobMetrics() = default;
 
-void JobMetrics::count(const std::string &event)
+void JobMetrics::count(const std::string &event, std::uint64_t amount)
 {
-    ++m_state->events[event];
+    m_state->events[event] += amount;
+}
+
+void JobMetrics::recordIntake(const std::string &source, core::Duration delay)
+{
+    auto series = m_state->intake.find(source);
+    if (series == m_state->intake.end()) {
+        const internal::Series empty{telemetry::makeDurationHistogram(internal::binCount, internal::minIntakeSeconds, internal::maxIntakeSeconds)};
+        series = m_state->intake.emplace(source, empty).first;
+    }
+    series->second.record(delay);
 }
 
 void JobMetrics::recordJob(const std::string &team, const std::string &queue, core::Duration duration)
 {
-    internal::Series &series = m_state->series[{team, queue}];
-    const double seconds = std::chrono::duration<double>{duration}.count();
-    series.durations(seconds);
-    series.sum += seconds;
+    m_state->series[{team, queue}].record(duration);
 }
 
 void JobMetrics::setGauge(const std::string &name, std::int64_t value)
@@ -67,6 +84,10 @@
         const std::string labels = absl::StrCat("team=\"", entry.first.first, "\",queue=\"", entry.first.second, "\"");
         telemetry::appendHistogram(text, "oleanderwick_job_seconds", labels, entry.second.durations, entry.second.sum);
     }
+    for (const std::pair<const std::string, internal::Series> &entry : m_state->intake) {
+        const std::string labels = absl::StrCat("source=\"", entry.first, "\"");
+        telemetry::appendHistogram(text, "oleanderwick_job_intake_seconds", labels, entry.second.durations, entry.second.sum);
+    }
     return text;
 }
 
--- a/src/oleanderwick/jobnode/job_metrics.hpp
+++ b/src/oleanderwick/jobnode/job_metrics.hpp
@@ -9,7 +9,7 @@
 namespace oleanderwick::jobnode
 {
 
-/** @brief Counters of events, gauges, and histograms of the time from submission to the end of a job by team and queue; not thread-safe. */
+/** @brief Counters of events, gauges, and histograms of times in the life of jobs; not thread-safe. */
 class JobMetrics
 {
 public:
@@ -19,10 +19,18 @@
     JobMetrics &operator=(const JobMetrics &) = delete;
 
     /**
-     * @brief Counts an event.
+     * @brief Counts events.
      * @param event Kind of event; the value of the label `event`.
+     * @param amount Number of events.
      */
-    void count(const std::string &event);
+    void count(const std::string &event, std::uint64_t amount = 1);
+
+    /**
+     * @brief Records how long it took until the owner knew a job.
+     * @param source How the owner came to know it: `watch`, or `read` after a notice.
+     * @param delay Time since the node that stored the job received its submission, by the wall clocks of the two nodes.
+     */
+    void recordIntake(const std::string &source, core::Duration delay);
 
     /**
      * @brief Records the duration of a job that has ended.
--- a/src/oleanderwick/jobnode/job_node.cpp
+++ b/src/oleanderwick/jobnode/job_node.cpp
@@ -43,7 +43,20 @@
     ownershipCallbacks.onLost = [this] {
         m_term.reset();
     };
-    m_ownership = std::make_unique<Ownership>(executor, ports.store, name, options.electionDelay, log, std::move(ownershipCallbacks));
+    std::string noticeAddress;
+    if (options.notifyOwner && ports.notices != nullptr) {
+        noticeAddress = options.noticeAddress;
+        m_notifier = std::make_unique<OwnerNotifier>(executor, *ports.notices, log, [this](std::function<void(bool)> onDone) {
+            m_ownership->lookUp(std::move(onDone));
+        });
+        m_jobService.setOnStored([this](const OwnerNotice &notice) {
+            notify(notice);
+        });
+        ownershipCallbacks.onOwner = [this](const std::optional<OwnerRecord> &owner) {
+            m_notifier->setOwner(owner);
+        };
+    }
+    m_ownership = std::make_unique<Ownership>(executor, ports.store, name, options.electionDelay, log, std::move(ownershipCallbacks), std::move(noticeAddress));
     executor.every(internal::logFlushInterval, [this] {
         m_log.flush();
     });
@@ -103,6 +116,24 @@
     }
 }
 
+void JobNode::notify(const OwnerNotice &notice)
+{
+    if (m_term != nullptr) {
+        m_term->handleNotices({notice});
+    } else {
+        m_notifier->notify(notice);
+    }
+}
+
+bool JobNode::handleNotices(const std::vector<OwnerNotice> &notices)
+{
+    if (m_term == nullptr) {
+        return false;
+    }
+    m_term->handleNotices(notices);
+    return m_ownership->isHeld(m_executor.now());
+}
+
 void JobNode::stop()
 {
     if (m_stopping) {
--- a/src/oleanderwick/jobnode/job_node.hpp
+++ b/src/oleanderwick/jobnode/job_node.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "job_service.hpp"
+#include "owner_notifier.hpp"
 #include "owner_term.hpp"
 
 namespace oleanderwick::jobnode
@@ -40,12 +41,20 @@
     /** @return Version of the configuration in force; 0 if there is none. */
     [[nodiscard]] std::int64_t configVersion() const noexcept;
 
+    /**
+     * @brief Handles notices of other nodes.
+     * @param notices Notices of jobs and cancellations that are in the store.
+     * @return True if this node is the owner, and certain of it.
+     */
+    bool handleNotices(const std::vector<OwnerNotice> &notices);
+
     /** @brief Prepares to stop: the node is no longer ready, and resigns as owner. */
     void stop();
 
 private:
     void handleOperatorItem(const jobs::StoreItem &item);
     void becomeOwner(std::int64_t token);
+    void notify(const OwnerNotice &notice);
 
     core::Executor &m_executor;
     Ports m_ports;
@@ -57,6 +66,7 @@
     bool m_stopping{false};
     bool m_isStoreReachable{true};
     std::unique_ptr<OwnerTerm> m_term;
+    std::unique_ptr<OwnerNotifier> m_notifier; /**< Null if this node sends no notices. */
     std::unique_ptr<Ownership> m_ownership;
     std::unique_ptr<Watcher> m_operatorWatcher;
 };
--- a/src/oleanderwick/jobnode/job_service.cpp
+++ b/src/oleanderwick/jobnode/job_service.cpp
@@ -1,6 +1,7 @@
 #include "job_service.hpp"
 
 #include <algorithm>
+#include <optional>
 
 #include "keys.hpp"
 
@@ -23,6 +24,7 @@
     std::string kind;
     std::string id; /**< Id of the job; name of the queue for a call of pending(). */
     jobs::StoreChange change;
+    std::optional<OwnerNotice> notice; /**< Set once the change is known to be in the store. */
     core::TimePoint startedAt;
     core::TimePoint deadline;
     core::Duration retryDelay{internal::minRetryDelay};
@@ -65,6 +67,8 @@
     ++call->attempts;
     m_store.commit(call->change, [this, call](const jobs::StoreReply &reply) {
         if (reply.outcome == jobs::StoreOutcome::Done || reply.outcome == jobs::StoreOutcome::Conflict) {
+            const bool isCancel = call->kind == "cancel";
+            call->notice = OwnerNotice{isCancel ? OwnerNotice::Kind::Cancel : OwnerNotice::Kind::Job, call->id, reply.revision};
             // A conflict means that the record exists already, from an earlier attempt or from the same call on another node.
             finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
             return;
@@ -103,6 +107,14 @@
         m_log.add(call.kind, event);
     }
     call.onReply(reply);
+    if (m_onStored && call.notice.has_value()) {
+        m_onStored(*call.notice);
+    }
+}
+
+void JobService::setOnStored(std::function<void(const OwnerNotice &)> onStored)
+{
+    m_onStored = std::move(onStored);
 }
 
 void JobService::read(const std::shared_ptr<Call> &call, const std::string &key, std::function<void(const jobs::StoreReply &)> onFound)
--- a/src/oleanderwick/jobnode/job_service.hpp
+++ b/src/oleanderwick/jobnode/job_service.hpp
@@ -10,6 +10,7 @@
 #include "../jobs/codec.hpp"
 #include "../jobs/ports.hpp"
 #include "log_sink.hpp"
+#include "owner_notice.hpp"
 
 namespace oleanderwick::jobnode
 {
@@ -43,6 +44,12 @@
      */
     JobService(core::Executor &executor, jobs::CoordinationStore &store, LogSink &log);
 
+    /**
+     * @brief Sets what is called after a submission or a cancellation was found stored and its caller was answered.
+     * @param onStored Receives a notice of it; empty for none.
+     */
+    void setOnStored(std::function<void(const OwnerNotice &)> onStored);
+
     /**
      * @brief Stores a job; if a job with this id is stored already, the call succeeds and changes nothing.
      * @param job Job to store.
@@ -90,6 +97,7 @@
     core::Executor &m_executor;
     jobs::CoordinationStore &m_store;
     LogSink &m_log;
+    std::function<void(const OwnerNotice &)> m_onStored;
 };
 
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/owner_term.cpp
+++ b/src/oleanderwick/jobnode/owner_term.cpp
@@ -1,5 +1,7 @@
 #include "owner_term_state.hpp"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -231,6 +233,34 @@
         executor, ports.store, keys::jobRequestPrefix, internal::watchTimeout, std::move(jobRequests), internal::jobRequestBatchDelay);
     workerWatcher = std::make_unique<Watcher>(
         executor, ports.store, ports.translator.workerPrefix(), internal::watchTimeout, std::move(workers), internal::workerBatchDelay);
+    if (options.notifyOwner) {
+        watchMissedChanges();
+    }
+}
+
+void OwnerTerm::State::watchMissedChanges()
+{
+    MissedChanges::Callbacks callbacks;
+    callbacks.isReady = [this] {
+        return ready && isActive();
+    };
+    callbacks.isJobKnown = [this](const std::string &id) {
+        return isJobKnown(id);
+    };
+    callbacks.onCancel = [this](const std::string &id) {
+        cancelJob(id);
+    };
+    callbacks.onJob = [this](const jobs::StoreItem &item) {
+        handleJobRequest(item, "read");
+    };
+    callbacks.isWorkerRegistered = [this](const std::string &name) {
+        const auto worker = scheduler.workers().find(name);
+        return worker != scheduler.workers().end() && worker->second.registered;
+    };
+    callbacks.onWorker = [this](const jobs::StoreItem &item) {
+        handleWorkerItem(item);
+    };
+    missedChanges = std::make_unique<MissedChanges>(executor, log, *jobRequestWatcher, *workerWatcher, ports.translator.workerPrefix(), std::move(callbacks));
 }
 
 void OwnerTerm::State::restoreOnceLoaded()
@@ -284,14 +314,26 @@
     scheduler.addJob(stored.first, state->second, stored.second < token, startedAt);
 }
 
-void OwnerTerm::State::handleJobRequest(const jobs::StoreItem &item)
+bool OwnerTerm::State::isJobKnown(const std::string &id) const
+{
+    return endedJobs.contains(id) || scheduler.findJob(id) != nullptr;
+}
+
+void OwnerTerm::State::cancelJob(const std::string &id)
+{
+    if (!endedJobs.contains(id)) {
+        scheduler.cancelJob(id, executor.wallMs(), executor.now());
+        scheduleCycle();
+    }
+}
+
+void OwnerTerm::State::handleJobRequest(const jobs::StoreItem &item, const char *source)
 {
     if (item.key.starts_with(keys::cancelPrefix)) {
         const std::string id = item.key.substr(keys::cancelPrefix.size());
-        if (ready && !endedJobs.contains(id)) {
-            scheduler.cancelJob(id, executor.wallMs(), executor.now());
-            scheduleCycle();
-        } else if (!ready) {
+        if (ready) {
+            cancelJob(id);
+        } else {
             storedCancels.insert(id);
         }
         return;
@@ -308,8 +350,13 @@
         storedJobs.insert_or_assign(job->id, std::pair{*job, item.revision});
         return;
     }
-    if (!endedJobs.contains(job->id) && scheduler.findJob(job->id) == nullptr) {
+    if (!isJobKnown(job->id)) {
+        const std::string id = job->id;
+        log.metrics().recordIntake(source, std::chrono::milliseconds{std::max<std::int64_t>(0, executor.wallMs() - job->submittedMs)});
         scheduler.addJob(*std::move(job), std::nullopt, item.revision < token, executor.now());
+        if (missedChanges != nullptr) {
+            missedChanges->handleJobKnown(id);
+        }
         scheduleCycle();
     }
 }
@@ -384,6 +431,7 @@
 OwnerTerm::~OwnerTerm()
 {
     m_state->stopped = true;
+    m_state->missedChanges.reset();
     m_state->jobRequestWatcher.reset();
     m_state->workerWatcher.reset();
 }
@@ -405,4 +453,11 @@
     }
 }
 
+void OwnerTerm::handleNotices(const std::vector<OwnerNotice> &notices)
+{
+    if (m_state->missedChanges != nullptr) {
+        m_state->missedChanges->handleNotices(notices);
+    }
+}
+
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/owner_term.hpp
+++ b/src/oleanderwick/jobnode/owner_term.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "log_sink.hpp"
+#include "owner_notice.hpp"
 #include "ownership.hpp"
 #include "translator.hpp"
 #include "watcher.hpp"
@@ -22,6 +23,8 @@
     core::Duration electionDelay{}; /**< Delay of a claim of ownership, so that nodes with more CPU claim it first. */
     /** Delay of commands for an instance that a previous owner commanded recently, or for all if that is unknown: its command may still be in flight. */
     core::Duration commandDelay{std::chrono::seconds{3}};
+    bool notifyOwner{false}; /**< Send notices to the owner, and take them as owner. */
+    std::string noticeAddress; /**< Address at which this node takes notices. */
     core::Duration endedJobRetention{std::chrono::seconds{180}}; /**< Time for which the state of an ended job can be read. */
 };
 
@@ -49,6 +52,12 @@
      */
     void applyUpdate(const OperatorUpdate &update);
 
+    /**
+     * @brief Handles notices of jobs and cancellations that are in the store.
+     * @param notices Notices of nodes; ignored unless `OwnerOptions::notifyOwner` is set.
+     */
+    void handleNotices(const std::vector<OwnerNotice> &notices);
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/src/oleanderwick/jobnode/owner_term_commands.cpp
+++ b/src/oleanderwick/jobnode/owner_term_commands.cpp
@@ -193,6 +193,9 @@
         }
         if (instances.has_value()) {
             self->scheduler.handleRunningWorkers(workersOn(*instances), now, self->executor.now());
+            if (self->missedChanges != nullptr) {
+                self->missedChanges->handleInstances(*instances);
+            }
             self->balancer.handleInstances(*instances, now);
             self->maintenance.handleInstances(*std::move(instances), now);
             self->scheduleCycle();
--- a/src/oleanderwick/jobnode/owner_term_state.hpp
+++ b/src/oleanderwick/jobnode/owner_term_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "missed_changes.hpp"
 #include "owner_term.hpp"
 
 namespace oleanderwick::jobnode
@@ -37,7 +38,10 @@
 
     /** @name Changes in the store */
     /** @{ */
-    void handleJobRequest(const jobs::StoreItem &item);
+    void watchMissedChanges();
+    void handleJobRequest(const jobs::StoreItem &item, const char *source = "watch");
+    void cancelJob(const std::string &id);
+    [[nodiscard]] bool isJobKnown(const std::string &id) const;
     void handleWorkerItem(const jobs::StoreItem &item);
     void handleWorkerRemoval(const std::string &key);
     /** @} */
@@ -125,6 +129,7 @@
 
     std::unique_ptr<Watcher> jobRequestWatcher;
     std::unique_ptr<Watcher> workerWatcher;
+    std::unique_ptr<MissedChanges> missedChanges; /**< Null if nodes send no notices. */
     /** Loads that have not finished: used workers, commanded instances, waves and states. */
     int pendingLoads{4};
     bool jobRequestsListed{false};
--- a/src/oleanderwick/jobnode/ownership.cpp
+++ b/src/oleanderwick/jobnode/ownership.cpp
@@ -31,13 +31,15 @@
           std::string itsName,
           core::Duration itsElectionDelay,
           LogSink &itsLog,
-          Callbacks itsCallbacks)
+          Callbacks itsCallbacks,
+          std::string itsAddress)
         : executor{itsExecutor}
         , store{itsStore}
         , nodeName{std::move(itsName)}
         , electionDelay{itsElectionDelay}
         , log{itsLog}
         , callbacks{std::move(itsCallbacks)}
+        , address{std::move(itsAddress)}
         , random{std::hash<std::string>{}(nodeName)}
     {
     }
@@ -74,7 +76,7 @@
 
     void claim(std::int64_t newLease, core::TimePoint sentAt, core::Duration newTtl)
     {
-        const std::string keyValue = absl::StrCat(nodeName, "/", newLease);
+        const std::string keyValue = toText(OwnerRecord{nodeName, newLease, address});
         const jobs::StoreChange change{{{keys::owner, 0}}, {{keys::owner, keyValue, newLease}}, {}};
         store.commit(change, [self = shared_from_this(), newLease, sentAt, newTtl, keyValue](const jobs::StoreReply &reply) {
             if (reply.outcome == jobs::StoreOutcome::Done) {
@@ -169,6 +171,18 @@
         if (token != 0 && item.revision > token) {
             handleLoss("other_owner");
         }
+        if (callbacks.onOwner) {
+            callbacks.onOwner(ownerFromText(item.value));
+        }
+    }
+
+    void handleOwnerRemoval()
+    {
+        keyExists = false;
+        acquireLater({});
+        if (callbacks.onOwner) {
+            callbacks.onOwner(std::nullopt);
+        }
     }
 
     core::Executor &executor;
@@ -177,6 +191,7 @@
     core::Duration electionDelay;
     LogSink &log;
     Callbacks callbacks;
+    std::string address;
     std::mt19937_64 random;
     std::unique_ptr<Watcher> watcher;
     bool stopped{false};
@@ -194,8 +209,9 @@
                      std::string nodeName,
                      core::Duration electionDelay,
                      LogSink &log,
-                     Callbacks callbacks)
-    : m_state{std::make_shared<State>(executor, store, std::move(nodeName), electionDelay, log, std::move(callbacks))}
+                     Callbacks callbacks,
+                     std::string address)
+    : m_state{std::make_shared<State>(executor, store, std::move(nodeName), electionDelay, log, std::move(callbacks), std::move(address))}
 {
     State *state = m_state.get();
     Watcher::Callbacks watcherCallbacks;
@@ -204,8 +220,7 @@
     };
     watcherCallbacks.onRemoved = [state](const std::string &key) {
         if (key == keys::owner) {
-            state->keyExists = false;
-            state->acquireLater({});
+            state->handleOwnerRemoval();
         }
     };
     watcherCallbacks.onListed = [state] {
@@ -237,6 +252,19 @@
     return m_state->token;
 }
 
+void Ownership::lookUp(std::function<void(bool)> onDone)
+{
+    State *state = m_state.get();
+    m_state->watcher->fetch(keys::owner, [state, done = std::move(onDone)](FetchResult result, const jobs::StoreItem &item) {
+        if (result == FetchResult::Found) {
+            state->handleOwnerKey(item);
+        } else if (result == FetchResult::Absent) {
+            state->handleOwnerRemoval();
+        }
+        done(result != FetchResult::Failed);
+    });
+}
+
 void Ownership::handleLoss()
 {
     m_state->handleLoss("condition_failed");
--- a/src/oleanderwick/jobnode/ownership.hpp
+++ b/src/oleanderwick/jobnode/ownership.hpp
@@ -3,12 +3,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "../core/core.hpp"
 #include "../jobs/ports.hpp"
 #include "log_sink.hpp"
+#include "owner_record.hpp"
 #include "watcher.hpp"
 
 namespace oleanderwick::jobnode
@@ -22,6 +24,8 @@
     struct Callbacks {
         std::function<void(std::int64_t)> onAcquired; /**< This node became the owner; the argument is its fencing token. */
         std::function<void()> onLost; /**< This node is no longer the owner. */
+        /** Some node, which may be this one, is the owner; `std::nullopt`: the key doesn't exist. May be empty. */
+        std::function<void(const std::optional<OwnerRecord> &)> onOwner{};
     };
 
     /**
@@ -32,8 +36,15 @@
      * @param electionDelay Time for which this node waits before it claims the key, so that better suited nodes come first.
      * @param log Receives the log events.
      * @param callbacks Called on each change of ownership.
+     * @param address Address for notices to this node, stored with its name; empty if it takes none.
      */
-    Ownership(core::Executor &executor, jobs::CoordinationStore &store, std::string nodeName, core::Duration electionDelay, LogSink &log, Callbacks callbacks);
+    Ownership(core::Executor &executor,
+              jobs::CoordinationStore &store,
+              std::string nodeName,
+              core::Duration electionDelay,
+              LogSink &log,
+              Callbacks callbacks,
+              std::string address = {});
     ~Ownership();
     Ownership(const Ownership &) = delete;
     Ownership &operator=(const Ownership &) = delete;
@@ -56,6 +67,12 @@
      */
     void resign();
 
+    /**
+     * @brief Reads the owner's key, as the watch may be silent; the result is handled as if the watch had delivered it.
+     * @param onDone Called once with whether the store replied, after the callbacks; not called after this object is destroyed.
+     */
+    void lookUp(std::function<void(bool)> onDone);
+
     /** @brief Ends the ownership of this node after a sign that another node owns the key; the node then competes again. */
     void handleLoss();
 
--- a/src/oleanderwick/jobnode/translator.hpp
+++ b/src/oleanderwick/jobnode/translator.hpp
@@ -7,6 +7,7 @@
 
 #include "../jobs/jobs.hpp"
 #include "../jobs/ports.hpp"
+#include "fwd.hpp"
 
 namespace oleanderwick::jobnode
 {
@@ -60,6 +61,7 @@
     jobs::InstancePort &instances;
     jobs::AdvicePort &advice;
     Translator &translator;
+    OwnerNoticePort *notices{nullptr}; /**< Null if the node sends no notices. */
 };
 
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/watcher.cpp
+++ b/src/oleanderwick/jobnode/watcher.cpp
@@ -1,6 +1,7 @@
 #include "watcher.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace oleanderwick::jobnode
 {
@@ -52,14 +53,21 @@
         }
         for (const jobs::StoreItem &item : reply.items) {
             listedKeys.insert(item.key);
+            supersedeFetches(item.key);
             callbacks.onItem(item);
         }
         if (reply.more && !reply.items.empty()) {
             list(reply.items.back().key);
             return;
         }
+        // A key that was fetched at a later revision than that of the listing is not missing; the watch delivers it.
+        std::erase_if(fetchedKeys, [this](const std::pair<const std::string, std::int64_t> &fetched) {
+            return fetched.second <= revision;
+        });
         for (const std::string &key : knownKeys) {
-            if (!listedKeys.contains(key)) {
+            if (fetchedKeys.contains(key)) {
+                listedKeys.insert(key);
+            } else if (!listedKeys.contains(key)) {
                 callbacks.onRemoved(key);
             }
         }
@@ -92,16 +100,19 @@
             });
             return;
         }
+        const bool isEmpty = reply.items.empty() && reply.removed.empty();
+        lastChangesAt = isEmpty ? lastChangesAt : executor.now();
         for (const jobs::StoreItem &item : reply.items) {
             knownKeys.insert(item.key);
+            supersedeFetches(item.key);
             callbacks.onItem(item);
         }
         for (const std::string &key : reply.removed) {
             knownKeys.erase(key);
+            supersedeFetches(key);
             callbacks.onRemoved(key);
         }
         revision = std::max(revision, reply.revision);
-        const bool isEmpty = reply.items.empty() && reply.removed.empty();
         if (isEmpty || batchDelay == core::Duration::zero()) {
             watch();
             return;
@@ -111,6 +122,43 @@
         });
     }
 
+    void fetch(const std::string &key, OnFetched onFetched)
+    {
+        const std::shared_ptr<bool> superseded = std::make_shared<bool>(false);
+        fetches.emplace(key, superseded);
+        store.read(key, [self = shared_from_this(), key, superseded, fetched = std::move(onFetched)](const jobs::StoreReply &reply) {
+            std::erase_if(self->fetches, [&superseded](const std::pair<const std::string, std::shared_ptr<bool>> &item) {
+                return item.second == superseded;
+            });
+            if (!self->stopped) {
+                self->handleFetched(key, *superseded, reply, fetched);
+            }
+        });
+    }
+
+    void handleFetched(const std::string &key, bool superseded, const jobs::StoreReply &reply, const OnFetched &onFetched)
+    {
+        if (superseded) {
+            onFetched(FetchResult::Superseded, {});
+        } else if (reply.outcome == jobs::StoreOutcome::Done && !reply.items.empty()) {
+            knownKeys.insert(key);
+            fetchedKeys[key] = reply.items.front().revision;
+            onFetched(FetchResult::Found, reply.items.front());
+        } else {
+            onFetched(reply.outcome == jobs::StoreOutcome::NotFound ? FetchResult::Absent : FetchResult::Failed, {});
+        }
+    }
+
+    /** Discards the results of fetches of a key that was delivered. */
+    void supersedeFetches(const std::string &key)
+    {
+        fetchedKeys.erase(key);
+        const auto range = fetches.equal_range(key);
+        for (auto fetch = range.first; fetch != range.second; ++fetch) {
+            *fetch->second = true;
+        }
+    }
+
     /** Updates the retry delay and reports whether a call succeeded. */
     bool recordResult(const jobs::StoreReply &reply)
     {
@@ -142,6 +190,9 @@
     std::int64_t revision{0};
     std::set<std::string> knownKeys;
     std::set<std::string> listedKeys;
+    core::TimePoint lastChangesAt;
+    std::multimap<std::string, std::shared_ptr<bool>> fetches; /**< Fetches in flight, with whether their key was delivered meanwhile. */
+    std::map<std::string, std::int64_t> fetchedKeys; /**< Revisions of fetched keys that the watch has not delivered yet. */
 };
 
 Watcher::Watcher(core::Executor &executor,
@@ -160,4 +211,14 @@
     m_state->stopped = true;
 }
 
+void Watcher::fetch(const std::string &key, OnFetched onFetched)
+{
+    m_state->fetch(key, std::move(onFetched));
+}
+
+core::TimePoint Watcher::lastChangesAt() const noexcept
+{
+    return m_state->lastChangesAt;
+}
+
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/watcher.hpp
+++ b/src/oleanderwick/jobnode/watcher.hpp
@@ -7,6 +7,7 @@
 
 #include "../core/core.hpp"
 #include "../jobs/ports.hpp"
+#include "fetch_result.hpp"
 
 namespace oleanderwick::jobnode
 {
@@ -42,6 +43,21 @@
     Watcher(const Watcher &) = delete;
     Watcher &operator=(const Watcher &) = delete;
 
+    /** @brief Receives the result of a fetch; the item is set if the result is `Found`. */
+    using OnFetched = std::function<void(FetchResult, const jobs::StoreItem &)>;
+
+    /**
+     * @brief Reads a key that the watch has not delivered.
+     *
+     * An item that is found counts as known: `onRemoved` is called for it if the next complete listing doesn't have it. `onItem` isn't called.
+     * @param key Key with the prefix.
+     * @param onFetched Called once with the result; not called after the watcher is destroyed.
+     */
+    void fetch(const std::string &key, OnFetched onFetched);
+
+    /** @return Time at which a watch call last delivered changes, listings not included; the start of the clock if none has. */
+    [[nodiscard]] core::TimePoint lastChangesAt() const noexcept;
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -53,6 +53,13 @@
     };
 }
 
+Reader flag(bool JobSettings::*field)
+{
+    return [field](const YAML::Node &node, JobSettings &settings) {
+        settings.*field = node.as<bool>();
+    };
+}
+
 void readProcessorShare(const YAML::Node &node, JobSettings &settings)
 {
     settings.processorShare = node.as<double>();
@@ -91,6 +98,7 @@
         {"needLastsMs", milliseconds(&JobSettings::needLasts)},
         {"parkAfterMs", milliseconds(&JobSettings::parkAfter)},
         {"reserveInstances", factor(&JobSettings::reserveInstances)},
+        {"notifyOwner", flag(&JobSettings::notifyOwner)},
     };
     return table;
 }
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "ingress.hpp"
+#include "notices.hpp"
 #include "oleanderwick/http/server.hpp"
 #include "oleanderwick/jobnode/failover_store.hpp"
 #include "relay.hpp"
@@ -40,6 +41,8 @@
 {
     jobnode::OwnerOptions options;
     options.scheduler.maxLease = settings.longestLease;
+    options.notifyOwner = settings.notifyOwner;
+    options.noticeAddress = settings.internal;
     options.commandDelay = settings.orderPause;
     options.balancing.clearWithin = settings.clearWithin;
     options.balancing.arrivingWeight = settings.arrivingWeight;
@@ -78,7 +81,8 @@
         , m_instances{m_connections, settings.instances, m_name}
         , m_advice{m_connections, settings.advice}
         , m_translator{m_log}
-        , m_node{m_loop, jobnode::Ports{m_store, m_workers, m_instances, m_advice, m_translator}, m_name, ownerOptionsOf(settings), m_log}
+        , m_notices{m_connections}
+        , m_node{m_loop, jobnode::Ports{m_store, m_workers, m_instances, m_advice, m_translator, &m_notices}, m_name, ownerOptionsOf(settings), m_log}
         , m_ingress{m_loop, m_node, m_translator, m_log}
         , m_callerServer{m_loop,
                          serverLimits(),
@@ -139,6 +143,8 @@
     {
         if (request.target.starts_with(relayPrefix)) {
             m_relay.handle(request, respond);
+        } else if (request.target == noticePath) {
+            respond(handleNotices(request, m_node, m_log));
         } else {
             serveMetrics(request, respond);
         }
@@ -199,6 +205,7 @@
     InstanceClient m_instances;
     AdviceClient m_advice;
     StoreTranslator m_translator;
+    NoticeClient m_notices;
     jobnode::JobNode m_node;
     Ingress m_ingress;
     http::Server m_callerServer;
