Take notices without a revision, and wait longer for a slow watch

A watch that is slow and not silent, as on a small link, would have led to reads of what is under way.

Change: revision 0 stands for unknown. Records of known jobs are no longer parsed when a listing after a compaction repeats them. A node that isn't certain to be the owner also sends its notices.

--- a/src/oleanderwick/jobnode/expected_keys.cpp
+++ b/src/oleanderwick/jobnode/expected_keys.cpp
@@ -7,6 +7,7 @@
 
 ExpectedKeys::ExpectedKeys(const Policy &policy)
     : m_policy{policy}
+    , m_grace{policy.grace}
 {
 }
 
@@ -38,13 +39,23 @@
     m_deliveredAt = m_check;
 }
 
+void ExpectedKeys::handleOvertakenRead()
+{
+    m_grace = std::min<std::uint64_t>(m_grace * 2, m_policy.maxGrace);
+    m_graceSince = m_check;
+}
+
 std::vector<std::string> ExpectedKeys::check()
 {
     ++m_check;
+    if (m_grace > m_policy.grace && m_check >= m_graceSince + m_policy.graceDecay) {
+        m_grace = std::max<std::uint64_t>(m_grace / 2, m_policy.grace);
+        m_graceSince = m_check;
+    }
     std::vector<std::string> due;
     for (std::pair<const std::string, Entry> &item : m_keys) {
         Entry &entry = item.second;
-        const bool isDue = m_check >= std::max(entry.since, m_deliveredAt) + m_policy.grace && m_check >= entry.notBefore;
+        const bool isDue = m_check >= std::max(entry.since, m_deliveredAt) + m_grace && m_check >= entry.notBefore;
         if (isDue && !entry.reading && m_reads < m_policy.maxReads) {
             entry.reading = true;
             ++m_reads;
@@ -64,7 +75,7 @@
     entry.reading = false;
     --m_reads;
     if (result == FetchResult::Failed && ++entry.failures < m_policy.maxFailures) {
-        entry.notBefore = m_check + m_policy.grace;
+        entry.notBefore = m_check + m_grace;
     } else if (result == FetchResult::Absent && entry.absentDelay > 0) {
         entry.notBefore = m_check + entry.absentDelay;
         entry.absentDelay = std::min(entry.absentDelay * 2, m_policy.maxAbsentDelay);
--- a/src/oleanderwick/jobnode/expected_keys.hpp
+++ b/src/oleanderwick/jobnode/expected_keys.hpp
@@ -26,6 +26,8 @@
         std::size_t maxKeys{4096};
         std::size_t maxReads{16}; /**< Maximum number of reads in flight. */
         std::uint32_t grace{5}; /**< Time for the watch to deliver a key; also the delay after a failed read. */
+        std::uint32_t maxGrace{40}; /**< Upper limit of the grace while the watch is slow. */
+        std::uint32_t graceDecay{500}; /**< Time after which a longer grace is halved. */
         std::uint32_t maxFailures{20}; /**< A key is forgotten after this number of failed reads. */
         std::uint32_t absentDelay{0}; /**< Delay after a read that found nothing, doubled each time; 0 to forget the key instead. */
         std::uint32_t maxAbsentDelay{0}; /**< Upper limit of that delay. */
@@ -58,6 +60,9 @@
     /** @brief Handles a delivery of changes by the watch. */
     void handleDelivery();
 
+    /** @brief Handles the delivery of a key by the watch after it was read: the watch is slow and not silent, so the grace is doubled for a while. */
+    void handleOvertakenRead();
+
     /**
      * @brief Performs a check; called at a fixed interval while keys are expected.
      * @return Keys to read; the result of each must be passed to `handleRead`.
@@ -100,6 +105,8 @@
     };
 
     Policy m_policy;
+    std::uint64_t m_grace{0};
+    std::uint64_t m_graceSince{0}; /**< Number of the check after which the grace changed last. */
     std::uint64_t m_check{0};
     std::uint64_t m_deliveredAt{0}; /**< Number of the check after which the watch delivered changes last. */
     std::size_t m_reads{0};
--- a/src/oleanderwick/jobnode/job_node.cpp
+++ b/src/oleanderwick/jobnode/job_node.cpp
@@ -120,7 +120,9 @@
 {
     if (m_term != nullptr) {
         m_term->handleNotices({notice});
-    } else {
+    }
+    // A process that was frozen may take itself for the owner although another node is.
+    if (!m_ownership->isHeld(m_executor.now())) {
         m_notifier->notify(notice);
     }
 }
--- a/src/oleanderwick/jobnode/job_service.cpp
+++ b/src/oleanderwick/jobnode/job_service.cpp
@@ -1,7 +1,6 @@
 #include "job_service.hpp"
 
 #include <algorithm>
-#include <optional>
 
 #include "keys.hpp"
 
@@ -24,7 +23,7 @@
     std::string kind;
     std::string id; /**< Id of the job; name of the queue for a call of pending(). */
     jobs::StoreChange change;
-    std::optional<OwnerNotice> notice; /**< Set once the change is known to be in the store. */
+    std::int64_t revision{0}; /**< Store revision at which the change was found or written; 0 if unknown. */
     core::TimePoint startedAt;
     core::TimePoint deadline;
     core::Duration retryDelay{internal::minRetryDelay};
@@ -67,8 +66,7 @@
     ++call->attempts;
     m_store.commit(call->change, [this, call](const jobs::StoreReply &reply) {
         if (reply.outcome == jobs::StoreOutcome::Done || reply.outcome == jobs::StoreOutcome::Conflict) {
-            const bool isCancel = call->kind == "cancel";
-            call->notice = OwnerNotice{isCancel ? OwnerNotice::Kind::Cancel : OwnerNotice::Kind::Job, call->id, reply.revision};
+            call->revision = reply.revision;
             // A conflict means that the record exists already, from an earlier attempt or from the same call on another node.
             finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
             return;
@@ -107,8 +105,9 @@
         m_log.add(call.kind, event);
     }
     call.onReply(reply);
-    if (m_onStored && call.notice.has_value()) {
-        m_onStored(*call.notice);
+    const bool isCancel = call.kind == "cancel";
+    if (m_onStored && reply.outcome == JobCallOutcome::Done && (isCancel || call.kind == "submit")) {
+        m_onStored(OwnerNotice{isCancel ? OwnerNotice::Kind::Cancel : OwnerNotice::Kind::Job, call.id, call.revision});
     }
 }
 
--- a/src/oleanderwick/jobnode/missed_changes.cpp
+++ b/src/oleanderwick/jobnode/missed_changes.cpp
@@ -1,5 +1,6 @@
 #include "missed_changes.hpp"
 
+#include <map>
 #include <set>
 
 #include "expected_keys.hpp"
@@ -38,6 +39,7 @@
         std::string prefix;
         const char *event; /**< Log event of a read. */
         core::TimePoint changesAt{}; /**< `Watcher::lastChangesAt` at the latest check. */
+        std::uint64_t overtaken{0}; /**< `Watcher::overtakenFetches` at the latest check. */
         std::map<std::string, core::TimePoint> since{}; /**< Time since which each key is expected. */
     };
 
@@ -100,6 +102,10 @@
             source.changesAt = source.watcher.lastChangesAt();
             source.expected.handleDelivery();
         }
+        if (source.overtaken != source.watcher.overtakenFetches()) {
+            source.overtaken = source.watcher.overtakenFetches();
+            source.expected.handleOvertakenRead();
+        }
         for (const std::string &key : source.expected.check()) {
             const std::string name = key.substr(source.prefix.size());
             if (&source == &jobs ? callbacks.isJobKnown(name) : callbacks.isWorkerRegistered(name)) {
--- a/src/oleanderwick/jobnode/owner_notice.cpp
+++ b/src/oleanderwick/jobnode/owner_notice.cpp
@@ -51,7 +51,7 @@
         const bool hasFields = row.is_array() && row.size() == 3 && row[0].is_string() && row[1].is_string() && row[2].is_number_integer();
         const auto kind =
             hasFields ? std::find(internal::kindNames.begin(), internal::kindNames.end(), row[0].get_ref<const std::string &>()) : internal::kindNames.end();
-        if (kind == internal::kindNames.end() || !isNoticeId(row[1].get_ref<const std::string &>()) || row[2].get<std::int64_t>() <= 0) {
+        if (kind == internal::kindNames.end() || !isNoticeId(row[1].get_ref<const std::string &>()) || row[2].get<std::int64_t>() < 0) {
             return absl::InvalidArgumentError(absl::StrCat("notice ", notices.size(), " is malformed"));
         }
         notices.push_back({static_cast<OwnerNotice::Kind>(kind - internal::kindNames.begin()), row[1].get<std::string>(), row[2].get<std::int64_t>()});
--- a/src/oleanderwick/jobnode/owner_notice.hpp
+++ b/src/oleanderwick/jobnode/owner_notice.hpp
@@ -19,7 +19,7 @@
     };
     Kind kind{Kind::Job};
     std::string id; /**< Id of the job. */
-    std::int64_t revision{0}; /**< Store revision at which the record was found or written. */
+    std::int64_t revision{0}; /**< Store revision at which the record was written or found; 0 if the store did not say. */
 
     [[nodiscard]] auto operator<=>(const OwnerNotice &) const = default;
 };
--- a/src/oleanderwick/jobnode/owner_term.cpp
+++ b/src/oleanderwick/jobnode/owner_term.cpp
@@ -341,6 +341,10 @@
     if (!item.key.starts_with(keys::jobPrefix)) {
         return;
     }
+    // A listing after a compaction delivers all jobs again; most of them are known.
+    if (ready && isJobKnown(item.key.substr(keys::jobPrefix.size()))) {
+        return;
+    }
     absl::StatusOr<jobs::Job> job = jobs::jobFromRecord(item.value);
     if (!job.ok()) {
         log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("key", item.key).with("error", std::string{job.status().message()}));
--- a/src/oleanderwick/jobnode/watcher.cpp
+++ b/src/oleanderwick/jobnode/watcher.cpp
@@ -11,6 +11,8 @@
 
 constexpr core::Duration minRetryDelay = std::chrono::milliseconds{50};
 constexpr core::Duration maxRetryDelay = std::chrono::milliseconds{500};
+/** Before it compacts its history, the store delivers nothing for 1 to 3.4 s; a watch that is only slow delivers more often. */
+constexpr core::Duration minSilence = std::chrono::milliseconds{1000};
 
 } // namespace internal
 
@@ -27,6 +29,7 @@
         , wait{itsWait}
         , callbacks{std::move(itsCallbacks)}
         , batchDelay{itsBatchDelay}
+        , lastChangesAt{itsExecutor.now()}
     {
     }
 
@@ -101,9 +104,12 @@
             return;
         }
         const bool isEmpty = reply.items.empty() && reply.removed.empty();
+        const bool wasSilent = executor.now() - lastChangesAt >= internal::minSilence;
         lastChangesAt = isEmpty ? lastChangesAt : executor.now();
         for (const jobs::StoreItem &item : reply.items) {
             knownKeys.insert(item.key);
+            const bool wasFetched = fetchedKeys.contains(item.key) || fetches.contains(item.key);
+            overtakenFetches += wasFetched && !wasSilent ? 1 : 0;
             supersedeFetches(item.key);
             callbacks.onItem(item);
         }
@@ -191,6 +197,7 @@
     std::set<std::string> knownKeys;
     std::set<std::string> listedKeys;
     core::TimePoint lastChangesAt;
+    std::uint64_t overtakenFetches{0};
     std::multimap<std::string, std::shared_ptr<bool>> fetches; /**< Fetches in flight, with whether their key was delivered meanwhile. */
     std::map<std::string, std::int64_t> fetchedKeys; /**< Revisions of fetched keys that the watch has not delivered yet. */
 };
@@ -221,4 +228,9 @@
     return m_state->lastChangesAt;
 }
 
+std::uint64_t Watcher::overtakenFetches() const noexcept
+{
+    return m_state->overtakenFetches;
+}
+
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/watcher.hpp
+++ b/src/oleanderwick/jobnode/watcher.hpp
@@ -55,9 +55,12 @@
      */
     void fetch(const std::string &key, OnFetched onFetched);
 
-    /** @return Time at which a watch call last delivered changes, listings not included; the start of the clock if none has. */
+    /** @return Time at which a watch call last delivered changes, listings not included; the start of this watcher if none has. */
     [[nodiscard]] core::TimePoint lastChangesAt() const noexcept;
 
+    /** @return Number of fetched keys that a watch call delivered afterwards without having been silent before, so that the fetch was not needed. */
+    [[nodiscard]] std::uint64_t overtakenFetches() const noexcept;
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/test/platform/soak/soak.py
+++ b/test/platform/soak/soak.py
@@ -43,7 +43,7 @@
             "node": f"node-{self.index}", "zone": "z", "callers": f"{self.host}:{CALLER_PORT}", "readiness": f"{self.host}:{READINESS_PORT}",
             "internal": f"{self.host}:{INTERNAL_PORT}", "store": f"127.0.0.1:{self.proxy.port}",
             "instances": f"127.0.0.1:{self.soak.fleet.server.port}",
-            "stopTimeoutS": 5,
+            "stopTimeoutS": 5, "notifyOwner": "true",
         }
         peers = ", ".join(f"\"{self.soak.host(peer)}:{CONTROL_PORT}\"" for peer in range(self.soak.options.nodes) if peer != self.index)
         text = "scheduler:\n" + "".join(f"  {name}: {value}\n" for name, value in settings.items()) + f"  peers: [{peers}]\n"
@@ -188,6 +188,7 @@
             "store_loses": lambda: self.inject_for(seconds, lambda: setattr(self.store, "lose_share", 0.3),
                                                     lambda: setattr(self.store, "lose_share", 0.0)),
             "store_forgets": self.store.compact,
+            "store_watches_silent": lambda: self.store.silence_watches(self.random.uniform(1.0, 3.4)),
             "wave": self.wave,
         }
         kind = self.random.choice(list(choices))
--- a/test/platform/soak/store.py
+++ b/test/platform/soak/store.py
@@ -22,6 +22,7 @@
         self.changed = asyncio.Condition()
         self.mode = "serves"
         self.lose_share = 0.0
+        self.watches_silent = False
         self.random = None
 
     def _item(self, key):
@@ -65,6 +66,13 @@
         self.history.clear()
         await self._notify()
 
+    async def silence_watches(self, seconds):
+        """Delivers nothing to watches for a time, then compacts; everything else works as usual."""
+        self.watches_silent = True
+        await asyncio.sleep(seconds)
+        self.watches_silent = False
+        await self.compact()
+
     def _events(self, prefix, after):
         latest = {}
         for revision, key in self.history:
@@ -94,12 +102,12 @@
     async def _watch(self, query):
         after, deadline = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            if after < self.compacted_revision:
+            if after < self.compacted_revision and not self.watches_silent:
                 return 410, None
-            events = self._events(query["prefix"], after)
+            events = [] if self.watches_silent else self._events(query["prefix"], after)
             remaining_s = deadline - time.monotonic()
             if events or remaining_s <= 0:
-                return 200, {"events": events, "as_of": self.revision}
+                return 200, {"events": events, "as_of": after if self.watches_silent else self.revision}
             async with self.changed:
                 try:
                     await asyncio.wait_for(self.changed.wait(), remaining_s)
