--- a/src/oleanderwick/jobnode/job_service.cpp
+++ b/src/oleanderwick/jobnode/job_service.cpp
@@ -23,6 +23,7 @@
     std::string kind;
     std::string id; /**< Id of the job; name of the queue for a call of pending(). */
     jobs::StoreChange change;
+    std::int64_t revision{0}; /**< Store revision at which the change was found or written; 0 if unknown. */
     core::TimePoint startedAt;
     core::TimePoint deadline;
     core::Duration retryDelay{internal::minRetryDelay};
@@ -65,6 +66,7 @@
     ++call->attempts;
     m_store.commit(call->change, [this, call](const jobs::StoreReply &reply) {
         if (reply.outcome == jobs::StoreOutcome::Done || reply.outcome == jobs::StoreOutcome::Conflict) {
+            call->revision = reply.revision;
             // A conflict means that the record exists already, from an earlier attempt or from the same call on another node.
             finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
             return;
@@ -103,6 +105,15 @@
         m_log.add(call.kind, event);
     }
     call.onReply(reply);
+    const bool isCancel = call.kind == "cancel";
+    if (m_onStored && reply.outcome == JobCallOutcome::Done && (isCancel || call.kind == "submit")) {
+        m_onStored(OwnerNotice{isCancel ? OwnerNotice::Kind::Cancel : OwnerNotice::Kind::Job, call.id, call.revision});
+    }
+}
+
+void JobService::setOnStored(std::function<void(const OwnerNotice &)> onStored)
+{
+    m_onStored = std::move(onStored);
 }
 
 void JobService::read(const std::shared_ptr<Call> &call, const std::string &key, std::function<void(const jobs::StoreReply &)> onFound)
