Let a new owner command instances once the delay since their last command is over

Cause: a new owner left each instance that its predecessor had commanded in the last 3 s alone for 3 s from the start of its own term, and passed the whole list on to the next owner. Change: the record names the remaining delay of each instance, counted from the reply to its last command, and is written again each 0.5 s while it lists any. Spans only ever run from a time before the successor's claim, so it never acts earlier than 3 s after.

--- a/src/oleanderwick/jobnode/owner_term.cpp
+++ b/src/oleanderwick/jobnode/owner_term.cpp
@@ -42,6 +42,7 @@
     , maintenance{commandDelay}
     , balancer{itsOptions.balancing, commandDelay}
     , startedAt{itsExecutor.now()}
+    , commandedInstances{itsOptions.commandDelay}
     , zoneClosures{itsPorts.translator.zoneClosurePrefix()}
 {
 }
@@ -111,21 +112,14 @@
 
 void OwnerTerm::State::restoreCommandedInstances(const std::string &text)
 {
-    const nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
-    if (!value.is_array()) {
+    std::optional<CommandedInstances::EndTimes> endTimes = commandedInstances.restore(text, startedAt);
+    if (!endTimes.has_value()) {
         // The command delay then applies to all instances.
         log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("key", keys::commandedInstances));
         return;
     }
-    std::set<std::string> names;
-    for (const nlohmann::json &instance : value) {
-        if (instance.is_string()) {
-            names.insert(instance.get<std::string>());
-            commandedInstances[instance.get<std::string>()] = startedAt;
-        }
-    }
-    log.add("ordered_instances", telemetry::Event{"ordered_instances"}.with("count", static_cast<std::int64_t>(names.size())));
-    commandDelay.limitTo(std::move(names));
+    log.add("ordered_instances", telemetry::Event{"ordered_instances"}.with("count", static_cast<std::int64_t>(endTimes->size())));
+    commandDelay.limitTo(*std::move(endTimes));
 }
 
 void OwnerTerm::State::restoreUsedWorkers(const std::string &text)
--- a/src/oleanderwick/jobnode/owner_term_commands.cpp
+++ b/src/oleanderwick/jobnode/owner_term_commands.cpp
@@ -208,28 +208,22 @@
 
 void OwnerTerm::State::announceInstanceCommands()
 {
-    if (announceInFlight || (unannouncedCommands.maintenance.empty() && unannouncedCommands.moves.empty())) {
+    const core::TimePoint now = executor.now();
+    const bool hasCommands = !unannouncedCommands.maintenance.empty() || !unannouncedCommands.moves.empty();
+    if (announceInFlight || (!hasCommands && !commandedInstances.isWriteDue(now))) {
         return;
     }
-    const core::TimePoint now = executor.now();
     InstanceCommands announced;
     std::swap(announced, unannouncedCommands);
     for (const jobs::MaintainCommand &command : announced.maintenance) {
-        commandedInstances[command.instance] = now;
+        commandedInstances.handleCommand(command.instance);
     }
     for (const jobs::MoveCommand &command : announced.moves) {
-        commandedInstances[command.instance] = now;
-    }
-    std::erase_if(commandedInstances, [this, now](const std::pair<const std::string, core::TimePoint> &commanded) {
-        return now - commanded.second > options.commandDelay;
-    });
-    nlohmann::json names = nlohmann::json::array();
-    for (const std::pair<const std::string, core::TimePoint> &commanded : commandedInstances) {
-        names.push_back(commanded.first);
+        commandedInstances.handleCommand(command.instance);
     }
     // A successor must not send commands for these instances while ours are in flight, so it has to find them in the store before they are sent.
     announceInFlight = true;
-    write(keys::commandedInstances, names.dump(), [this, announced](bool stored) {
+    write(keys::commandedInstances, commandedInstances.takeRecord(now), [this, announced](bool stored) {
         announceInFlight = false;
         sendInstanceCommands(announced, stored);
         scheduleCycle();
@@ -244,6 +238,7 @@
         if (allowed) {
             sendMaintenance(command);
         } else {
+            commandedInstances.handleReply(command.instance, now);
             maintenance.handleReply(command, jobs::InstanceOutcome::Refused, now);
         }
     }
@@ -251,6 +246,7 @@
         if (allowed && balancer.isAllowed(command, scheduler)) {
             sendMove(command);
         } else {
+            commandedInstances.handleReply(command.instance, now);
             balancer.handleReply(command, jobs::InstanceOutcome::Refused, scheduler, now);
         }
     }
@@ -265,6 +261,7 @@
         if (!self->isActive()) {
             return;
         }
+        self->commandedInstances.handleReply(command.instance, self->executor.now());
         self->maintenance.handleReply(command, outcome, self->executor.now());
         if (outcome == jobs::InstanceOutcome::Fenced) {
             self->ownership.handleLoss();
@@ -283,6 +280,7 @@
         if (!self->isActive()) {
             return;
         }
+        self->commandedInstances.handleReply(command.instance, self->executor.now());
         self->balancer.handleReply(command, outcome, self->scheduler, self->executor.now());
         if (outcome == jobs::InstanceOutcome::Fenced) {
             self->ownership.handleLoss();
--- a/src/oleanderwick/jobnode/owner_term_state.hpp
+++ b/src/oleanderwick/jobnode/owner_term_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "commanded_instances.hpp"
 #include "missed_changes.hpp"
 #include "owner_term.hpp"
 #include "zone_closures.hpp"
@@ -111,7 +112,7 @@
     std::map<std::string, std::int64_t> revisions; /**< Last known revisions of the keys that the owner writes. */
     std::map<std::string, std::int64_t> endedJobs; /**< Unix time in milliseconds at which each job ended, until its records are removed. */
 
-    std::map<std::string, core::TimePoint> commandedInstances; /**< Time of the last command for each instance that got one recently. */
+    CommandedInstances commandedInstances;
     InstanceCommands unannouncedCommands;
     bool announceInFlight{false};
 
--- a/src/oleanderwick/jobs/command_delay.hpp
+++ b/src/oleanderwick/jobs/command_delay.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "../core/core.hpp"
@@ -24,9 +24,9 @@
 
     /**
      * @brief Limits the delay to the instances for which the predecessor recorded recent commands.
-     * @param instances Names of these instances; empty if no instance needs the delay.
+     * @param instances Time of the monotonic clock at which the delay of each of these instances is over; empty if no instance needs it.
      */
-    void limitTo(std::set<std::string> instances)
+    void limitTo(std::map<std::string, core::TimePoint> instances)
     {
         m_instances = std::move(instances);
     }
@@ -39,12 +39,19 @@
      */
     [[nodiscard]] bool isOver(const std::string &instance, core::TimePoint now) const
     {
-        return now >= m_endsAt || (m_instances.has_value() && !m_instances->contains(instance));
+        if (now >= m_endsAt) {
+            return true;
+        }
+        if (!m_instances.has_value()) {
+            return false;
+        }
+        const auto recorded = m_instances->find(instance);
+        return recorded == m_instances->end() || now >= recorded->second;
     }
 
 private:
     core::TimePoint m_endsAt;
-    std::optional<std::set<std::string>> m_instances; /**< Instances that the delay applies to; std::nullopt for all. */
+    std::optional<std::map<std::string, core::TimePoint>> m_instances; /**< End of the delay by instance; std::nullopt if it applies to all. */
 };
 
 } // namespace oleanderwick::jobs
--- a/test/oleanderwick/jobs/maintenance_controller.cpp
+++ b/test/oleanderwick/jobs/maintenance_controller.cpp
@@ -236,7 +236,7 @@
         return controller.takeCommands();
     };
     CHECK(advance().empty());
-    commandDelay.limitTo({"m1"});
+    commandDelay.limitTo({{"m1", fleet.now + std::chrono::seconds{3}}});
     const std::vector<jobs::MaintainCommand> early = advance();
     REQUIRE(early.size() == 1);
     CHECK(early[0].instance == "m2");
