--- a/test/oleanderwick/jobnode/job_service.cpp
+++ b/test/oleanderwick/jobnode/job_service.cpp
@@ -93,6 +93,40 @@
     CHECK(other.status().outcome == jobnode::JobCallOutcome::NotFound);
 }
 
+TEST_CASE("a change that is stored is reported after its caller was answered, and one that may not be is not", "[jobnode]")
+{
+    JobServiceFixture fixture;
+    std::vector<jobnode::OwnerNotice> notices;
+    fixture.service.setOnStored([&notices](const jobnode::OwnerNotice &notice) {
+        notices.push_back(notice);
+    });
+    jobs::StoreReply stored = replyWith(jobs::StoreOutcome::Done);
+    stored.revision = 12;
+    fixture.store.replies = {stored};
+    jobs::Job job;
+    job.id = "a";
+    bool answeredFirst = false;
+    fixture.call([&](core::TimePoint deadline, jobnode::JobService::OnReply onReply) {
+        fixture.service.submit(job, deadline, [&, reply = std::move(onReply)](const jobnode::JobReply &result) {
+            answeredFirst = notices.empty();
+            reply(result);
+        });
+    });
+    CHECK(answeredFirst);
+    CHECK(answeredFirst);
+    fixture.store.replies = {replyWith(jobs::StoreOutcome::Done), replyWith(jobs::StoreOutcome::Conflict)};
+    fixture.call([&fixture](core::TimePoint deadline, jobnode::JobService::OnReply onReply) {
+        fixture.service.cancel("a", deadline, std::move(onReply));
+    });
+    CHECK(notices == std::vector<jobnode::OwnerNotice>{{jobnode::OwnerNotice::Kind::Job, "a", 12}, {jobnode::OwnerNotice::Kind::Cancel, "a", 0}});
+    JobServiceFixture refused;
+    refused.service.setOnStored([&notices](const jobnode::OwnerNotice &notice) {
+        notices.push_back(notice);
+    });
+    CHECK(refused.submit().outcome == jobnode::JobCallOutcome::NotStored);
+    CHECK(notices.size() == 2);
+}
+
 TEST_CASE("pending jobs are counted over all pages of the queue's markers", "[jobnode]")
 {
     JobServiceFixture fixture;
--- /dev/null
+++ b/test/oleanderwick/jobnode/ownership.cpp
@@ -0,0 +1,73 @@
+#include <catch2/catch.hpp>
+
+#include "oleanderwick/jobnode/ownership.hpp"
+#include "support/model_store.hpp"
+
+using namespace oleanderwick;
+
+namespace
+{
+
+/** @brief Candidate for ownership in virtual time, with what it was told of the owner. */
+struct Candidate {
+    Candidate(emulator::Timeline &timeline, emulator::StoreModel &model, const std::string &name)
+        : executor{timeline, 0}
+        , store{timeline, model}
+        , ownership{executor, store, name, {}, log, callbacks(), "address-of-" + name}
+    {
+    }
+
+    jobnode::Ownership::Callbacks callbacks()
+    {
+        jobnode::Ownership::Callbacks made;
+        made.onAcquired = [](std::int64_t) {
+        };
+        made.onLost = [] {
+        };
+        made.onOwner = [this](const std::optional<jobnode::OwnerRecord> &seen) {
+            owner = seen;
+        };
+        return made;
+    }
+
+    emulator::ProcessExecutor executor;
+    test::ModelStore store;
+    jobnode::LogSink log{executor, std::make_unique<test::DiscardingOutput>()};
+    std::optional<jobnode::OwnerRecord> owner;
+    jobnode::Ownership ownership;
+};
+
+} // namespace
+
+TEST_CASE("an owner that left while the watch of its key is silent is replaced once the key is looked up", "[ownership]")
+{
+    emulator::Timeline timeline;
+    emulator::StoreModel model;
+    const auto run = [&timeline](int milliseconds) {
+        timeline.runUntil(timeline.now() + std::chrono::milliseconds{milliseconds});
+    };
+    Candidate first{timeline, model, "a"};
+    run(1000);
+    Candidate second{timeline, model, "b"};
+    run(1000);
+    REQUIRE(first.ownership.token() != 0);
+    REQUIRE(second.owner.has_value());
+    CHECK(second.owner->address == "address-of-a");
+    model.silenceWatches();
+    first.ownership.resign();
+    run(1000);
+    CHECK(second.ownership.token() == 0);
+    bool succeeded = false;
+    second.ownership.lookUp([&succeeded](bool replied) {
+        succeeded = replied;
+    });
+    run(500);
+    CHECK(succeeded);
+    CHECK(second.ownership.token() != 0);
+    // The former owner is told of its successor in the same way.
+    first.ownership.lookUp([](bool) {
+    });
+    run(10);
+    REQUIRE(first.owner.has_value());
+    CHECK(first.owner->name == "b");
+}
--- a/test/platform/translation.cpp
+++ b/test/platform/translation.cpp
@@ -1,9 +1,12 @@
 #include <catch2/catch.hpp>
 
 #include "platform/ingress.hpp"
+#include "platform/notices.hpp"
 #include "platform/routes.hpp"
+#include "platform/service_clients.hpp"
 #include "platform/store_translator.hpp"
 #include "platform/worker_client.hpp"
+#include "support/scripted_store.hpp"
 
 using namespace oleanderwick;
 
@@ -114,3 +117,23 @@
     CHECK(update.wave->maxInstancesDown == 2);
     CHECK(translator.waveStatus(3, jobs::WaveProgress{true, 0, {}}) == std::pair<std::string, std::string>{"status/wave/3", R"({"state":"completed"})"});
 }
+
+TEST_CASE("handleNotices refuses malformed messages, and tells the sender that this node is not the owner", "[platform]")
+{
+    http::Loop loop;
+    jobnode::LogSink log{loop, std::make_unique<jobnode::StandardOutput>()};
+    http::UpstreamConnections connections{loop};
+    test::ScriptedStore store;
+    platform::WorkerClient workers{connections};
+    platform::InstanceClient instances{connections, {}, "node"};
+    platform::AdviceClient advice{connections, {}};
+    platform::StoreTranslator translator{log};
+    jobnode::JobNode node{loop, jobnode::Ports{store, workers, instances, advice, translator}, "node", {}, log};
+    const auto post = [&](const std::string &body) {
+        return platform::handleNotices(http::Request{"POST", platform::noticePath, {}, body}, node, log).status;
+    };
+    CHECK(post("[[\"job\",\"0123456789abcdef\",5]]") == 421);
+    CHECK(post("[[\"cancel\",\"0123456789abcdef\"]]") == 400);
+    CHECK(post("") == 400);
+    CHECK(platform::handleNotices(http::Request{"GET", platform::noticePath, {}, {}}, node, log).status == 405);
+}
