Measure the owner's delay from the age that a notice carries

The first version took the time of the submission from the job's record. That spans the wall clocks of two nodes, and a submission may wait for the store before it is stored.

--- a/src/oleanderwick/jobnode/job_metrics.hpp
+++ b/src/oleanderwick/jobnode/job_metrics.hpp
@@ -28,7 +28,7 @@
     /**
      * @brief Records how long it took until the owner knew a job.
      * @param source How the owner came to know it: `watch`, or `read` after a notice.
-     * @param delay Time since the node that stored the job received its submission, by the wall clocks of the two nodes.
+     * @param delay Time since the job was stored.
      */
     void recordIntake(const std::string &source, core::Duration delay);
 
--- a/src/oleanderwick/jobnode/job_service.cpp
+++ b/src/oleanderwick/jobnode/job_service.cpp
@@ -107,7 +107,7 @@
     call.onReply(reply);
     const bool isCancel = call.kind == "cancel";
     if (m_onStored && reply.outcome == JobCallOutcome::Done && (isCancel || call.kind == "submit")) {
-        m_onStored(OwnerNotice{isCancel ? OwnerNotice::Kind::Cancel : OwnerNotice::Kind::Job, call.id, call.revision});
+        m_onStored(OwnerNotice{isCancel ? OwnerNotice::Kind::Cancel : OwnerNotice::Kind::Job, call.id, call.revision, 0});
     }
 }
 
--- a/src/oleanderwick/jobnode/missed_changes.cpp
+++ b/src/oleanderwick/jobnode/missed_changes.cpp
@@ -1,5 +1,7 @@
 #include "missed_changes.hpp"
 
+#include <algorithm>
+#include <deque>
 #include <map>
 #include <set>
 
@@ -20,6 +22,8 @@
 /** A worker whose entry does not exist is looked for again after 400 ms, the interval of the list of instances, then less and less often. */
 constexpr std::uint32_t absentWorkerDelay = 20;
 constexpr std::uint32_t maxAbsentWorkerDelay = 320;
+/** A job that the watch delivered is remembered for so long, to measure its delay when its notice arrives. */
+constexpr core::Duration knownJobRetention = std::chrono::seconds{5};
 
 ExpectedKeys::Policy workerPolicy()
 {
@@ -132,7 +136,9 @@
         log.add(source.event, event);
         source.expected.handleRead(key, result);
         if (result == FetchResult::Found) {
+            isReading = true;
             (&source == &jobs ? callbacks.onJob : callbacks.onWorker)(item);
+            isReading = false;
         }
         if (!source.expected.contains(key)) {
             settle(source, name);
@@ -143,7 +149,11 @@
     void settle(Source &source, const std::string &name)
     {
         forget(source, name);
-        if (&source == &jobs && cancelled.erase(name) > 0 && callbacks.isJobKnown(name)) {
+        if (&source != &jobs) {
+            return;
+        }
+        jobsStoredAt.erase(name);
+        if (cancelled.erase(name) > 0 && callbacks.isJobKnown(name)) {
             callbacks.onCancel(name);
         }
     }
@@ -151,16 +161,45 @@
     void handleNotice(const OwnerNotice &notice)
     {
         const bool isCancel = notice.kind == OwnerNotice::Kind::Cancel;
+        const core::TimePoint storedAt = executor.now() - std::chrono::milliseconds{notice.ageMs};
         if (callbacks.isReady() && callbacks.isJobKnown(notice.id)) {
             if (isCancel) {
                 callbacks.onCancel(notice.id);
+                return;
+            }
+            const auto known = knownSince.find(notice.id);
+            if (known != knownSince.end()) {
+                log.metrics().recordIntake("watch", std::max(core::Duration::zero(), known->second - storedAt));
+                knownSince.erase(known);
             }
             return;
         }
         expect(jobs, notice.id);
-        if (isCancel && jobs.expected.contains(jobs.prefix + notice.id)) {
+        if (!jobs.expected.contains(jobs.prefix + notice.id)) {
+            return;
+        }
+        if (isCancel) {
             cancelled.insert(notice.id);
+        } else {
+            jobsStoredAt.emplace(notice.id, storedAt);
+        }
+    }
+
+    void handleJobKnown(const std::string &id)
+    {
+        const core::TimePoint now = executor.now();
+        const auto stored = jobsStoredAt.find(id);
+        if (stored != jobsStoredAt.end()) {
+            log.metrics().recordIntake(isReading ? "read" : "watch", now - stored->second);
+        } else {
+            knownSince.insert_or_assign(id, now);
+            knownOrder.emplace_back(now, id);
+        }
+        while (!knownOrder.empty() && now - knownOrder.front().first > internal::knownJobRetention) {
+            knownSince.erase(knownOrder.front().second);
+            knownOrder.pop_front();
         }
+        settle(jobs, id);
     }
 
     void handleInstances(const jobs::InstancePort::Instances &instances)
@@ -188,6 +227,10 @@
     Callbacks callbacks;
     bool stopped{false};
     bool checkScheduled{false};
+    bool isReading{false}; /**< A job that was read is being handled. */
+    std::map<std::string, core::TimePoint> jobsStoredAt; /**< Expected jobs of notices, by id. */
+    std::map<std::string, core::TimePoint> knownSince; /**< Jobs that the watch delivered recently and whose notice has not arrived, by id. */
+    std::deque<std::pair<core::TimePoint, std::string>> knownOrder; /**< Those jobs in their order, and some whose notice has arrived. */
     std::set<std::string> cancelled; /**< Ids of expected jobs whose cancellation is in the store. */
 };
 
@@ -211,7 +254,7 @@
 
 void MissedChanges::handleJobKnown(const std::string &id)
 {
-    m_state->settle(m_state->jobs, id);
+    m_state->handleJobKnown(id);
 }
 
 void MissedChanges::handleInstances(const jobs::InstancePort::Instances &instances)
--- a/src/oleanderwick/jobnode/missed_changes.hpp
+++ b/src/oleanderwick/jobnode/missed_changes.hpp
@@ -49,7 +49,7 @@
     void handleNotices(const std::vector<OwnerNotice> &notices);
 
     /**
-     * @brief Handles a job that has become known.
+     * @brief Handles a job that has become known after the stored state was restored.
      * @param id Id of the job.
      */
     void handleJobKnown(const std::string &id);
--- a/src/oleanderwick/jobnode/owner_notice.hpp
+++ b/src/oleanderwick/jobnode/owner_notice.hpp
@@ -20,6 +20,7 @@
     Kind kind{Kind::Job};
     std::string id; /**< Id of the job. */
     std::int64_t revision{0}; /**< Store revision at which the record was written or found; 0 if the store did not say. */
+    std::int64_t ageMs{0}; /**< Time in milliseconds from the storage of the record to the sending of the notice; not negative. */
 
     [[nodiscard]] auto operator<=>(const OwnerNotice &) const = default;
 };
@@ -37,7 +38,7 @@
 /**
  * @brief Formats a message.
  * @param notices Notices with valid ids, at most `maxNoticesPerMessage`.
- * @return JSON array with `[kind, id, revision]` for each notice.
+ * @return JSON array with `[kind, id, revision, age in ms]` for each notice.
  */
 [[nodiscard]] std::string toText(const std::vector<OwnerNotice> &notices);
 
--- a/src/oleanderwick/jobnode/owner_notifier.cpp
+++ b/src/oleanderwick/jobnode/owner_notifier.cpp
@@ -108,6 +108,7 @@
         std::vector<OwnerNotice> notices;
         for (const Entry &entry : sent) {
             notices.push_back(entry.notice);
+            notices.back().ageMs = core::milliseconds(executor.now() - entry.queuedAt);
         }
         inFlight = true;
         log.metrics().count("owner_notice_sent", count);
--- a/src/oleanderwick/jobnode/owner_term.cpp
+++ b/src/oleanderwick/jobnode/owner_term.cpp
@@ -1,7 +1,5 @@
 #include "owner_term_state.hpp"
 
-#include <algorithm>
-
 #include <nlohmann/json.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -251,7 +249,7 @@
         cancelJob(id);
     };
     callbacks.onJob = [this](const jobs::StoreItem &item) {
-        handleJobRequest(item, "read");
+        handleJobRequest(item);
     };
     callbacks.isWorkerRegistered = [this](const std::string &name) {
         const auto worker = scheduler.workers().find(name);
@@ -327,7 +325,7 @@
     }
 }
 
-void OwnerTerm::State::handleJobRequest(const jobs::StoreItem &item, const char *source)
+void OwnerTerm::State::handleJobRequest(const jobs::StoreItem &item)
 {
     if (item.key.starts_with(keys::cancelPrefix)) {
         const std::string id = item.key.substr(keys::cancelPrefix.size());
@@ -356,7 +354,6 @@
     }
     if (!isJobKnown(job->id)) {
         const std::string id = job->id;
-        log.metrics().recordIntake(source, std::chrono::milliseconds{std::max<std::int64_t>(0, executor.wallMs() - job->submittedMs)});
         scheduler.addJob(*std::move(job), std::nullopt, item.revision < token, executor.now());
         if (missedChanges != nullptr) {
             missedChanges->handleJobKnown(id);
--- a/src/oleanderwick/jobnode/owner_term_state.hpp
+++ b/src/oleanderwick/jobnode/owner_term_state.hpp
@@ -39,7 +39,7 @@
     /** @name Changes in the store */
     /** @{ */
     void watchMissedChanges();
-    void handleJobRequest(const jobs::StoreItem &item, const char *source = "watch");
+    void handleJobRequest(const jobs::StoreItem &item);
     void cancelJob(const std::string &id);
     [[nodiscard]] bool isJobKnown(const std::string &id) const;
     void handleWorkerItem(const jobs::StoreItem &item);
--- a/test/oleanderwick/jobnode/job_service.cpp
+++ b/test/oleanderwick/jobnode/job_service.cpp
@@ -118,7 +118,7 @@
     fixture.call([&fixture](core::TimePoint deadline, jobnode::JobService::OnReply onReply) {
         fixture.service.cancel("a", deadline, std::move(onReply));
     });
-    CHECK(notices == std::vector<jobnode::OwnerNotice>{{jobnode::OwnerNotice::Kind::Job, "a", 12}, {jobnode::OwnerNotice::Kind::Cancel, "a", 0}});
+    CHECK(notices == std::vector<jobnode::OwnerNotice>{{jobnode::OwnerNotice::Kind::Job, "a", 12, 0}, {jobnode::OwnerNotice::Kind::Cancel, "a", 0, 0}});
     JobServiceFixture refused;
     refused.service.setOnStored([&notices](const jobnode::OwnerNotice &notice) {
         notices.push_back(notice);
--- a/test/oleanderwick/jobnode/missed_changes.cpp
+++ b/test/oleanderwick/jobnode/missed_changes.cpp
@@ -83,7 +83,7 @@
 
     void notify(OwnerNotice::Kind kind, const std::string &id)
     {
-        missed.handleNotices({{kind, id, 7}});
+        missed.handleNotices({{kind, id, 7, 5}});
     }
 
     void run(int milliseconds)
@@ -198,6 +198,10 @@
     fixture.notify(job, "a");
     fixture.run(1000);
     CHECK(fixture.store.reads == 1);
+    // Stored 5 ms before the notice, read 5 checks of 20 ms later.
+    const std::string metrics = fixture.log.metrics().toText();
+    CHECK(metrics.find("oleanderwick_job_intake_seconds_count{source=\"read\"} 1\n") != std::string::npos);
+    CHECK(metrics.find("oleanderwick_job_intake_seconds_sum{source=\"read\"} 0.109\n") != std::string::npos);
 }
 
 TEST_CASE("notices of ended jobs, and of jobs that are not in the store, change nothing", "[missed]")
--- a/test/oleanderwick/jobnode/owner_notifier.cpp
+++ b/test/oleanderwick/jobnode/owner_notifier.cpp
@@ -32,7 +32,7 @@
     void notify(int count)
     {
         for (int index = 0; index < count; ++index) {
-            notifier.notify({OwnerNotice::Kind::Job, std::to_string(index), 7});
+            notifier.notify({OwnerNotice::Kind::Job, std::to_string(index), 7, 0});
         }
     }
 
@@ -146,17 +146,18 @@
 
 TEST_CASE("a message with a malformed notice is refused as a whole", "[notices]")
 {
-    const std::vector<OwnerNotice> notices{{OwnerNotice::Kind::Job, "a-1", 5}, {OwnerNotice::Kind::Cancel, "b", 0}};
+    const std::vector<OwnerNotice> notices{{OwnerNotice::Kind::Job, "a-1", 5, 12}, {OwnerNotice::Kind::Cancel, "b", 0, 0}};
     CHECK(jobnode::noticesFromText(jobnode::toText(notices)).value() == notices);
     for (const char *text : {"",
                              "{}",
-                             "[[\"job\",\"a\",1],[\"jobs\",\"a\",1]]",
-                             "[[\"job\",\"a/b\",1]]",
-                             "[[\"job\",\"\",1]]",
-                             "[[\"job\",\"a\",-1]]",
-                             "[[\"job\",\"a\",1.5]]",
-                             "[[\"job\",\"a\"]]",
-                             "[[1,2,3]]"}) {
+                             "[[\"job\",\"a\",1,0],[\"jobs\",\"a\",1,0]]",
+                             "[[\"job\",\"a/b\",1,0]]",
+                             "[[\"job\",\"\",1,0]]",
+                             "[[\"job\",\"a\",-1,0]]",
+                             "[[\"job\",\"a\",1.5,0]]",
+                             "[[\"job\",\"a\",1]]",
+                             "[[\"job\",\"a\",1,-1]]",
+                             "[[1,2,3,4]]"}) {
         CAPTURE(text);
         CHECK_FALSE(jobnode::noticesFromText(text).ok());
     }
--- a/test/platform/translation.cpp
+++ b/test/platform/translation.cpp
@@ -132,7 +132,7 @@
     const auto post = [&](const std::string &body) {
         return platform::handleNotices(http::Request{"POST", platform::noticePath, {}, body}, node, log).status;
     };
-    CHECK(post("[[\"job\",\"0123456789abcdef\",5]]") == 421);
+    CHECK(post("[[\"job\",\"0123456789abcdef\",5,0]]") == 421);
     CHECK(post("[[\"cancel\",\"0123456789abcdef\"]]") == 400);
     CHECK(post("") == 400);
     CHECK(platform::handleNotices(http::Request{"GET", platform::noticePath, {}, {}}, node, log).status == 405);
