--- a/src/emulator/world_troubles.cpp
+++ b/src/emulator/world_troubles.cpp
@@ -19,6 +19,10 @@
 constexpr double lateCommandShare = 0.3;
 constexpr double burstFactor = 4.0;
 constexpr double cancellationRate = 0.5;
+constexpr double minSilenceS = 1.0;
+constexpr double maxSilenceS = 3.4;
+/** Time in which watches deliver between two silences. */
+constexpr core::Duration silencePause = std::chrono::milliseconds{500};
 /** Time from the drain of a worker to its replacement, to which the duration of the fault is added. */
 constexpr core::Duration drainDelay = std::chrono::milliseconds{2500};
 
@@ -126,15 +130,11 @@
 
 void Simulation::silenceWatches(core::TimePoint end)
 {
-    constexpr double minSilenceS = 1.0;
-    constexpr double maxSilenceS = 3.4;
-    /** Time in which watches deliver between two silences. */
-    constexpr core::Duration pause = std::chrono::milliseconds{500};
     m_store.silenceWatches();
-    m_timeline.after(internal::fromS(std::uniform_real_distribution<double>{minSilenceS, maxSilenceS}(m_random)), [this, end] {
+    m_timeline.after(internal::fromS(std::uniform_real_distribution<double>{internal::minSilenceS, internal::maxSilenceS}(m_random)), [this, end] {
         m_store.compact();
-        m_timeline.after(pause, [this, end] {
-            if (now() + internal::fromS(minSilenceS) <= end) {
+        m_timeline.after(internal::silencePause, [this, end] {
+            if (now() + internal::fromS(internal::minSilenceS) <= end) {
                 silenceWatches(end);
             }
         });
--- a/src/oleanderwick/jobnode/owner_notifier.cpp
+++ b/src/oleanderwick/jobnode/owner_notifier.cpp
@@ -106,6 +106,7 @@
         std::vector<Entry> sent{pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count)};
         pending.erase(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count));
         std::vector<OwnerNotice> notices;
+        notices.reserve(count);
         for (const Entry &entry : sent) {
             notices.push_back(entry.notice);
             notices.back().ageMs = core::milliseconds(executor.now() - entry.queuedAt);
