--- a/src/oleanderwick/jobs/pool_loads.cpp
+++ b/src/oleanderwick/jobs/load_meter.cpp
@@ -1,28 +1,26 @@
-#include "scheduler.hpp"
+#include "load_meter.hpp"
 
 #include <algorithm>
 
 namespace oleanderwick::jobs
 {
 
-bool Scheduler::isStandby(const std::string &pool) const
+namespace internal
 {
-    const auto found = m_config.pools.find(pool);
-    return found != m_config.pools.end() && found->second.standby;
-}
 
-std::vector<std::string> Scheduler::standbyPools() const
+/** A pool is overloaded when waiting tasks of jobs that can meet their objective demand more than this multiple of its CPU. */
+constexpr double overloadFactor = 1.2;
+constexpr core::Duration measureInterval = std::chrono::milliseconds{40};
+
+} // namespace internal
+
+LoadMeter::LoadMeter(const StateTable &state, const JobEstimates &estimates)
+    : m_state{state}
+    , m_estimates{estimates}
 {
-    std::vector<std::string> pools;
-    for (const std::pair<const std::string, PoolPolicy> &pool : m_config.pools) {
-        if (pool.second.standby) {
-            pools.push_back(pool.first);
-        }
-    }
-    return pools;
 }
 
-void Scheduler::recordArrival(const Job &job, core::TimePoint now)
+void LoadMeter::recordArrival(const Job &job, core::TimePoint now)
 {
     std::int64_t work = 0;
     for (const Step &step : job.steps) {
@@ -31,29 +29,35 @@
     m_arrivals[job.pool].add(work, now);
 }
 
-bool Scheduler::runsContinuous(const Worker &worker) const
+void LoadMeter::advance(core::TimePoint now, std::int64_t wallMs)
 {
-    return std::any_of(worker.runs.begin(), worker.runs.end(), [this](const std::pair<const TaskName, std::int64_t> &run) {
-        const Step *step = findStep(run.first);
-        return step != nullptr && step->continuous;
-    });
+    if (now - m_measuredAt >= internal::measureInterval) {
+        m_measuredAt = now;
+        m_loads = measure(now, wallMs);
+    }
 }
 
-const std::map<std::string, PoolLoad> &Scheduler::poolLoads() const noexcept
+const std::map<std::string, PoolLoad> &LoadMeter::loads() const noexcept
 {
     return m_loads;
 }
 
-std::map<std::string, PoolLoad> Scheduler::measureLoads(core::TimePoint now, std::int64_t wallMs) const
+bool LoadMeter::isOverloaded(const std::string &pool) const
+{
+    const auto load = m_loads.find(pool);
+    return load != m_loads.end() && static_cast<double>(load->second.waitingCpu) > internal::overloadFactor * static_cast<double>(load->second.capacity);
+}
+
+std::map<std::string, PoolLoad> LoadMeter::measure(core::TimePoint now, std::int64_t wallMs) const
 {
     std::map<std::string, PoolLoad> loads;
-    for (const std::pair<const std::string, PoolPolicy> &pool : m_config.pools) {
+    for (const std::pair<const std::string, PoolPolicy> &pool : m_state.config().pools) {
         if (!pool.second.standby) {
             const auto arrivals = m_arrivals.find(pool.first);
             loads[pool.first].arrivingCpu = arrivals == m_arrivals.end() ? 0 : arrivals->second.requiredCpu(now);
         }
     }
-    for (const std::pair<const std::string, Worker> &item : m_workers) {
+    for (const std::pair<const std::string, Worker> &item : m_state.workers()) {
         const Worker &worker = item.second;
         const auto load = loads.find(worker.entry.pool);
         if (load != loads.end() && worker.isSchedulable()) {
@@ -61,7 +65,7 @@
             load->second.capacity += worker.entry.capacity.cpu;
         }
     }
-    for (const std::pair<const std::string, JobEntry> &item : m_jobs) {
+    for (const std::pair<const std::string, JobEntry> &item : m_state.jobs()) {
         const auto load = loads.find(item.second.job.pool);
         if (load == loads.end() || isFinal(item.second.state)) {
             continue;
@@ -73,12 +77,12 @@
     return loads;
 }
 
-void Scheduler::addOccurrenceLoad(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, PoolLoad &load) const
+void LoadMeter::addOccurrenceLoad(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, PoolLoad &load) const
 {
-    const bool late = slackMs(entry, occurrence, wallMs) < 0;
+    const bool late = m_estimates.slackMs(entry, occurrence, wallMs) < 0;
     for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
         const Step &step = entry.job.steps[index];
-        const std::int64_t cpu = demandOf(step).cpu;
+        const std::int64_t cpu = StateTable::demandOf(step).cpu;
         if (step.continuous) {
             load.continuousCpu += cpu * step.count;
             for (const Task &task : occurrence.steps[index].tasks) {
@@ -88,7 +92,7 @@
             load.minWorkers = std::max(load.minWorkers, workersForStep);
             continue;
         }
-        const bool ready = occurrence.steps[index].remaining > 0 && isStepReady(entry, occurrence, index);
+        const bool ready = occurrence.steps[index].remaining > 0 && JobEstimates::isStepReady(entry.job, occurrence, index);
         for (const Task &task : occurrence.steps[index].tasks) {
             (late ? load.runningLateCpu : load.runningCpu) += task.isActive() ? cpu : 0;
             (late ? load.waitingLateCpu : load.waitingCpu) += ready && task.phase == TaskPhase::Waiting && !task.record.done ? cpu : 0;
@@ -96,11 +100,11 @@
     }
 }
 
-double Scheduler::cpuUtilization(const std::string &pool) const
+double LoadMeter::cpuUtilization(const std::string &pool) const
 {
     double capacity = 0.0;
     double used = 0.0;
-    for (const std::pair<const std::string, Worker> &item : m_workers) {
+    for (const std::pair<const std::string, Worker> &item : m_state.workers()) {
         if (item.second.entry.pool == pool && item.second.registered && !item.second.cordoned) {
             capacity += static_cast<double>(item.second.entry.capacity.cpu);
             used += static_cast<double>(item.second.used.cpu);
