--- a/test/oleanderwick/jobnode/missed_changes.cpp
+++ b/test/oleanderwick/jobnode/missed_changes.cpp
@@ -273,9 +273,9 @@
     fixture.model.silenceWatches();
     fixture.put("servers/new");
     jobs::InstancePort::Instances instances;
-    instances["i-1"] = {"i-1", "pool", "new", jobs::InstanceState::Up, {}};
-    instances["i-2"] = {"i-2", "pool", "moving", jobs::InstanceState::Moving, {}};
-    instances["i-3"] = {"i-3", "pool", "", jobs::InstanceState::Up, {}};
+    instances["i-1"] = {"i-1", "pool", "new", jobs::InstanceState::Up, {}, {}};
+    instances["i-2"] = {"i-2", "pool", "moving", jobs::InstanceState::Moving, {}, {}};
+    instances["i-3"] = {"i-3", "pool", "", jobs::InstanceState::Up, {}, {}};
     fixture.missed.handleInstances(instances);
     fixture.run(150);
     CHECK(fixture.workers == std::set<std::string>{"servers/new"});
