--- a/src/oleanderwick/jobnode/zone_closures.cpp
+++ b/src/oleanderwick/jobnode/zone_closures.cpp
@@ -16,7 +16,7 @@
 {
 }
 
-void ZoneClosures::follow(core::Executor &executor, jobs::CoordinationStore &store, std::function<void()> onChange)
+void ZoneClosures::follow(core::Executor &executor, jobs::CoordinationStore &store, const std::function<void()> &onChange)
 {
     Watcher::Callbacks callbacks;
     callbacks.onItem = [this, onChange](const jobs::StoreItem &item) {
--- a/src/oleanderwick/jobnode/zone_closures.hpp
+++ b/src/oleanderwick/jobnode/zone_closures.hpp
@@ -33,7 +33,7 @@
      * @param store Store to follow.
      * @param onChange Called when the listing is complete, and after each later change; not called after `stop`.
      */
-    void follow(core::Executor &executor, jobs::CoordinationStore &store, std::function<void()> onChange);
+    void follow(core::Executor &executor, jobs::CoordinationStore &store, const std::function<void()> &onChange);
 
     /** @brief Stops to follow the keys. */
     void stop();
