Let cancels overtake submitted jobs at the owner

Cause: one watch delivered jobs and cancels, so that under a flood of jobs a cancel waited behind megabytes of job records; tasks started 6 to 7 s after their job's cancel was acknowledged (the limit is 4 s). A batch of thousands of jobs was also read in one go, and cycles could take up all of the owner's time. Change: cancels have a watch of their own; each cycle takes 64 jobs at most from an intake; cycles take up half of the time at most, so that arriving events are handled without a growing delay.

--- a/src/oleanderwick/jobnode/keys.hpp
+++ b/src/oleanderwick/jobnode/keys.hpp
@@ -5,13 +5,10 @@
 namespace oleanderwick::jobnode::keys
 {
 
-/** @name Keys of the coordination store
- * Submitted jobs and cancellations share a prefix, so that the owner needs only one watch for both.
- */
+/** @name Keys of the coordination store */
 /** @{ */
-inline const std::string jobRequestPrefix = "q/"; /**< Submitted jobs and cancellations. */
 inline const std::string jobPrefix = "q/j/"; /**< Submitted job, by id. */
-inline const std::string cancelPrefix = "q/c/"; /**< Cancellation markers, by job id. */
+inline const std::string cancelPrefix = "q/c/"; /**< Cancellation markers, by job id; watched on their own, so that they never wait behind jobs. */
 inline const std::string statePrefix = "s/"; /**< Progress of a job, by id; written by the owner only. */
 inline const std::string wavePrefix = "m/"; /**< Progress of a maintenance wave, by number; written by the owner only. */
 inline const std::string owner = "own/scheduler"; /**< Name, lease and address of the owner; the key is bound to this lease. */
--- a/src/oleanderwick/jobnode/owner_term.cpp
+++ b/src/oleanderwick/jobnode/owner_term.cpp
@@ -1,5 +1,7 @@
 #include "owner_term_state.hpp"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -15,9 +17,11 @@
 constexpr core::Duration cycleInterval = std::chrono::milliseconds{50};
 /** Under load, one cycle handles all events that arrive within this time. */
 constexpr core::Duration minCycleInterval = std::chrono::milliseconds{3};
+/** Reading a job takes tens of microseconds, so that this many delay a cancel or a renewal by a few milliseconds. */
+constexpr std::size_t maxJobsPerCycle = 64;
 constexpr core::Duration loadRetryDelay = std::chrono::milliseconds{100};
 constexpr core::Duration watchTimeout = std::chrono::milliseconds{2000};
-constexpr core::Duration jobRequestBatchDelay = std::chrono::milliseconds{10};
+constexpr core::Duration jobBatchDelay = std::chrono::milliseconds{10};
 /** Workers rewrite their entries with each heartbeat, hundreds of times a second in a large fleet. */
 constexpr core::Duration workerBatchDelay = std::chrono::milliseconds{50};
 
@@ -200,15 +204,25 @@
 void OwnerTerm::State::startWatchers()
 {
     // The watchers belong to this state and are destroyed before it.
-    Watcher::Callbacks jobRequests;
-    jobRequests.onItem = [this](const jobs::StoreItem &item) {
-        handleJobRequest(item);
+    const auto ignoreRemoval = [](const std::string &) {
+        // Only the owner removes these records, and only those of ended jobs.
     };
-    jobRequests.onRemoved = [](const std::string &) {
-        // Only the owner removes records, and only those of ended jobs.
+    Watcher::Callbacks cancels;
+    cancels.onItem = [this](const jobs::StoreItem &item) {
+        handleCancel(item.key.substr(keys::cancelPrefix.size()));
     };
-    jobRequests.onListed = [this] {
-        jobRequestsListed = true;
+    cancels.onRemoved = ignoreRemoval;
+    cancels.onListed = [this] {
+        cancelsListed = true;
+        restoreOnceLoaded();
+    };
+    Watcher::Callbacks submittedJobs;
+    submittedJobs.onItem = [this](const jobs::StoreItem &item) {
+        handleSubmittedJob(item);
+    };
+    submittedJobs.onRemoved = ignoreRemoval;
+    submittedJobs.onListed = [this] {
+        jobsListed = true;
         restoreOnceLoaded();
     };
     Watcher::Callbacks workers;
@@ -227,8 +241,8 @@
         restoreOnceLoaded();
         scheduleCycle();
     });
-    jobRequestWatcher = std::make_unique<Watcher>(
-        executor, ports.store, keys::jobRequestPrefix, internal::watchTimeout, std::move(jobRequests), internal::jobRequestBatchDelay);
+    cancelWatcher = std::make_unique<Watcher>(executor, ports.store, keys::cancelPrefix, internal::watchTimeout, std::move(cancels));
+    jobWatcher = std::make_unique<Watcher>(executor, ports.store, keys::jobPrefix, internal::watchTimeout, std::move(submittedJobs), internal::jobBatchDelay);
     workerWatcher = std::make_unique<Watcher>(
         executor, ports.store, ports.translator.workerPrefix(), internal::watchTimeout, std::move(workers), internal::workerBatchDelay);
     if (options.notifyOwner) {
@@ -249,7 +263,7 @@
         cancelJob(id);
     };
     callbacks.onJob = [this](const jobs::StoreItem &item) {
-        handleJobRequest(item);
+        handleSubmittedJob(item);
     };
     callbacks.isWorkerRegistered = [this](const std::string &name) {
         const auto worker = scheduler.workers().find(name);
@@ -258,12 +272,12 @@
     callbacks.onWorker = [this](const jobs::StoreItem &item) {
         handleWorkerItem(item);
     };
-    missedChanges = std::make_unique<MissedChanges>(executor, log, *jobRequestWatcher, *workerWatcher, ports.translator.workerPrefix(), std::move(callbacks));
+    missedChanges = std::make_unique<MissedChanges>(executor, log, *jobWatcher, *workerWatcher, ports.translator.workerPrefix(), std::move(callbacks));
 }
 
 void OwnerTerm::State::restoreOnceLoaded()
 {
-    if (ready || pendingLoads > 0 || !jobRequestsListed || !workersListed || !zoneClosures.isListed()) {
+    if (ready || pendingLoads > 0 || !cancelsListed || !jobsListed || !workersListed || !zoneClosures.isListed()) {
         return;
     }
     ready = true;
@@ -314,7 +328,7 @@
 
 bool OwnerTerm::State::isJobKnown(const std::string &id) const
 {
-    return endedJobs.contains(id) || scheduler.findJob(id) != nullptr;
+    return intake.contains(id) || endedJobs.contains(id) || scheduler.findJob(id) != nullptr;
 }
 
 void OwnerTerm::State::cancelJob(const std::string &id)
@@ -325,39 +339,55 @@
     }
 }
 
-void OwnerTerm::State::handleJobRequest(const jobs::StoreItem &item)
+void OwnerTerm::State::handleCancel(const std::string &id)
 {
-    if (item.key.starts_with(keys::cancelPrefix)) {
-        const std::string id = item.key.substr(keys::cancelPrefix.size());
-        if (ready) {
-            cancelJob(id);
-        } else {
-            storedCancels.insert(id);
-        }
-        return;
+    if (ready) {
+        cancelJob(id);
+    } else {
+        storedCancels.insert(id);
     }
-    if (!item.key.starts_with(keys::jobPrefix)) {
+}
+
+void OwnerTerm::State::handleSubmittedJob(const jobs::StoreItem &item)
+{
+    const std::string id = item.key.substr(keys::jobPrefix.size());
+    // A listing after a compaction delivers all jobs again; most of them are known.
+    if (ready && isJobKnown(id)) {
         return;
     }
-    // A listing after a compaction delivers all jobs again; most of them are known.
-    if (ready && isJobKnown(item.key.substr(keys::jobPrefix.size()))) {
+    if (ready) {
+        intake.add(id, item);
+        if (missedChanges != nullptr) {
+            missedChanges->handleJobKnown(id);
+        }
+        scheduleCycle();
         return;
     }
+    std::optional<jobs::Job> job = parseJob(item);
+    if (job.has_value()) {
+        storedJobs.insert_or_assign(job->id, std::pair{*job, item.revision});
+    }
+}
+
+std::optional<jobs::Job> OwnerTerm::State::parseJob(const jobs::StoreItem &item)
+{
     absl::StatusOr<jobs::Job> job = jobs::jobFromRecord(item.value);
     if (!job.ok()) {
         log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("key", item.key).with("error", std::string{job.status().message()}));
-        return;
-    }
-    if (!ready) {
-        storedJobs.insert_or_assign(job->id, std::pair{*job, item.revision});
-        return;
+        return std::nullopt;
     }
-    if (!isJobKnown(job->id)) {
-        const std::string id = job->id;
-        scheduler.addJob(*std::move(job), std::nullopt, item.revision < token, executor.now());
-        if (missedChanges != nullptr) {
-            missedChanges->handleJobKnown(id);
+    return *std::move(job);
+}
+
+void OwnerTerm::State::addSubmittedJobs()
+{
+    for (const jobs::StoreItem &item : intake.take(internal::maxJobsPerCycle)) {
+        std::optional<jobs::Job> job = parseJob(item);
+        if (job.has_value()) {
+            scheduler.addJob(*std::move(job), std::nullopt, item.revision < token, executor.now());
         }
+    }
+    if (!intake.isEmpty()) {
         scheduleCycle();
     }
 }
@@ -385,14 +415,16 @@
     }
     cycleScheduled = true;
     const core::Duration sinceCycle = executor.now() - lastCycleAt;
+    // Cycles take up half of the time at most, so that what arrives meanwhile, such as cancels, is read without a growing delay.
+    const core::Duration interval = std::max(internal::minCycleInterval, 2 * lastCycleDuration);
     const std::function<void()> work = [self = shared_from_this()] {
         self->cycleScheduled = false;
         self->runCycle();
     };
-    if (sinceCycle >= internal::minCycleInterval) {
+    if (sinceCycle >= interval) {
         executor.post(work);
     } else {
-        executor.after(internal::minCycleInterval - sinceCycle, work);
+        executor.after(interval - sinceCycle, work);
     }
 }
 
@@ -433,7 +465,8 @@
 {
     m_state->stopped = true;
     m_state->missedChanges.reset();
-    m_state->jobRequestWatcher.reset();
+    m_state->cancelWatcher.reset();
+    m_state->jobWatcher.reset();
     m_state->workerWatcher.reset();
     m_state->zoneClosures.stop();
 }
--- a/src/oleanderwick/jobnode/owner_term_commands.cpp
+++ b/src/oleanderwick/jobnode/owner_term_commands.cpp
@@ -34,6 +34,7 @@
         return;
     }
     lastCycleAt = now;
+    addSubmittedJobs();
     if (ownership.isHeld(now)) {
         const bool evacuationDue = now - lastEvacuationAt >= internal::evacuationInterval;
         if (evacuationDue) {
@@ -53,6 +54,7 @@
     removeExpired();
     listInstances();
     logDecisions();
+    lastCycleDuration = executor.now() - now;
 }
 
 void OwnerTerm::State::sendCommands()
--- a/src/oleanderwick/jobnode/owner_term_state.hpp
+++ b/src/oleanderwick/jobnode/owner_term_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "commanded_instances.hpp"
+#include "job_intake.hpp"
 #include "missed_changes.hpp"
 #include "owner_term.hpp"
 #include "zone_closures.hpp"
@@ -41,7 +42,10 @@
     /** @name Changes in the store */
     /** @{ */
     void watchMissedChanges();
-    void handleJobRequest(const jobs::StoreItem &item);
+    void handleSubmittedJob(const jobs::StoreItem &item);
+    [[nodiscard]] std::optional<jobs::Job> parseJob(const jobs::StoreItem &item);
+    void addSubmittedJobs();
+    void handleCancel(const std::string &id);
     void cancelJob(const std::string &id);
     [[nodiscard]] bool isJobKnown(const std::string &id) const;
     void handleWorkerItem(const jobs::StoreItem &item);
@@ -101,6 +105,7 @@
     bool ready{false}; /**< The stored state has been restored. */
     bool cycleScheduled{false};
     core::TimePoint lastCycleAt;
+    core::Duration lastCycleDuration{};
     core::TimePoint lastEvacuationAt;
 
     std::map<std::string, jobs::JobRecord> storedStates; /**< States by job id; empty once the state has been restored. */
@@ -129,12 +134,15 @@
     std::vector<jobs::AdviceRequest> adviceRequests;
     bool adviceInFlight{false};
 
-    std::unique_ptr<Watcher> jobRequestWatcher;
+    JobIntake intake; /**< Submitted jobs that the scheduler does not know yet. */
+    std::unique_ptr<Watcher> cancelWatcher;
+    std::unique_ptr<Watcher> jobWatcher;
     std::unique_ptr<Watcher> workerWatcher;
     std::unique_ptr<MissedChanges> missedChanges; /**< Null if nodes send no notices. */
     /** Loads that have not finished: used workers, commanded instances, waves and states. */
     int pendingLoads{4};
-    bool jobRequestsListed{false};
+    bool cancelsListed{false};
+    bool jobsListed{false};
     bool workersListed{false};
     ZoneClosures zoneClosures;
 };
