Keep a stopped node until its executor is gone in a test

Cause: the address sanitizer found the node's timers running after the test had destroyed it; a process never does that. Measured: test_jobnode passes with sanitizers (it failed in one test).

--- a/test/oleanderwick/jobnode/zone_closures.cpp
+++ b/test/oleanderwick/jobnode/zone_closures.cpp
@@ -21,7 +21,7 @@
 TEST_CASE("a closed zone gets no starts, over changes of the owner, until its key is removed", "[jobnode]")
 {
     NodeFixture fixture;
-    std::unique_ptr<jobnode::JobNode> node = fixture.makeNode("n1");
+    const std::unique_ptr<jobnode::JobNode> node = fixture.makeNode("n1");
     fixture.run(std::chrono::seconds{1});
     fixture.put("op/closed/a", "");
     fixture.run(std::chrono::milliseconds{20});
@@ -31,7 +31,6 @@
     CHECK(fixture.log.metrics().toText().find("oleanderwick_closed_zones 1\n") != std::string::npos);
     const std::unique_ptr<jobnode::JobNode> next = fixture.makeNode("n2");
     node->stop();
-    node.reset();
     fixture.run(std::chrono::seconds{2});
     REQUIRE(next->isOwner());
     CHECK(fixture.workers.starts.empty());
