--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -5,7 +5,7 @@
 import sys
 
 LAYERS = ["core", "settings", "config", "admission", "routing", "allotment", "dispatch", "membership",
-          "maintenance", "jobs", "http", "store", "peer", "telemetry", "jobnode", "node"]
+          "maintenance", "fairness", "jobs", "http", "store", "peer", "telemetry", "jobnode", "node"]
 # Modules that each module may include besides itself.
 ALLOWED = {
     "core": set(),
@@ -17,11 +17,12 @@
     "dispatch": {"core", "config", "admission", "routing", "allotment"},
     "membership": {"core", "config", "allotment", "dispatch"},
     "maintenance": {"core"},
+    "fairness": {"core"},
     "http": {"core", "routing"},
     "store": {"core", "http"},
     "peer": {"core", "config", "http", "membership"},
     "telemetry": {"core", "dispatch"},
-    "jobs": {"core"},
+    "jobs": {"core", "fairness"},
     "jobnode": {"core", "jobs", "http", "telemetry"},
     "node": set(LAYERS) - {"node"},
 }
