Order the candidates of a full pool by the shares of their teams

Cause: one team's flood took the room of all others: the order knew priorities and slack only. Change: JobClassifier fixes whether a job is within its team's rate; FairOrder gives room in full pools by class, then to the team with the lowest (share + debt) / weight; work beyond the rate counts as late work in PoolLoad. All of it is behind SchedulerLimits::teamShares, which nothing sets yet.

--- a/src/oleanderwick/jobs/candidate.hpp
+++ b/src/oleanderwick/jobs/candidate.hpp
@@ -16,6 +16,7 @@
     StepState *state{nullptr};
     std::int64_t priority{0}; /**< Priority of the queue; lower values are placed first. */
     bool needsTicket{false}; /**< The tasks are placed only with a ticket from the advice service. */
+    bool withoutRoom{false}; /**< The tasks certainly find no room; such a candidate is only there to be counted. */
     double slackMs{0.0}; /**< See `JobEstimates::slackMs`. */
 
     /** @return Step of the job. */
--- a/src/oleanderwick/jobs/candidate_finder.cpp
+++ b/src/oleanderwick/jobs/candidate_finder.cpp
@@ -5,11 +5,16 @@
 namespace oleanderwick::jobs
 {
 
-CandidateFinder::CandidateFinder(StateTable &state, const WorkerLeases &leases, const JobEstimates &estimates, const WorkerIndex &index)
+CandidateFinder::CandidateFinder(StateTable &state,
+                                 const WorkerLeases &leases,
+                                 const JobEstimates &estimates,
+                                 const WorkerIndex &index,
+                                 bool includeWithoutRoom)
     : m_state{state}
     , m_leases{leases}
     , m_estimates{estimates}
     , m_index{index}
+    , m_includeWithoutRoom{includeWithoutRoom}
 {
 }
 
@@ -27,7 +32,8 @@
         double slackMs = 0.0;
         bool measured = false;
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            if (!needsTicket && !m_index.mayFit(entry.job.pool, StateTable::demandOf(entry.job.steps[step]))) {
+            const bool withoutRoom = !needsTicket && !m_index.mayFit(entry.job.pool, StateTable::demandOf(entry.job.steps[step]));
+            if (withoutRoom && !m_includeWithoutRoom) {
                 continue;
             }
             const std::vector<Task> &tasks = occurrence.steps[step].tasks;
@@ -39,7 +45,7 @@
                     measured = true;
                     slackMs = m_estimates.slackMs(entry, occurrence, wallMs);
                 }
-                found.push_back(Candidate{&entry, item.first, step, &occurrence.steps[step], priority, needsTicket, slackMs});
+                found.push_back(Candidate{&entry, item.first, step, &occurrence.steps[step], priority, needsTicket, withoutRoom, slackMs});
             }
         }
     }
--- a/src/oleanderwick/jobs/candidate_finder.hpp
+++ b/src/oleanderwick/jobs/candidate_finder.hpp
@@ -23,14 +23,16 @@
      * @param leases Says which runs of previous owners may exist; must outlive this object.
      * @param estimates Estimates the slack of jobs; must outlive this object.
      * @param index Workers that can take runs; must outlive this object.
+     * @param includeWithoutRoom Whether steps that certainly find no room are candidates too, for an order that depends on what waits.
      */
-    CandidateFinder(StateTable &state, const WorkerLeases &leases, const JobEstimates &estimates, const WorkerIndex &index);
+    CandidateFinder(StateTable &state, const WorkerLeases &leases, const JobEstimates &estimates, const WorkerIndex &index, bool includeWithoutRoom);
 
     /**
      * @brief Finds the candidates of a placement.
      * @param now Current time of the monotonic clock.
      * @param wallMs Unix time in milliseconds.
-     * @return The candidates in the order of their jobs' names; steps that certainly find no room are left out, unless they need tickets.
+     * @return The candidates in the order of their jobs' names; steps that certainly find no room are left out, unless they need tickets or are included by the
+     * constructor.
      */
     [[nodiscard]] std::vector<Candidate> find(core::TimePoint now, std::int64_t wallMs) const;
 
@@ -41,6 +43,7 @@
     const WorkerLeases &m_leases;
     const JobEstimates &m_estimates;
     const WorkerIndex &m_index;
+    bool m_includeWithoutRoom;
 };
 
 } // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/candidate_order.cpp
+++ b/src/oleanderwick/jobs/candidate_order.cpp
@@ -27,7 +27,7 @@
     return Ranked{candidate, priority, Rank::Timely, overloaded ? -submittedMs : candidate.slackMs};
 }
 
-void SlackOrder::arrange(std::vector<Candidate> candidates)
+void SlackOrder::arrange(std::vector<Candidate> candidates, core::TimePoint /*now*/)
 {
     m_next = 0;
     m_ranked.clear();
--- a/src/oleanderwick/jobs/candidate_order.hpp
+++ b/src/oleanderwick/jobs/candidate_order.hpp
@@ -22,8 +22,9 @@
     /**
      * @brief Starts a placement.
      * @param candidates Candidates in the order of their jobs' names, those of a job one after the other.
+     * @param now Current time of the monotonic clock.
      */
-    virtual void arrange(std::vector<Candidate> candidates) = 0;
+    virtual void arrange(std::vector<Candidate> candidates, core::TimePoint now) = 0;
 
     /** @return Candidate to be placed next, valid until the next call; null after the last one. */
     [[nodiscard]] virtual const Candidate *next() = 0;
@@ -48,7 +49,7 @@
      */
     explicit SlackOrder(const LoadMeter &loads);
 
-    void arrange(std::vector<Candidate> candidates) override;
+    void arrange(std::vector<Candidate> candidates, core::TimePoint now) override;
     [[nodiscard]] const Candidate *next() override;
 
 private:
--- a/src/oleanderwick/jobs/commands.hpp
+++ b/src/oleanderwick/jobs/commands.hpp
@@ -82,10 +82,10 @@
     std::int64_t capacity{0}; /**< CPU of the schedulable workers. */
     std::int64_t continuousCpu{0}; /**< CPU demand of continuous tasks, running or waiting. */
     std::int64_t unplacedTasks{0}; /**< Number of continuous tasks that wait for a worker. */
-    std::int64_t runningCpu{0}; /**< CPU demand of other active tasks, of jobs that can meet their objective. */
-    std::int64_t waitingCpu{0}; /**< CPU demand of other tasks that are ready to start, of jobs that can meet their objective. */
-    std::int64_t runningLateCpu{0}; /**< Like `runningCpu`, of jobs that miss their objective. */
-    std::int64_t waitingLateCpu{0}; /**< Like `waitingCpu`, of jobs that miss their objective. */
+    std::int64_t runningCpu{0}; /**< CPU demand of other active tasks, of jobs that can meet their objective and are within the rate of their team. */
+    std::int64_t waitingCpu{0}; /**< CPU demand of other tasks that are ready to start, of such jobs. */
+    std::int64_t runningLateCpu{0}; /**< Like `runningCpu`, of jobs that miss their objective or are beyond the rate. */
+    std::int64_t waitingLateCpu{0}; /**< Like `waitingCpu`, of jobs that miss their objective or are beyond the rate. */
     std::int64_t arrivingCpu{0}; /**< CPU that would keep up with the jobs that arrived recently; 0 without a trend. */
     std::int64_t minWorkers{0}; /**< Highest number of workers that one continuous step requires, by its per-worker limit; 0 without continuous steps. */
 
--- a/src/oleanderwick/jobs/job_estimates.hpp
+++ b/src/oleanderwick/jobs/job_estimates.hpp
@@ -32,6 +32,13 @@
      */
     [[nodiscard]] static bool isStepReady(const Job &job, const Occurrence &occurrence, std::size_t step);
 
+    /**
+     * @brief Computes the latency objective of a job.
+     * @param entry The job.
+     * @return Time from its submission to its end in milliseconds.
+     */
+    [[nodiscard]] double objectiveMs(const JobEntry &entry) const;
+
     /**
      * @brief Estimates the time left to start the remaining steps without missing the latency objective.
      * @param entry Job.
--- a/src/oleanderwick/jobs/job_progress.cpp
+++ b/src/oleanderwick/jobs/job_progress.cpp
@@ -62,6 +62,7 @@
     entry.allSpeculative = std::all_of(entry.job.steps.begin(), entry.job.steps.end(), [](const Step &step) {
         return step.speculative;
     });
+    m_with.classifier.add(entry, now);
     if (record.has_value()) {
         entry.state = record->state;
         entry.storedState = record->state;
@@ -70,7 +71,7 @@
             openOccurrence(entry, saved.first, &saved.second);
         }
         m_restored.insert(entry.job.id);
-    } else if (!predatesTerm) {
+    } else if (!predatesTerm && !entry.beyondRate) {
         m_with.loads.recordArrival(entry.job, now);
     }
     m_unopened.insert(entry.job.id);
--- a/src/oleanderwick/jobs/job_progress.hpp
+++ b/src/oleanderwick/jobs/job_progress.hpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "job_classifier.hpp"
 #include "load_meter.hpp"
 #include "save_queue.hpp"
 #include "scheduler_output.hpp"
@@ -23,6 +24,7 @@
     struct Collaborators {
         StateTable &state;
         LoadMeter &loads;
+        JobClassifier &classifier;
         SaveQueue &saves;
         TicketTable &tickets;
         TaskStopper &stopper;
--- a/src/oleanderwick/jobs/load_meter.cpp
+++ b/src/oleanderwick/jobs/load_meter.cpp
@@ -91,7 +91,8 @@
 
 void LoadMeter::addOccurrenceLoad(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, PoolLoad &load) const
 {
-    const bool late = m_estimates.slackMs(entry, occurrence, wallMs) < 0;
+    // Work beyond the rate of its team has no claim to its objective, so that it justifies no more capacity than late work.
+    const bool late = entry.beyondRate || m_estimates.slackMs(entry, occurrence, wallMs) < 0;
     for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
         const Step &step = entry.job.steps[index];
         const std::int64_t cpu = StateTable::demandOf(step).cpu;
--- a/src/oleanderwick/jobs/model.hpp
+++ b/src/oleanderwick/jobs/model.hpp
@@ -194,7 +194,8 @@
 
 /** @brief Scheduling parameters of a team. */
 struct TeamPolicy {
-    double weight{1.0}; /**< Relative share under full load; not used by the scheduler. */
+    double weight{1.0}; /**< Relative share of a full pool; used if `SchedulerLimits::teamShares` is set. */
+    double rate{0.0}; /**< Jobs a second that have a claim to their objective; 0 if all have. Used as `weight` is. */
     Resources limit; /**< Upper limit of the resources in use, except that a start from 0 may exceed it; 0 for no limit on a resource. */
 
     [[nodiscard]] bool operator==(const TeamPolicy &) const = default;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -6,6 +6,8 @@
 #include "best_effort_pacer.hpp"
 #include "candidate_finder.hpp"
 #include "candidate_order.hpp"
+#include "fair_order.hpp"
+#include "job_classifier.hpp"
 #include "job_estimates.hpp"
 #include "job_progress.hpp"
 #include "load_meter.hpp"
@@ -40,15 +42,28 @@
 /** State and decisions, each of which uses only those above it. */
 struct Scheduler::Components {
     Components(const SchedulerLimits &limits, core::TimePoint termStart)
-        : leases{state, limits, termStart}
+        : classifier{state, limits, output}
+        , leases{state, limits, termStart}
+        , finder{state, leases, estimates, index, limits.teamShares}
+        , order{makeOrder(limits)}
+        , placer{{state, leases, tickets, index, finder, *order, chooser, output}}
     {
     }
 
+    std::unique_ptr<CandidateOrder> makeOrder(const SchedulerLimits &limits)
+    {
+        if (limits.teamShares) {
+            return std::make_unique<FairOrder>(FairOrder::Collaborators{state, loads, estimates, health, index});
+        }
+        return std::make_unique<SlackOrder>(loads);
+    }
+
     StateTable state;
     SchedulerOutput output;
 
     JobEstimates estimates{state};
     LoadMeter loads{state, estimates};
+    JobClassifier classifier;
     SaveQueue saves{state};
     RunEndAcks acks{state};
     TicketTable tickets{state};
@@ -57,7 +72,7 @@
 
     WorkerLeases leases;
     WorkerPolls polls{state, leases};
-    JobProgress jobs{{state, loads, saves, tickets, stopper, output}};
+    JobProgress jobs{{state, loads, classifier, saves, tickets, stopper, output}};
     RunTracker runs{{state, jobs, health, acks, saves, tickets, stopper, output}};
     WorkerRegistry registry{state, output};
     WorkerMonitor monitor{{state, leases, registry, runs, acks, output}};
@@ -66,10 +81,10 @@
     ZoneEvacuation zones{{state, loads, evacuation, output}};
 
     WorkerIndex index;
-    CandidateFinder finder{state, leases, estimates, index};
-    std::unique_ptr<CandidateOrder> order{std::make_unique<SlackOrder>(loads)};
+    CandidateFinder finder;
+    std::unique_ptr<CandidateOrder> order;
     WorkerChooser chooser{state, tickets, health, index};
-    TaskPlacer placer{{state, leases, tickets, index, finder, *order, chooser, output}};
+    TaskPlacer placer;
 };
 
 Scheduler::Scheduler(const SchedulerLimits &limits, core::TimePoint now)
@@ -191,6 +206,7 @@
 {
     m_components->monitor.advance(now);
     m_components->runs.advance(now);
+    m_components->classifier.advance(now, wallMs);
     m_components->jobs.advance(now, wallMs);
     m_components->loads.advance(now, wallMs);
     m_components->placer.advance(now, wallMs);
--- a/src/oleanderwick/jobs/scheduler_limits.hpp
+++ b/src/oleanderwick/jobs/scheduler_limits.hpp
@@ -7,9 +7,11 @@
 namespace oleanderwick::jobs
 {
 
-/** @brief Limits of the platform that the scheduler observes; the settings may override them. */
+/** @brief Limits of the platform that the scheduler observes and choices of its strategies; the settings may override them. */
 struct SchedulerLimits {
     core::Duration maxLease{std::chrono::seconds{6}}; /**< Longest lease that a worker accepts. */
+    bool teamShares{false}; /**< Jobs have a class by the rate of their team, and teams share full pools by weight. */
+    core::Duration teamRateWindow{std::chrono::seconds{5}}; /**< Time for whose jobs at its rate a team may have saved up. */
 
     [[nodiscard]] bool operator==(const SchedulerLimits &) const = default;
 };
--- a/src/oleanderwick/jobs/state_table.cpp
+++ b/src/oleanderwick/jobs/state_table.cpp
@@ -196,6 +196,8 @@
     worker.used = worker.used + demandOf(step);
     Resources &teamUse = m_teamUse[entry.job.team];
     teamUse = teamUse + step.each;
+    const Resources demand = demandOf(step);
+    m_shares.add(entry.job.pool, entry.job.team, {demand.cpu, demand.memory, demand.gpu});
     ++entry.activeTasks;
     addUsedWorker(worker.entry.id, worker.entry.pool);
 }
@@ -213,6 +215,8 @@
     }
     Resources &teamUse = m_teamUse[entry.job.team];
     teamUse = teamUse - step.each;
+    const Resources demand = demandOf(step);
+    m_shares.add(entry.job.pool, entry.job.team, {-demand.cpu, -demand.memory, -demand.gpu});
     --entry.activeTasks;
     task.phase = task.record.done ? TaskPhase::Done : TaskPhase::Waiting;
     task.worker.clear();
@@ -239,6 +243,16 @@
         && within(limit.gpu, use->second.gpu, after.gpu);
 }
 
+fairness::ShareTable &StateTable::shares() noexcept
+{
+    return m_shares;
+}
+
+const fairness::ShareTable &StateTable::shares() const noexcept
+{
+    return m_shares;
+}
+
 void StateTable::requestPlacement() noexcept
 {
     m_placementRequested = true;
--- a/src/oleanderwick/jobs/state_table.hpp
+++ b/src/oleanderwick/jobs/state_table.hpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "../fairness/share_table.hpp"
 #include "table.hpp"
 
 namespace oleanderwick::jobs
@@ -201,6 +202,10 @@
      */
     [[nodiscard]] bool isWithinTeamLimit(const std::string &team, const Resources &demand) const;
 
+    /** @return Shares of teams in pools, by the pools of their jobs; `attach` and `detach` keep the use, an order of candidates the rest. */
+    [[nodiscard]] fairness::ShareTable &shares() noexcept;
+    [[nodiscard]] const fairness::ShareTable &shares() const noexcept;
+
     /** @} */
     /** @name Need of a placement */
     /** @{ */
@@ -225,6 +230,7 @@
     std::map<std::string, std::string> m_usedWorkers;
     std::uint64_t m_usedWorkersVersion{0};
     std::map<std::string, Resources> m_teamUse;
+    fairness::ShareTable m_shares;
     bool m_placementRequested{true};
 };
 
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -94,6 +94,7 @@
     std::int64_t activeTasks{0}; /**< Number of active tasks. */
     bool allSpeculative{false}; /**< All steps are speculative, so that duplicate runs are harmless. */
     double criticalPathMs{0}; /**< Estimated duration of the critical path. */
+    bool beyondRate{false}; /**< Beyond the rate of its team; fixed by `JobClassifier`, always false without `SchedulerLimits::teamShares`. */
 };
 
 /** @brief Run end that is acknowledged to the worker once the job's state is stored. */
--- a/src/oleanderwick/jobs/task_placer.cpp
+++ b/src/oleanderwick/jobs/task_placer.cpp
@@ -29,7 +29,7 @@
 void TaskPlacer::place(core::TimePoint now, std::int64_t wallMs)
 {
     m_with.index.rebuild(m_with.state);
-    m_with.order.arrange(m_with.finder.find(now, wallMs));
+    m_with.order.arrange(m_with.finder.find(now, wallMs), now);
     for (const Candidate *candidate = m_with.order.next(); candidate != nullptr; candidate = m_with.order.next()) {
         if (candidate->needsTicket) {
             requestTickets(*candidate, now);
