Divide scarce instances among pools by water-filling; settings teamShares and teamRateWindowS

Cause: when the timely needs of all pools exceeded the fleet, the pool that asked first kept what it had. Change: with teamShares the balancer gives each pool an equal portion, up to its need, with a tolerance of one instance.

--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -5,6 +5,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "../fairness/water_filling.hpp"
+
 namespace oleanderwick::jobs
 {
 
@@ -229,6 +231,29 @@
     }
 }
 
+void PoolBalancer::updateTargets(const Scheduler &scheduler)
+{
+    std::int64_t fleet = 0;
+    for (const std::pair<const std::string, InstanceEntry> &item : m_instances) {
+        const bool counts = m_moves.contains(item.first) || item.second.state == InstanceState::Moving
+            || (scheduler.isStandby(item.second.pool) ? item.second.state == InstanceState::Up : isInService(item.second, scheduler));
+        fleet += counts && !isInClosedZone(item.second, scheduler) ? 1 : 0;
+    }
+    std::map<std::string, std::int64_t> needs;
+    std::int64_t sum = 0;
+    for (std::pair<const std::string, PoolState> &pool : m_pools) {
+        pool.second.timelyTarget = pool.second.peakNeed.timely;
+        needs[pool.first] = pool.second.peakNeed.timely;
+        sum += pool.second.peakNeed.timely;
+    }
+    m_scarce = m_policy.divideScarceInstances && sum > fleet;
+    if (m_scarce) {
+        for (const std::pair<const std::string, std::int64_t> &portion : fairness::divideItems(fleet, needs)) {
+            m_pools[portion.first].timelyTarget = portion.second;
+        }
+    }
+}
+
 bool PoolBalancer::canMove(const InstanceEntry &instance, const std::string &to, const MaintenanceController &maintenance, core::TimePoint now) const
 {
     return instance.state == InstanceState::Up && !m_moves.contains(instance.id) && m_commandDelay.isOver(instance.id, now)
@@ -393,7 +418,9 @@
 {
     std::vector<std::pair<std::int64_t, std::string>> donors;
     for (const std::pair<const std::string, PoolState> &pool : m_pools) {
-        const std::int64_t surplus = pool.second.instanceCount - pool.second.need.timely;
+        // In scarcity one instance of tolerance, since the portions change by one all the time.
+        const std::int64_t kept = m_scarce ? std::min(pool.second.need.timely, pool.second.timelyTarget + 1) : pool.second.need.timely;
+        const std::int64_t surplus = pool.second.instanceCount - kept;
         if (pool.first != to && surplus > 0) {
             donors.emplace_back(surplus, pool.first);
         }
@@ -449,10 +476,11 @@
     cancelClosedDrains(scheduler);
     countInstances(scheduler, now);
     updateNeeds(scheduler, now);
+    updateTargets(scheduler);
     advanceDrains(scheduler, maintenance, now);
     const std::map<std::string, PoolState> pools = m_pools;
     for (const std::pair<const std::string, PoolState> &pool : pools) {
-        std::int64_t missing = pool.second.peakNeed.timely - m_pools[pool.first].instanceCount;
+        std::int64_t missing = pool.second.timelyTarget - m_pools[pool.first].instanceCount;
         while (missing > 0 && (moveIdleInstance(pool.first, scheduler, maintenance, now) || drainInstance(pool.first, scheduler, maintenance, now))) {
             --missing;
         }
--- a/src/oleanderwick/jobs/pool_balancer.hpp
+++ b/src/oleanderwick/jobs/pool_balancer.hpp
@@ -39,6 +39,7 @@
     double usableShare{0.92}; /**< Share of an instance's CPU that can be allocated before tasks no longer fit. */
     core::Duration needLasts{std::chrono::milliseconds{1000}}; /**< Time for which a peak need counts: moving away and back costs more than an idle instance. */
     core::Duration parkAfter{std::chrono::milliseconds{1800}}; /**< Time for which a pool must have a surplus before an instance goes to standby. */
+    bool divideScarceInstances{false}; /**< If the timely needs exceed the fleet, divide it by water-filling, not by who asked first. */
     std::int64_t reserve{1}; /**< Instances kept in each pool beyond its need, for failures and for the start of a rise in load. */
 
     [[nodiscard]] bool operator==(const BalancingPolicy &) const = default;
@@ -121,6 +122,7 @@
         std::int64_t instanceCount{0}; /**< Instances that accept work, and those moving to the pool. */
         PoolNeed need; /**< Need at the last measurement. */
         PoolNeed peakNeed; /**< Highest recent need. */
+        std::int64_t timelyTarget{0}; /**< Instances to have for the timely need: its recent peak, or less if instances are scarce. */
         core::TimePoint timelyPeakAt; /**< Time at which the timely need was last this high. */
         core::TimePoint totalPeakAt; /**< Time at which the total need was last this high. */
         core::TimePoint surplusSince; /**< Start of the present surplus beyond need and reserve. */
@@ -142,6 +144,8 @@
     void recordNeed(const std::string &name, const PoolState &pool, const PoolNeed &need, const PoolLoad &load);
     void updateInstanceCpu(const std::map<std::string, PoolLoad> &loads);
     void updateNeeds(const Scheduler &scheduler, core::TimePoint now);
+    /** Sets the target of each pool for its timely need. */
+    void updateTargets(const Scheduler &scheduler);
     void advanceDrains(Scheduler &scheduler, const MaintenanceController &maintenance, core::TimePoint now);
     void cancelDrain(const std::string &instance, Scheduler &scheduler);
     /** Cancels one drain that would take an instance of the pool to standby; false if there is none. */
@@ -181,6 +185,7 @@
     /** @} */
     core::TimePoint m_listRequestedAt;
     core::TimePoint m_balancedAt;
+    bool m_scarce{false}; /**< The timely needs exceed the fleet and are divided. */
     std::map<std::string, PoolState> m_pools;
     std::map<std::string, InstanceMove> m_moves; /**< Moves by name of the instance. */
     std::set<std::pair<std::string, std::string>> m_rejectedMoves; /**< Instances and destination pools whose combination the platform rejected. */
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -34,6 +34,8 @@
     core::Duration parkAfter{std::chrono::milliseconds{1800}}; /**< Time for which a pool must have a surplus before one of its instances goes to standby. */
     double reserveInstances{1}; /**< Number of instances kept in each pool beyond its need. */
     bool notifyOwner{false}; /**< Notify the owner of stored jobs and cancels, so that it knows of them while the store's watches are silent. */
+    bool teamShares{false}; /**< Give room in full pools to teams by their weights, first for jobs within the rate of their team. */
+    core::Duration teamRateWindow{std::chrono::seconds{5}}; /**< Time for whose jobs at its rate a team may have saved up. */
 
     [[nodiscard]] bool operator==(const JobSettings &) const = default;
 };
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -41,6 +41,9 @@
 {
     jobnode::OwnerOptions options;
     options.scheduler.maxLease = settings.longestLease;
+    options.scheduler.teamShares = settings.teamShares;
+    options.scheduler.teamRateWindow = settings.teamRateWindow;
+    options.balancing.divideScarceInstances = settings.teamShares;
     options.notifyOwner = settings.notifyOwner;
     options.noticeAddress = settings.internal;
     options.commandDelay = settings.orderPause;
