Attribute failures to tasks or to workers

Cause: each failure counted against its worker, so that jobs that can't be done put sound workers into quarantine, and a task could use up its attempts on a worker that fails everything. A task that failed is retried on a proven worker on which it has not failed. The failures of one job count once for a worker.

--- a/src/oleanderwick/jobs/candidate.hpp
+++ b/src/oleanderwick/jobs/candidate.hpp
@@ -10,6 +10,13 @@
 
 /** @brief Step with tasks that can start; valid during a placement. */
 struct Candidate {
+    /** Tasks of the step that the candidate stands for. */
+    enum class Selection : std::uint8_t {
+        All,
+        Sound, /**< All except unsound ones. */
+        Unsound, /**< Only tasks with `Task::unsound`, which run one at a time in each job. */
+    };
+
     JobEntry *entry{nullptr};
     std::int64_t occurrence{0}; /**< Number of the occurrence. */
     std::size_t step{0}; /**< Index of the step. */
@@ -17,6 +24,7 @@
     std::int64_t priority{0}; /**< Priority of the queue; lower values are placed first. */
     bool needsTicket{false}; /**< The tasks are placed only with a ticket from the advice service. */
     double slackMs{0.0}; /**< See `JobEstimates::slackMs`. */
+    Selection selection{Selection::All};
 
     /** @return Step of the job. */
     [[nodiscard]] const Step &definition() const
@@ -30,6 +38,17 @@
         return state->tasks;
     }
 
+    /**
+     * @brief Checks whether a run of a task may be started for this candidate.
+     * @param task Task of the step.
+     * @param now Current time of the monotonic clock.
+     * @return True if the candidate stands for the task and the task may start.
+     */
+    [[nodiscard]] bool mayStart(const Task &task, core::TimePoint now) const noexcept
+    {
+        return task.mayStart(now) && (selection == Selection::All || task.unsound == (selection == Selection::Unsound));
+    }
+
     /**
      * @brief Names a task of the step.
      * @param index Index of the task.
--- a/src/oleanderwick/jobs/candidate_finder.cpp
+++ b/src/oleanderwick/jobs/candidate_finder.cpp
@@ -5,6 +5,14 @@
 namespace oleanderwick::jobs
 {
 
+namespace internal
+{
+
+const std::vector<Candidate::Selection> undivided{Candidate::Selection::All};
+const std::vector<Candidate::Selection> bySoundness{Candidate::Selection::Sound, Candidate::Selection::Unsound};
+
+} // namespace internal
+
 CandidateFinder::CandidateFinder(StateTable &state, const WorkerLeases &leases, const JobEstimates &estimates, const WorkerIndex &index)
     : m_state{state}
     , m_leases{leases}
@@ -30,16 +38,22 @@
             if (!needsTicket && !m_index.mayFit(entry.job.pool, StateTable::demandOf(entry.job.steps[step]))) {
                 continue;
             }
-            const std::vector<Task> &tasks = occurrence.steps[step].tasks;
-            const bool waiting = occurrence.steps[step].remaining > 0 && std::any_of(tasks.begin(), tasks.end(), [now](const Task &task) {
-                                     return task.mayStart(now);
-                                 });
-            if (waiting && JobEstimates::isStepReady(entry.job, occurrence, step)) {
-                if (!measured) {
-                    measured = true;
-                    slackMs = m_estimates.slackMs(entry, occurrence, wallMs);
+            const Step &definition = entry.job.steps[step];
+            const bool splits = entry.unsoundTasks > 0 && !definition.gang && !definition.continuous;
+            for (const Candidate::Selection selection : splits ? internal::bySoundness : internal::undivided) {
+                Candidate candidate{&entry, item.first, step, &occurrence.steps[step], priority, needsTicket, 0.0, selection};
+                const std::vector<Task> &tasks = candidate.tasks();
+                const bool waiting = candidate.state->remaining > 0 && std::any_of(tasks.begin(), tasks.end(), [&candidate, now](const Task &task) {
+                                         return candidate.mayStart(task, now);
+                                     });
+                if (waiting && JobEstimates::isStepReady(entry.job, occurrence, step)) {
+                    if (!measured) {
+                        measured = true;
+                        slackMs = m_estimates.slackMs(entry, occurrence, wallMs);
+                    }
+                    candidate.slackMs = slackMs;
+                    found.push_back(candidate);
                 }
-                found.push_back(Candidate{&entry, item.first, step, &occurrence.steps[step], priority, needsTicket, slackMs});
             }
         }
     }
--- a/src/oleanderwick/jobs/candidate_order.cpp
+++ b/src/oleanderwick/jobs/candidate_order.cpp
@@ -17,7 +17,7 @@
     const bool continuous = candidate.definition().continuous;
     const std::int64_t priority = continuous ? -1 : candidate.priority;
     const double submittedMs = static_cast<double>(entry.job.submittedMs);
-    if (!continuous && candidate.slackMs < 0) {
+    if (!continuous && (candidate.slackMs < 0 || candidate.selection == Candidate::Selection::Unsound)) {
         return Ranked{candidate, priority, Rank::Late, submittedMs};
     }
     if (entry.state != JobState::Queued || entry.activeTasks > 0) {
--- a/src/oleanderwick/jobs/candidate_order.hpp
+++ b/src/oleanderwick/jobs/candidate_order.hpp
@@ -37,7 +37,8 @@
 /**
  * @brief Order by priority, then jobs in progress before other ones that can meet their objective, then late ones; by slack among these.
  *
- * In an overloaded pool, jobs that have not started come newest first. Continuous tasks come before all others, late ones oldest first.
+ * Unsound tasks come with the late ones. In an overloaded pool, jobs that have not started come newest first. Continuous tasks come before all others, late
+ * ones oldest first.
  */
 class SlackOrder final : public CandidateOrder
 {
--- a/src/oleanderwick/jobs/run_tracker.cpp
+++ b/src/oleanderwick/jobs/run_tracker.cpp
@@ -155,7 +155,7 @@
     if (!end.checkpoint.empty()) {
         task.record.checkpoint = end.checkpoint;
     }
-    m_with.health.recordEnd(worker, end.kind, now);
+    m_with.health.recordEnd(worker, end.task, reference, end.kind, now);
     if (!isFinal(entry.state)) {
         m_with.jobs.markStarted(entry);
         if (end.kind == RunEndKind::Done) {
@@ -202,7 +202,7 @@
     task->percent = reported.percent;
     task->measurement = reported.measurement;
     if (reference.step->continuous && task->isAvailable()) {
-        WorkerHealth::recordAvailable(worker, *task);
+        m_with.health.recordAvailable(worker, reported.task.job, *task, now);
     }
     if (!reported.checkpoint.empty() && reported.checkpoint != task->record.checkpoint) {
         // Stored only with the next change of the job: losing a checkpoint costs repeated work, not correctness.
@@ -288,7 +288,7 @@
             const bool monitored = !step.continuous && !step.gang && !step.bestEffort && !item.second.unresponsive;
             if (monitored && task.phase == TaskPhase::Running && now - task.progressChangedAt >= internal::stallTimeout) {
                 m_with.output.logDecision("run_stalled", toText(run.first), item.first, absl::StrCat("run=", run.second, " percent=", task.percent));
-                m_with.health.recordEnd(item.second, RunEndKind::Failed, now);
+                m_with.health.recordEnd(item.second, run.first, reference, RunEndKind::Failed, now);
                 m_with.stopper.stop(run.first, task, now);
                 continue;
             }
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -40,7 +40,8 @@
 /** State and decisions, each of which uses only those above it. */
 struct Scheduler::Components {
     Components(const SchedulerLimits &limits, core::TimePoint termStart)
-        : leases{state, limits, termStart}
+        : health{state, output, limits.attributeFailures}
+        , leases{state, limits, termStart}
     {
     }
 
@@ -53,7 +54,7 @@
     RunEndAcks acks{state};
     TicketTable tickets{state};
     TaskStopper stopper{state, output};
-    WorkerHealth health{state, output};
+    WorkerHealth health;
 
     WorkerLeases leases;
     WorkerPolls polls{state, leases};
--- a/src/oleanderwick/jobs/scheduler_limits.hpp
+++ b/src/oleanderwick/jobs/scheduler_limits.hpp
@@ -7,9 +7,10 @@
 namespace oleanderwick::jobs
 {
 
-/** @brief Limits of the platform that the scheduler observes; the settings may override them. */
+/** @brief Limits of the platform that the scheduler observes, and its optional behaviour; the settings may override them. */
 struct SchedulerLimits {
     core::Duration maxLease{std::chrono::seconds{6}}; /**< Longest lease that a worker accepts. */
+    bool attributeFailures{false}; /**< Tell tasks that fail on sound workers apart from workers that fail every task. */
 
     [[nodiscard]] bool operator==(const SchedulerLimits &) const = default;
 };
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -40,6 +40,9 @@
     std::int64_t pace{100}; /**< Share of time for which the run may work, in percent. */
     core::TimePoint paceChangedAt; /**< Last change of the pace. */
     bool stopAcknowledged{false}; /**< The worker has acknowledged the stop of the current run. */
+    std::set<std::string> failedOn; /**< Workers on which runs of the task failed in this term; kept only with `SchedulerLimits::attributeFailures`. */
+    core::TimePoint failedAt; /**< Time of the last failure in `failedOn`. */
+    bool unsound{false}; /**< The task has failed on several sound workers, so that the failures are attributed to it. */
 
     /** @return True while a run of the task may exist on a worker. */
     [[nodiscard]] bool isActive() const noexcept
@@ -94,6 +97,7 @@
     std::int64_t activeTasks{0}; /**< Number of active tasks. */
     bool allSpeculative{false}; /**< All steps are speculative, so that duplicate runs are harmless. */
     double criticalPathMs{0}; /**< Estimated duration of the critical path. */
+    std::int64_t unsoundTasks{0}; /**< Number of tasks with `Task::unsound`. */
 };
 
 /** @brief Run end that is acknowledged to the worker once the job's state is stored. */
@@ -118,8 +122,10 @@
     core::TimePoint lastReplyAt; /**< Last reply of the worker. */
     core::TimePoint nextPollAt; /**< Earliest time of the next poll. */
     core::TimePoint quarantinedUntil; /**< No run is started on the worker before this time. */
-    std::int64_t consecutiveFailures{0}; /**< Failed or stalled runs since the last success. */
+    std::int64_t consecutiveFailures{0}; /**< Failed or stalled runs since the last success; with `attributeFailures`, those attributed to the worker. */
     core::TimePoint lastFailureAt; /**< Time of the last failed or stalled run. */
+    std::set<TaskName> failedTasks; /**< Tasks that failed since the last success and are not unsound; kept only with `attributeFailures`. */
+    std::vector<std::string> provenBy; /**< The last two jobs with a success on the worker in this term; kept only with `attributeFailures`. */
     bool pollInFlight{false}; /**< A poll is in flight. */
     bool unresponsive{false}; /**< The last poll failed. */
     Resources used; /**< Demand of the runs that are or may be on the worker. */
--- a/src/oleanderwick/jobs/task_placer.cpp
+++ b/src/oleanderwick/jobs/task_placer.cpp
@@ -54,20 +54,38 @@
 {
     const Step &step = candidate.definition();
     std::vector<Task> &tasks = candidate.tasks();
+    const bool oneAtATime = candidate.selection == Candidate::Selection::Unsound;
+    if (oneAtATime && WorkerHealth::runsUnsound(*candidate.entry)) {
+        return;
+    }
     std::string placed;
     WorkerChooser::Choices choices;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         Task &task = tasks[index];
-        if (!task.mayStart(now)) {
+        if (!candidate.mayStart(task, now)) {
+            continue;
+        }
+        if (!m_with.state.isWithinTeamLimit(candidate.entry->job.team, step.each)) {
+            break;
+        }
+        const bool retried = !task.failedOn.empty();
+        Worker *worker = retried ? m_with.chooser.chooseForRetry(candidate, task, now) : m_with.chooser.choose(candidate, choices, now);
+        if (worker == nullptr && retried) {
+            // Other tasks of the step may run on workers on which this one may not.
             continue;
         }
-        const bool allowed = m_with.state.isWithinTeamLimit(candidate.entry->job.team, step.each);
-        Worker *worker = allowed ? m_with.chooser.choose(candidate, choices, now) : nullptr;
         if (worker == nullptr) {
             break;
         }
         startTask(candidate, index, *worker, task.record.lastRun + 1, now);
         absl::StrAppend(&placed, placed.empty() ? "" : ",", index, ":", worker->entry.id, ":", task.run);
+        if (retried) {
+            // The worker's room has changed without the knowledge of the shared choices.
+            choices = {};
+        }
+        if (oneAtATime) {
+            break;
+        }
     }
     logPlacement(candidate, placed);
 }
--- a/src/oleanderwick/jobs/worker_chooser.cpp
+++ b/src/oleanderwick/jobs/worker_chooser.cpp
@@ -57,6 +57,20 @@
     {internal::isAnyStep, &WorkerChooser::addFailures},
 }};
 
+namespace internal
+{
+
+/**
+ * Time since its last failure for which a task waits for room on a worker that meets a condition. The task is lost if it fails too
+ * often, so that the wait for another worker is long; it is bounded since the other workers may be full of continuous tasks.
+ */
+constexpr std::array<std::pair<WorkerChooser::RetryCondition, core::Duration>, 2> retryWaits{{
+    {WorkerChooser::RetryCondition::Proven, std::chrono::seconds{2}},
+    {WorkerChooser::RetryCondition::Other, std::chrono::seconds{10}},
+}};
+
+} // namespace internal
+
 WorkerChooser::WorkerChooser(const StateTable &state, const TicketTable &tickets, const WorkerHealth &health, WorkerIndex &index)
     : m_state{state}
     , m_tickets{tickets}
@@ -119,14 +133,61 @@
     }
 }
 
+Worker *WorkerChooser::chooseForRetry(const Candidate &candidate, const Task &task, core::TimePoint now)
+{
+    if (m_index.isUnplaceable(candidate.entry->job.pool, StateTable::demandOf(candidate.definition()))) {
+        return nullptr;
+    }
+    Choices choices;
+    list(candidate, choices, now);
+    const RetryCondition condition = retryCondition(candidate, task, now);
+    const Choice *best = nullptr;
+    for (const Choice &choice : choices.m_workers) {
+        if (meets(condition, *choice.worker, task) && (best == nullptr || choice.cost < best->cost)) {
+            best = &choice;
+        }
+    }
+    return best == nullptr ? nullptr : best->worker;
+}
+
+WorkerChooser::RetryCondition WorkerChooser::retryCondition(const Candidate &candidate, const Task &task, core::TimePoint now) const
+{
+    const std::vector<Worker *> &workers = m_index.workersOf(candidate.entry->job.pool);
+    const core::Duration waited = now - task.failedAt;
+    for (const std::pair<RetryCondition, core::Duration> &limit : internal::retryWaits) {
+        const bool exists = waited < limit.second && std::any_of(workers.begin(), workers.end(), [&](const Worker *worker) {
+                                return meets(limit.first, *worker, task) && couldPlace(*worker, candidate, now);
+                            });
+        if (exists) {
+            return limit.first;
+        }
+    }
+    return RetryCondition::Any;
+}
+
+bool WorkerChooser::meets(RetryCondition condition, const Worker &worker, const Task &task)
+{
+    if (condition == RetryCondition::Any) {
+        return true;
+    }
+    return !task.failedOn.contains(worker.entry.id) && (condition == RetryCondition::Other || WorkerHealth::isProven(worker));
+}
+
+bool WorkerChooser::couldPlace(const Worker &worker, const Candidate &candidate, core::TimePoint now) const
+{
+    const Step &step = candidate.definition();
+    const std::vector<std::string> &labels = worker.entry.labels;
+    const bool labelled = step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
+    return labelled && m_health.mayStart(worker, now) && fits(StateTable::demandOf(step), worker.entry.capacity);
+}
+
 bool WorkerChooser::canPlace(const Worker &worker, const Candidate &candidate, core::TimePoint now) const
 {
     const Step &step = candidate.definition();
-    if (!m_health.mayStart(worker, now) || !fits(StateTable::demandOf(step), worker.entry.capacity - worker.used)) {
+    if (!fits(StateTable::demandOf(step), worker.entry.capacity - worker.used) || !couldPlace(worker, candidate, now)) {
         return false;
     }
-    const std::vector<std::string> &labels = worker.entry.labels;
-    if (!step.requiredLabel.empty() && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end()) {
+    if (!m_health.mayStartJob(worker, candidate.entry->job.id, now)) {
         return false;
     }
     if (step.maxPerWorker > 0 && StateTable::countOnWorker(worker, candidate.taskName(0)) >= step.maxPerWorker) {
@@ -191,9 +252,11 @@
     return cost;
 }
 
-double WorkerChooser::addFailures(double cost, const Worker &worker, const Candidate & /*candidate*/) const
+double WorkerChooser::addFailures(double cost, const Worker &worker, const Candidate &candidate) const
 {
-    return cost + internal::failureCost * static_cast<double>(worker.consecutiveFailures);
+    // The failures of one job count once for the worker, so that further tasks of that job need a reason of their own to avoid it.
+    const std::int64_t failures = std::max(worker.consecutiveFailures, WorkerHealth::failuresOf(worker, candidate.entry->job.id));
+    return cost + internal::failureCost * static_cast<double>(failures);
 }
 
 } // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/worker_chooser.hpp
+++ b/src/oleanderwick/jobs/worker_chooser.hpp
@@ -19,6 +19,13 @@
 public:
     class Choices;
 
+    /** Condition for a worker that gets a retry, from the strictest to none. */
+    enum class RetryCondition : std::uint8_t {
+        Proven, /**< Has proved sound, and the task has not failed on it. */
+        Other, /**< The task has not failed on it. */
+        Any,
+    };
+
     /**
      * @brief Creates the object for one owner's term.
      * @param state State of the scheduler; must outlive this object.
@@ -37,6 +44,17 @@
      */
     [[nodiscard]] Worker *choose(const Candidate &candidate, Choices &choices, core::TimePoint now);
 
+    /**
+     * @brief Chooses a worker for a task that has failed in this term: a proven one on which it has not failed.
+     *
+     * For a bounded time the task waits for room on such a worker if there is one in the pool; after that others are allowed.
+     * @param candidate Step of the task.
+     * @param task The task, with workers in `Task::failedOn`.
+     * @param now Current time of the monotonic clock.
+     * @return The worker; null if none can take the task.
+     */
+    [[nodiscard]] Worker *chooseForRetry(const Candidate &candidate, const Task &task, core::TimePoint now);
+
 private:
     /** Function that adds a cost to the sum of those before it; adding one by one keeps the rounding of equal sums equal. */
     using AddCost = double (WorkerChooser::*)(double cost, const Worker &worker, const Candidate &candidate) const;
@@ -55,7 +73,12 @@
     };
 
     void list(const Candidate &candidate, Choices &choices, core::TimePoint now);
+    /** Returns the condition that a worker has to meet for a retry of the task; see `chooseForRetry`. */
+    [[nodiscard]] RetryCondition retryCondition(const Candidate &candidate, const Task &task, core::TimePoint now) const;
+    /** Returns true if an empty worker would be able to take the task. */
+    [[nodiscard]] bool couldPlace(const Worker &worker, const Candidate &candidate, core::TimePoint now) const;
     [[nodiscard]] bool canPlace(const Worker &worker, const Candidate &candidate, core::TimePoint now) const;
+    [[nodiscard]] static bool meets(RetryCondition condition, const Worker &worker, const Task &task);
     [[nodiscard]] double costOf(const Worker &worker, const Candidate &candidate, const Choices &choices) const;
 
     [[nodiscard]] double addUsage(double cost, const Worker &worker, const Candidate &candidate) const;
--- a/src/oleanderwick/jobs/worker_health.hpp
+++ b/src/oleanderwick/jobs/worker_health.hpp
@@ -6,7 +6,14 @@
 namespace oleanderwick::jobs
 {
 
-/** @brief Decides from how runs end whether a worker gets more of them: it is quarantined after several failures, then probed. */
+/**
+ * @brief Decides from how runs end whether a worker gets more of them: it is quarantined after several failures, then probed.
+ *
+ * With attribution, a failure counts against the worker or against the task. A worker is sound for a job if other jobs have succeeded
+ * on it in this term and it does not fail several of them now. A task that has failed on two sound workers is unsound, and its failures
+ * no longer count against workers. Of the other failures since a worker's last success, those of one job count once, because the job
+ * may be the cause; a task that succeeded elsewhere after its failure counts by itself.
+ */
 class WorkerHealth
 {
 public:
@@ -14,23 +21,28 @@
      * @brief Creates the object for one owner's term.
      * @param state State of the scheduler; must outlive this object.
      * @param output Receives the decisions to be logged; must outlive this object.
+     * @param attributes Attribute failures to workers or tasks; otherwise each counts against its worker.
      */
-    WorkerHealth(const StateTable &state, SchedulerOutput &output);
+    WorkerHealth(StateTable &state, SchedulerOutput &output, bool attributes);
 
     /**
      * @brief Records how a run ended.
      * @param worker Worker of the run.
-     * @param kind How it ended; a run that hangs counts as failed.
+     * @param name Name of the task.
+     * @param reference The task, which is known.
+     * @param kind How the run ended; a run that hangs counts as failed.
      * @param now Current time of the monotonic clock.
      */
-    void recordEnd(Worker &worker, RunEndKind kind, core::TimePoint now);
+    void recordEnd(Worker &worker, const TaskName &name, const TaskReference &reference, RunEndKind kind, core::TimePoint now);
 
     /**
      * @brief Records that a continuous task is fully started, which counts as success since it never ends with one.
      * @param worker Worker of the run.
+     * @param job Name of the job.
      * @param task Task that is available.
+     * @param now Current time of the monotonic clock.
      */
-    static void recordAvailable(Worker &worker, const Task &task);
+    void recordAvailable(Worker &worker, const std::string &job, const Task &task, core::TimePoint now);
 
     /**
      * @brief Checks whether a worker may get another run.
@@ -40,12 +52,56 @@
      */
     [[nodiscard]] bool mayStart(const Worker &worker, core::TimePoint now) const;
 
+    /**
+     * @brief Checks whether a worker may get another run of a job, as far as the failures of this job on it are concerned.
+     * @param worker Worker to check.
+     * @param job Name of the job.
+     * @param now Current time of the monotonic clock.
+     * @return False if several tasks of the job have just failed on it, or a run probes it after that; always true without attribution.
+     */
+    [[nodiscard]] bool mayStartJob(const Worker &worker, const std::string &job, core::TimePoint now) const;
+
+    /**
+     * @brief Checks whether a worker has proved sound.
+     * @param worker Worker to check.
+     * @return True if runs succeeded on it in this term and none has failed since; always false without attribution.
+     */
+    [[nodiscard]] static bool isProven(const Worker &worker);
+
+    /**
+     * @brief Counts the tasks of a job that failed on a worker.
+     * @param worker Worker of the runs.
+     * @param job Name of the job.
+     * @return Number of its tasks in `Worker::failedTasks`.
+     */
+    [[nodiscard]] static std::int64_t failuresOf(const Worker &worker, const std::string &job);
+
+    /**
+     * @brief Checks whether an unsound task of a job is running.
+     * @param entry The job.
+     * @return True if a run of an unsound task may exist on a worker.
+     */
+    [[nodiscard]] static bool runsUnsound(const JobEntry &entry);
+
 private:
     /** Returns true if a run on the worker was started after the worker's last failure. */
     [[nodiscard]] bool hasProbe(const Worker &worker) const;
+    void countFailure(Worker &worker, core::TimePoint now);
+    void attributeSuccess(Worker &worker, const std::string &job, core::TimePoint now);
+    void attributeFailure(Worker &worker, const TaskName &name, const TaskReference &reference, core::TimePoint now);
+    /** Takes note that a task succeeded, which makes its failures on other workers count by themselves. */
+    void confirmFailures(const TaskReference &reference, core::TimePoint now);
+    /** Marks a task as unsound if it has failed on enough sound workers, and takes its failures from the count of the workers. */
+    void examineTask(const TaskName &name, const TaskReference &reference, core::TimePoint now);
+    /** Counts the failures attributed to a worker again, and begins or lifts its quarantine if that changes. */
+    void recount(Worker &worker, core::TimePoint now);
+    void quarantine(Worker &worker, core::TimePoint now);
+    [[nodiscard]] std::int64_t attributedFailures(const Worker &worker);
+    [[nodiscard]] static bool isSound(const Worker &worker, const std::string &job);
 
-    const StateTable &m_state;
+    StateTable &m_state;
     SchedulerOutput &m_output;
+    bool m_attributes;
 };
 
 } // namespace oleanderwick::jobs
