--- a/src/oleanderwick/jobs/fair_order.cpp
+++ b/src/oleanderwick/jobs/fair_order.cpp
@@ -44,8 +44,8 @@
 std::int64_t FairOrder::startableTasks(const Candidate &candidate) const
 {
     const std::vector<Task> &tasks = candidate.tasks();
-    return std::count_if(tasks.begin(), tasks.end(), [this](const Task &task) {
-        return task.mayStart(m_now);
+    return std::count_if(tasks.begin(), tasks.end(), [this, &candidate](const Task &task) {
+        return candidate.mayStart(task, m_now);
     });
 }
 
@@ -182,7 +182,8 @@
         }
         const bool continuous = candidate.definition().continuous;
         const JobClass timely = entry.beyondRate && !continuous ? JobClass::BeyondRate : JobClass::WithinRate;
-        const JobClass jobClass = candidate.slackMs < 0 && !continuous ? JobClass::Late : timely;
+        const bool late = candidate.slackMs < 0 || candidate.selection == Candidate::Selection::Unsound;
+        const JobClass jobClass = late && !continuous ? JobClass::Late : timely;
         Group &group = pool->second.groups[{continuous ? -1 : candidate.priority, jobClass}];
         const auto since = m_passedOverSince.find(entry.job.id);
         const bool passedOver = since != m_passedOverSince.end()
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -43,6 +43,7 @@
 struct Scheduler::Components {
     Components(const SchedulerLimits &limits, core::TimePoint termStart)
         : classifier{state, limits, output}
+        , health{state, output, limits.attributeFailures}
         , leases{state, limits, termStart}
         , finder{state, leases, estimates, index, limits.teamShares}
         , order{makeOrder(limits)}
@@ -68,7 +69,7 @@
     RunEndAcks acks{state};
     TicketTable tickets{state};
     TaskStopper stopper{state, output};
-    WorkerHealth health{state, output};
+    WorkerHealth health;
 
     WorkerLeases leases;
     WorkerPolls polls{state, leases};
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -101,6 +101,7 @@
         {"notifyOwner", flag(&JobSettings::notifyOwner)},
         {"teamShares", flag(&JobSettings::teamShares)},
         {"teamRateWindowS", seconds(&JobSettings::teamRateWindow)},
+        {"attributeFailures", flag(&JobSettings::attributeFailures)},
     };
     return table;
 }
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -36,6 +36,7 @@
     bool notifyOwner{false}; /**< Notify the owner of stored jobs and cancels, so that it knows of them while the store's watches are silent. */
     bool teamShares{false}; /**< Give room in full pools to teams by their weights, first for jobs within the rate of their team. */
     core::Duration teamRateWindow{std::chrono::seconds{5}}; /**< Time for whose jobs at its rate a team may have saved up. */
+    bool attributeFailures{false}; /**< Tell tasks that fail on sound workers apart from workers that fail every task. */
 
     [[nodiscard]] bool operator==(const JobSettings &) const = default;
 };
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -44,6 +44,7 @@
     options.scheduler.teamShares = settings.teamShares;
     options.scheduler.teamRateWindow = settings.teamRateWindow;
     options.balancing.divideScarceInstances = settings.teamShares;
+    options.scheduler.attributeFailures = settings.attributeFailures;
     options.notifyOwner = settings.notifyOwner;
     options.noticeAddress = settings.internal;
     options.commandDelay = settings.orderPause;
