Close zones to requests on the own interface

Operators could close a zone only on the platform's job path. The configuration document gets closedZones; a node sends no request and no retry to an instance of a closed zone and releases its permits, requests under way run to their end. The array is absent while empty, so that a document without closed zones is read and written as before. Closed instances count as down for a wave, whose budget is for all that is out of service.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -200,6 +200,11 @@
         subprocess.run([BIN / "oleanderwick", "-n", f"127.0.0.1:{CONTROL_PORT + node}", "-k", OPERATOR_SECRET, "key", "withdraw", team, name or team],
                        text=True, capture_output=True, check=True)
 
+    def zone(self, action, zone, node=0):
+        """Runs `oleanderwick zone ACTION ZONE`; returns the exit code."""
+        return subprocess.run([BIN / "oleanderwick", "-n", f"127.0.0.1:{CONTROL_PORT + node}", "-k", OPERATOR_SECRET, "zone", action, zone],
+                              text=True, capture_output=True, check=False).returncode
+
     def store_faults(self, **faults):
         call(STORE_PORT, "POST", "/stub/faults", json.dumps(faults))
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -36,9 +36,16 @@
     std::string base;
     std::string format;
     std::string patchId;
+    bool force{false};
     std::vector<std::string> words;
 };
 
+/** @brief Document of the current configuration with its version. */
+struct CurrentConfig {
+    std::string version;
+    config::Document document;
+};
+
 /** @brief Client of the operator API of one node. */
 class OperatorClient
 {
@@ -79,6 +86,23 @@
         return std::to_string(json["version"].get<config::Version>());
     }
 
+    [[nodiscard]] absl::StatusOr<CurrentConfig> currentConfig()
+    {
+        const absl::StatusOr<http::Response> response = get("/v1/config");
+        if (!response.ok()) {
+            return response.status();
+        }
+        const nlohmann::json json = nlohmann::json::parse(response->body, nullptr, false);
+        if (response->status != statusOk || !json.is_object() || !json.contains("version") || !json.contains("document")) {
+            return absl::UnavailableError(response->body);
+        }
+        absl::StatusOr<config::Document> document = config::documentFromJson(json["document"]);
+        if (!document.ok()) {
+            return document.status();
+        }
+        return CurrentConfig{std::to_string(json["version"].get<config::Version>()), *std::move(document)};
+    }
+
 private:
     http::Client m_client;
     std::string m_key;
@@ -250,6 +274,59 @@
     return print(node.post(absl::StrCat("/v1/waves/", line.words.at(2), "/", line.words.at(1)), "{}"));
 }
 
+int fail(const absl::Status &status)
+{
+    std::cerr << "oleanderwick: " << status.message() << '\n';
+    return EXIT_FAILURE;
+}
+
+/** Changes the closed zones; the change is computed again from the new configuration if another operator changed it meanwhile. */
+int changeZones(OperatorClient &node, const CommandLine &line, absl::StatusOr<std::string> (*makePatch)(const config::Document &, const std::string &, bool))
+{
+    const std::string id = config::randomHex();
+    for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+        const absl::StatusOr<CurrentConfig> current = node.currentConfig();
+        if (!current.ok()) {
+            return fail(current.status());
+        }
+        const absl::StatusOr<std::string> body = makePatch(current->document, line.words.at(2), line.force);
+        if (!body.ok()) {
+            return fail(body.status());
+        }
+        const absl::StatusOr<http::Response> response = node.patch(current->version, "application/merge-patch+json", id, *body);
+        if (!response.ok() || response->status != statusPreconditionFailed) {
+            return print(response);
+        }
+    }
+    return fail(absl::AbortedError("other operators changed the configuration during each attempt; nothing was changed"));
+}
+
+int evacuateZone(OperatorClient &node, const CommandLine &line)
+{
+    return changeZones(node, line, &config::closeZonePatch);
+}
+
+int restoreZone(OperatorClient &node, const CommandLine &line)
+{
+    return changeZones(node, line, [](const config::Document &document, const std::string &zone, bool) {
+        return config::openZonePatch(document, zone);
+    });
+}
+
+int listZones(OperatorClient &node, const CommandLine &)
+{
+    const absl::StatusOr<CurrentConfig> current = node.currentConfig();
+    if (!current.ok()) {
+        return fail(current.status());
+    }
+    nlohmann::json zones = nlohmann::json::object();
+    for (const std::pair<const std::string, config::ZoneSummary> &zone : config::zoneSummaries(current->document)) {
+        zones[zone.first] = {{"closed", zone.second.closed}, {"instances", zone.second.instances}};
+    }
+    std::cout << zones.dump(2) << '\n';
+    return EXIT_SUCCESS;
+}
+
 /** @brief Command of the program: its words, the number of positional arguments, usage and handler. */
 struct Command {
     const char *firstWord;
@@ -270,6 +347,9 @@
     {"wave", "pause", 3, "wave pause WAVE", &changeWave},
     {"wave", "resume", 3, "wave resume WAVE", &changeWave},
     {"wave", "stop", 3, "wave stop WAVE", &changeWave},
+    {"zone", "evacuate", 3, "zone evacuate ZONE   [--force]", &evacuateZone},
+    {"zone", "restore", 3, "zone restore ZONE", &restoreZone},
+    {"zone", "list", 2, "zone list", &listZones},
     {"status", "", 1, "status", &showStatus},
 };
 
@@ -341,6 +421,7 @@
     options.add_options()("base", "version that a patch is based on; default: the current one", cxxopts::value<std::string>()->default_value(""));
     options.add_options()("format", "merge (RFC 7396) or json (RFC 6902)", cxxopts::value<std::string>()->default_value("merge"));
     options.add_options()("patch-id", "identifier of the patch; repeat it to send a patch again", cxxopts::value<std::string>()->default_value(""));
+    options.add_options()("force", "close a zone even if a pool has no instance in an open zone afterwards");
     options.add_options()("version", "print the version and exit");
     options.add_options()("h,help", "print this help and exit");
     options.add_options()("words", "", cxxopts::value<std::vector<std::string>>());
@@ -365,6 +446,7 @@
         line.base = arguments["base"].as<std::string>();
         line.format = arguments["format"].as<std::string>();
         line.patchId = arguments["patch-id"].as<std::string>();
+        line.force = arguments.count("force") > 0;
         if (arguments.count("words") > 0) {
             line.words = arguments["words"].as<std::vector<std::string>>();
         }
--- a/src/oleanderwick/allotment/holder.cpp
+++ b/src/oleanderwick/allotment/holder.cpp
@@ -223,7 +223,7 @@
         m_input.limits[team.first] = team.second.upperLimit;
     }
     for (const std::pair<const core::InstanceId, config::Instance> &instance : snapshot.document().instances) {
-        if (instance.second.leaving || withheld.contains(instance.first)) {
+        if (!config::acceptsWork(snapshot.document(), instance.second) || withheld.contains(instance.first)) {
             continue;
         }
         const LimitId limit{LimitId::Kind::Instance, instance.first.text()};
--- a/src/oleanderwick/allotment/holder.hpp
+++ b/src/oleanderwick/allotment/holder.hpp
@@ -121,7 +121,7 @@
     /**
      * @brief Applies the limits of a configuration.
      * @param snapshot Configuration in force.
-     * @param withheld Instances whose permits are all released, as for instances that are leaving.
+     * @param withheld Instances whose permits are all released, as for instances that are leaving or in a closed zone.
      */
     void configure(const config::Snapshot &snapshot, const std::set<core::InstanceId> &withheld = {});
 
--- a/src/oleanderwick/config/codec.cpp
+++ b/src/oleanderwick/config/codec.cpp
@@ -134,6 +134,21 @@
     return {{"pool", queue.pool.text()}, {"teams", std::move(teams)}, {"open", queue.open}, {"maxLength", queue.maxLength}, {"timeoutMs", queue.timeoutMs}};
 }
 
+void readClosedZones(FieldReader &reader, std::set<std::string> &zones)
+{
+    const nlohmann::json *names = reader.array("closedZones");
+    if (names == nullptr) {
+        return;
+    }
+    for (const nlohmann::json &name : *names) {
+        if (!name.is_string()) {
+            reader.fail("closedZones", "has to contain names of zones only");
+        } else if (!zones.insert(name.get<std::string>()).second) {
+            reader.fail("closedZones", "contains '" + name.get<std::string>() + "' twice");
+        }
+    }
+}
+
 absl::StatusOr<Change> changeFromJson(const nlohmann::json &json)
 {
     Change change;
@@ -168,6 +183,10 @@
     for (const std::pair<const core::QueueId, Queue> &queue : document.queues) {
         json["queues"][queue.first.text()] = internal::queueToJson(queue.second);
     }
+    // Absent if empty, since nodes of versions without this field reject documents that have it.
+    if (!document.closedZones.empty()) {
+        json["closedZones"] = document.closedZones;
+    }
     return json;
 }
 
@@ -182,6 +201,7 @@
         return internal::readTeam(team, errors);
     });
     internal::readMap(reader, "queues", document.queues, errors, internal::readQueue);
+    internal::readClosedZones(reader, document.closedZones);
     reader.rejectUnknown();
     if (errors.empty()) {
         errors = validate(document);
--- a/src/oleanderwick/config/codec.hpp
+++ b/src/oleanderwick/config/codec.hpp
@@ -13,7 +13,7 @@
 /**
  * @brief Serializes a document.
  * @param document Document to serialize.
- * @return JSON object with the members `pools`, `instances`, `teams` and `queues`.
+ * @return JSON object with the members `pools`, `instances`, `teams` and `queues`, and `closedZones` if a zone is closed.
  */
 [[nodiscard]] nlohmann::json toJson(const Document &document);
 
--- a/src/oleanderwick/config/document.hpp
+++ b/src/oleanderwick/config/document.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,7 @@
     std::map<core::InstanceId, Instance> instances;
     std::map<core::TeamId, Team> teams;
     std::map<core::QueueId, Queue> queues;
+    std::set<std::string> closedZones; /**< Availability zones whose instances get no new work, whether they have any or not. */
 
     [[nodiscard]] bool operator==(const Document &) const = default;
 };
--- a/src/oleanderwick/config/validation.cpp
+++ b/src/oleanderwick/config/validation.cpp
@@ -91,6 +91,14 @@
     }
 }
 
+void checkClosedZones(const Document &document, std::vector<std::string> &errors)
+{
+    // An instance without a zone has an empty one; closing that would close all of them.
+    if (document.closedZones.contains("")) {
+        errors.emplace_back("/closedZones: a zone must not be empty");
+    }
+}
+
 } // namespace internal
 
 const core::TeamId &openTeam()
@@ -105,6 +113,7 @@
     internal::checkInstances(document, errors);
     internal::checkTeams(document, errors);
     internal::checkQueues(document, errors);
+    internal::checkClosedZones(document, errors);
     return errors;
 }
 
--- a/src/oleanderwick/dispatch/dispatcher.cpp
+++ b/src/oleanderwick/dispatch/dispatcher.cpp
@@ -100,7 +100,7 @@
     std::map<core::PoolId, std::vector<routing::UpstreamInfo>> upstreams;
     for (const std::pair<const core::InstanceId, config::Instance> &entry : m_snapshot->document().instances) {
         const config::Instance &instance = entry.second;
-        const bool leaving = instance.leaving || m_outOfService.contains(entry.first);
+        const bool leaving = !config::acceptsWork(m_snapshot->document(), instance) || m_outOfService.contains(entry.first);
         // Running requests use up to one connection for each slot; only connections beyond that may stay open while idle.
         const std::uint32_t idle = instance.connections > instance.slots ? instance.connections - instance.slots : 0;
         upstreams[instance.pool].push_back(routing::UpstreamInfo{entry.first, instance.address, instance.zone, leaving, idle});
--- a/src/oleanderwick/maintenance/planner.cpp
+++ b/src/oleanderwick/maintenance/planner.cpp
@@ -23,7 +23,7 @@
 bool isDown(const Wave &wave, const InstanceView &instance)
 {
     const Step *step = findStep(wave, instance.id);
-    return (step != nullptr && *step != Step::Done) || instance.health != Health::Healthy;
+    return (step != nullptr && *step != Step::Done) || instance.health != Health::Healthy || instance.zoneClosed;
 }
 
 /** Advances the instances whose maintenance has already started. */
--- a/src/oleanderwick/maintenance/planner.hpp
+++ b/src/oleanderwick/maintenance/planner.hpp
@@ -26,6 +26,7 @@
     std::string bootMark; /**< Mark that was passed with its latest reboot. */
     std::uint32_t slots{0};
     std::uint32_t permitsHeld{0}; /**< Permits for this instance that nodes hold; 0 proves that nothing runs there. */
+    bool zoneClosed{false}; /**< True if an operator closed the zone of the instance; it counts as down. */
 
     [[nodiscard]] bool operator==(const InstanceView &) const = default;
 };
@@ -40,7 +41,7 @@
 };
 
 /**
- * @brief Counts the instances of a pool that are down: draining, rebooting or failed in the wave, or not healthy.
+ * @brief Counts the instances of a pool that are down: draining, rebooting or failed in the wave, not healthy, or in a closed zone.
  * @param wave Wave of the pool.
  * @param pool State of the pool.
  * @return Number of instances that count against the availability budget.
--- a/src/oleanderwick/node/decision_duty.cpp
+++ b/src/oleanderwick/node/decision_duty.cpp
@@ -108,11 +108,33 @@
         m_roster.raiseMaxRequestTime(std::chrono::milliseconds{queue.second.timeoutMs});
     }
     queueActions(m_dispatcher.configure(update.snapshot, m_now));
+    logZoneChanges(update.snapshot->document().closedZones);
     m_lastRosterRefresh = core::TimePoint{};
     m_lastStep = core::TimePoint{};
     (void)m_ports.telemetry.tryPush(telemetry::Event{"config_in_force"}.with("version", static_cast<std::int64_t>(m_version)));
 }
 
+void DecisionDuty::logZoneChanges(const std::set<std::string> &closedZones)
+{
+    const auto log = [this, &closedZones](const char *event, const std::string &zone) {
+        (void)m_ports.telemetry.tryPush(telemetry::Event{event}
+                                            .with("zone", zone)
+                                            .with("version", static_cast<std::int64_t>(m_version))
+                                            .with("closed", static_cast<std::int64_t>(closedZones.size())));
+    };
+    for (const std::string &zone : closedZones) {
+        if (!m_closedZones.contains(zone)) {
+            log("zone_closed", zone);
+        }
+    }
+    for (const std::string &zone : m_closedZones) {
+        if (!closedZones.contains(zone)) {
+            log("zone_opened", zone);
+        }
+    }
+    m_closedZones = closedZones;
+}
+
 void DecisionDuty::updatePeerDemand(const membership::Digest &digest)
 {
     m_permitHolder.setPeer(digest.node, digest.demands, digest.permitRequests, digest.ledgerSequences);
--- a/src/oleanderwick/node/decision_duty.hpp
+++ b/src/oleanderwick/node/decision_duty.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -53,6 +54,7 @@
     void handle(const OutOfService &out);
     static void handle(const Quit &quit);
 
+    void logZoneChanges(const std::set<std::string> &closedZones);
     void updatePeerDemand(const membership::Digest &digest);
     void queueActions(dispatch::Actions actions);
     void runPeriodicWork();
@@ -68,6 +70,7 @@
     dispatch::Dispatcher m_dispatcher;
     membership::Roster m_roster;
     config::Version m_version{0};
+    std::set<std::string> m_closedZones;
     std::uint64_t m_sequence{0};
     bool m_leaving{false};
     bool m_leftReported{false};
--- a/src/oleanderwick/node/operator_api.cpp
+++ b/src/oleanderwick/node/operator_api.cpp
@@ -328,7 +328,9 @@
 
 void OperatorApi::showMetrics(const http::Request &, const http::Responder &respond, const std::string &)
 {
-    m_metrics.setGauge("config_version", static_cast<double>(m_keeper.current()->version()));
+    const config::SnapshotPtr current = m_keeper.current();
+    m_metrics.setGauge("config_version", static_cast<double>(current->version()));
+    m_metrics.setGauge("closed_zones", static_cast<double>(current->document().closedZones.size()));
     respond(http::Response{200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.toText()});
 }
 
--- a/src/oleanderwick/node/wave_duty.cpp
+++ b/src/oleanderwick/node/wave_duty.cpp
@@ -222,7 +222,8 @@
                                                            platformInstance.health,
                                                            platformInstance.bootMark,
                                                            entry.second.slots,
-                                                           held == permits->end() ? 0 : held->second});
+                                                           held == permits->end() ? 0 : held->second,
+                                                           snapshot->document().closedZones.contains(entry.second.zone)});
     }
     return view;
 }
--- a/test/oleanderwick/dispatch/dispatcher.cpp
+++ b/test/oleanderwick/dispatch/dispatcher.cpp
@@ -291,3 +291,58 @@
     SingleDispatcher node{document};
     CHECK(startOf(node.arrive("q", "t"))->idleConnections == (connections > 8 ? connections - 8 : 0));
 }
+
+// Guards against requests sent to a zone that an operator has closed, and against runs that are cut off by the closure.
+TEST_CASE("Dispatcher starts nothing in a closed zone and lets running requests end", "[dispatch]")
+{
+    config::Document document = DocumentBuilder{}.pool("p", 2, 2).team("t", 1, 16).queue("q", "p", {"t"}).build();
+    const core::InstanceId open{"p0"};
+    const core::InstanceId closed{"p1"};
+    document.instances.at(closed).zone = "b";
+    SingleDispatcher node{document};
+    std::set<std::uint64_t> onClosed;
+    for (int count = 0; count < 4; ++count) {
+        const core::InstanceId upstream = startOf(node.arrive("q", "t"))->upstream;
+        if (upstream == closed) {
+            onClosed.insert(node.number);
+        }
+    }
+    REQUIRE(onClosed.size() == 2);
+    document.closedZones = {"b"};
+    CHECK(node.configure(document).empty());
+    CHECK(node.arrive("q", "t").empty());
+    for (const std::uint64_t request : onClosed) {
+        const dispatch::Actions actions = node.finishAttempt(request, routing::ExchangeOutcome::Complete);
+        REQUIRE(actions.size() == 1);
+        CHECK(std::holds_alternative<dispatch::Deliver>(actions.front()));
+    }
+    node.stepHolder();
+    CHECK(node.dispatcher.tick(node.now).empty());
+    // A waiting request starts on the open instance as soon as it has room, and in the zone once it is open again.
+    CHECK(node.dispatcher.size() == 3);
+    document.closedZones.clear();
+    const dispatch::Actions opened = node.configure(document);
+    for (int round = 0; round < 8; ++round) {
+        node.stepHolder();
+    }
+    dispatch::Actions started = opened;
+    const dispatch::Actions later = node.dispatcher.tick(node.now);
+    started.insert(started.end(), later.begin(), later.end());
+    CHECK(startOf(started)->upstream == closed);
+}
+
+// Guards against a retry that goes back to an instance whose zone was closed during the first attempt.
+TEST_CASE("Dispatcher retries outside of a zone that was closed meanwhile", "[dispatch]")
+{
+    config::Document document = DocumentBuilder{}.pool("p", 2, 8).team("t", 1, 16).queue("q", "p", {"t"}).build();
+    SingleDispatcher node{document};
+    const core::InstanceId first = startOf(node.arrive("q", "t", true))->upstream;
+    const core::InstanceId other{first == core::InstanceId{"p0"} ? "p1" : "p0"};
+    document.instances.at(other).zone = "b";
+    document.closedZones = {"b"};
+    (void)node.configure(document);
+    CHECK(startOf(node.finishAttempt(1, routing::ExchangeOutcome::NotConnected))->upstream == first);
+    document.instances.at(first).zone = "b";
+    (void)node.configure(document);
+    CHECK(node.finishAttempt(1, routing::ExchangeOutcome::NotConnected).empty());
+}
--- a/test/oleanderwick/maintenance/waves.cpp
+++ b/test/oleanderwick/maintenance/waves.cpp
@@ -299,3 +299,18 @@
     CHECK(list.at(core::InstanceId{"b"}).health == Health::Unknown);
     CHECK_FALSE(maintenance::parsePlatformList("[]").ok());
 }
+
+// Guards against a wave that takes more instances out of service than the budget while a zone is closed as well.
+TEST_CASE("advance counts instances of closed zones against the budget and not as room", "[maintenance]")
+{
+    PoolModel pool{6, 2, 1};
+    maintenance::PoolView view = pool.listed();
+    for (maintenance::InstanceView &instance : view.instances) {
+        instance.zoneClosed = instance.zone == "z0";
+    }
+    CHECK(maintenance::countDown(runningWave(), view) == 2);
+    CHECK(maintenance::advance(runningWave(), view).steps.empty());
+    view.budget = 3;
+    view.demand = 32;
+    CHECK(maintenance::advance(runningWave(), view).reason == "waits: without 'i1' 24 slots stay, the demand is 32");
+}
