Close and open zones at random in the emulator

Closures were tested on single nodes only. The invariant start_in_closed_zone reports a start later than 5 s after the acknowledgement; a test of the checker shows it reported at 5.001 s and not at 5 s.

--- a/src/emulator/deployment.cpp
+++ b/src/emulator/deployment.cpp
@@ -9,15 +9,18 @@
 namespace internal
 {
 
-constexpr std::array<std::string_view, 21> faultKindNames{
+constexpr std::array<std::string_view, 22> faultKindNames{
     "node_kill",        "node_freeze",  "rolling_restart",     "all_nodes_killed", "store_silent",  "store_busy",
     "store_turns_away", "store_slow",   "store_loses_answers", "store_forgets",    "worker_crash",  "worker_cut",
     "worker_slow",      "worker_fails", "worker_hangs",        "orders_late",      "worker_leaves", "wave",
-    "cancellations",    "burst",        "watches_silent",
+    "cancellations",    "burst",        "watches_silent",      "zone_closed",
 };
 /** Kinds that are drawn; a kind that is added doesn't change what a seed draws. */
 constexpr std::size_t drawnKinds = static_cast<std::size_t>(FaultKind::Burst) + 1;
 constexpr int maxFaults = 8;
+constexpr int maxZoneClosures = 3;
+/** Distinguishes the generator of the closures from that of the other faults. */
+constexpr std::uint64_t zoneClosureSeed = 0x7a6f6e65;
 
 } // namespace internal
 
@@ -59,4 +62,19 @@
     return faults;
 }
 
+std::vector<Fault> drawZoneClosures(const Deployment &deployment, std::uint64_t seed)
+{
+    std::mt19937_64 random{seed ^ internal::zoneClosureSeed};
+    std::uniform_int_distribution<int> count{1, internal::maxZoneClosures};
+    std::uniform_real_distribution<double> at{0.5, deployment.loadDurationS * 0.7};
+    // Some closures last longer than the 5 s after which the invariant holds, some end before.
+    std::uniform_real_distribution<double> duration{2.0, 14.0};
+    std::uniform_real_distribution<double> zone{0.0, 1.0};
+    std::vector<Fault> closures;
+    for (int index = count(random); index > 0; --index) {
+        closures.push_back(Fault{FaultKind::ZoneClosed, at(random), duration(random), zone(random)});
+    }
+    return closures;
+}
+
 } // namespace oleanderwick::emulator
--- a/src/emulator/deployment.hpp
+++ b/src/emulator/deployment.hpp
@@ -58,6 +58,7 @@
     Cancellations, /**< Half of the jobs are cancelled right after they were accepted. */
     Burst, /**< One queue receives additional jobs at four times its base rate. */
     StoreWatchesSilent, /**< Watches deliver nothing for 1 to 3.4 s at a time, each time until a compaction; `drawFaults` doesn't draw it. */
+    ZoneClosed, /**< Operators close the zone that `share` selects, and open it after the duration; `drawZoneClosures` draws it. */
 };
 
 /** @brief One fault of a simulation. */
@@ -65,7 +66,8 @@
     FaultKind kind{FaultKind::NodeKill};
     double startS{0.0};
     double durationS{3.0};
-    double share{0.2}; /**< Share of the nodes (the owner first) or workers, at least one, or of the instances; scales `LateCommands`; some kinds ignore it. */
+    double share{0.2}; /**< Share of the nodes (the owner first) or workers, at least one, or of the instances; scales `LateCommands`; some kinds ignore it. For
+                          `ZoneClosed` it is the position of the zone among all zones. */
 
     [[nodiscard]] bool operator==(const Fault &) const = default;
 };
@@ -78,6 +80,7 @@
     int teams{4};
     std::int64_t teamCpuLimit{0}; /**< Upper limit of each team in thousandths of a core; 0 for none. */
     int instancesPerRack{4};
+    int zones{3}; /**< Availability zones, among which the racks are spread. */
     double peakDurationS{6.0}; /**< Duration of a peak; the queues peak one after the other. */
     double peakFactor{3.0}; /**< Factor on a queue's rate during its peak. */
     double loadDurationS{24.0}; /**< Time during which jobs are submitted. */
@@ -102,6 +105,14 @@
  */
 [[nodiscard]] std::vector<Fault> drawFaults(const Deployment &deployment, std::uint64_t seed);
 
+/**
+ * @brief Draws closures of zones. They have a generator of their own, so that a seed still draws the same other faults.
+ * @param deployment Deployment whose load duration limits when zones are closed.
+ * @param seed Seed of the random generator.
+ * @return One to three closures of kind `ZoneClosed`, which may overlap.
+ */
+[[nodiscard]] std::vector<Fault> drawZoneClosures(const Deployment &deployment, std::uint64_t seed);
+
 /**
  * @brief Names a kind of fault.
  * @param kind Kind of fault.
--- a/src/emulator/judge.cpp
+++ b/src/emulator/judge.cpp
@@ -199,6 +199,15 @@
     }
 }
 
+void InvariantChecker::checkZone(const WorkerModel &worker, const EmulatedRun &run, core::TimePoint now)
+{
+    const auto closed = m_zoneClosedSince.find(worker.entry.zone);
+    if (closed != m_zoneClosedSince.end() && now - closed->second > m_tolerances.zoneClosedWithin) {
+        const double lateS = std::chrono::duration<double>{now - closed->second}.count();
+        addViolation("start_in_closed_zone", absl::StrCat(toText(run.task), " on=", worker.entry.id, " zone=", closed->first, " closed_for_s=", lateS), now);
+    }
+}
+
 void InvariantChecker::checkTeam(const EmulatedRun &run, core::TimePoint now)
 {
     const std::string &team = m_jobs.at(run.task.job).job.team;
@@ -217,6 +226,7 @@
 void InvariantChecker::started(const WorkerModel &worker, const EmulatedRun &run, const jobs::StartCommand &command, core::TimePoint now)
 {
     ++m_starts;
+    checkZone(worker, run, now);
     checkJob(command, now);
     if (m_jobs.contains(run.task.job)) {
         checkTask(worker, run, now);
@@ -273,6 +283,16 @@
     m_drainingSince.try_emplace(worker, now);
 }
 
+void InvariantChecker::zoneClosed(const std::string &zone, core::TimePoint now)
+{
+    m_zoneClosedSince.try_emplace(zone, now);
+}
+
+void InvariantChecker::zoneOpened(const std::string &zone)
+{
+    m_zoneClosedSince.erase(zone);
+}
+
 void InvariantChecker::commandReceived(const std::string &instance, std::int64_t token, core::TimePoint now)
 {
     const auto last = m_lastCommand.find(instance);
--- a/src/emulator/judge.hpp
+++ b/src/emulator/judge.hpp
@@ -31,6 +31,7 @@
     struct Tolerances {
         core::Duration cancelWithin{std::chrono::seconds{3}}; /**< A cancelled job may start tasks for this long. */
         core::Duration drainWithin{std::chrono::seconds{2}}; /**< A draining worker may get starts for this long. */
+        core::Duration zoneClosedWithin{std::chrono::seconds{5}}; /**< Workers of a closed zone may get starts for this long after the acknowledgement. */
         core::Duration visibleWithin{std::chrono::seconds{3}}; /**< An accepted job may be missing for this long. */
         core::Duration maxPendingAge{std::chrono::seconds{2}}; /**< Age that a number of pending jobs may have, in addition to `visibleWithin`. */
         core::Duration minOwnerGap{std::chrono::seconds{3}}; /**< Minimum time between commands with different fencing tokens to one instance. */
@@ -61,6 +62,10 @@
     void acknowledged(const jobs::ReportedEnd &end);
     void workerLost(const WorkerModel &worker);
     void draining(const std::string &worker, core::TimePoint now);
+    /** The closure of a zone was acknowledged to an operator. */
+    void zoneClosed(const std::string &zone, core::TimePoint now);
+    /** An operator asked to open a zone. */
+    void zoneOpened(const std::string &zone);
     /** Sets the end of a store fault; until `storeSettleTime` after it, starts on draining workers are no violation. */
     void storeFaultUntil(core::TimePoint until);
     /** @} */
@@ -108,6 +113,7 @@
     void checkTask(const WorkerModel &worker, const EmulatedRun &run, core::TimePoint now);
     void checkStepOrder(const EmulatedRun &run, core::TimePoint now);
     void checkPlacement(const WorkerModel &worker, const EmulatedRun &run, core::TimePoint now);
+    void checkZone(const WorkerModel &worker, const EmulatedRun &run, core::TimePoint now);
     void checkTeam(const EmulatedRun &run, core::TimePoint now);
     [[nodiscard]] bool allDone(const JobView &view) const;
     [[nodiscard]] bool hasStarted(const std::string &job) const;
@@ -117,6 +123,7 @@
     std::map<jobs::TaskName, TaskView> m_tasks;
     core::TimePoint m_storeSettledAt;
     std::map<std::string, core::TimePoint> m_drainingSince;
+    std::map<std::string, core::TimePoint> m_zoneClosedSince;
     std::map<std::string, std::pair<std::int64_t, core::TimePoint>> m_lastCommand; /**< Token and time by instance. */
     std::map<std::string, jobs::Resources> m_teamLimits;
     std::map<std::string, jobs::Resources> m_teamUse;
--- a/src/emulator/links.cpp
+++ b/src/emulator/links.cpp
@@ -329,7 +329,7 @@
     m_simulation.m_timeline.after(internal::oneWayLatency, [this, reply = std::move(onReply)] {
         Instances listed;
         for (const std::pair<const std::string, EmulatedInstance> &item : m_simulation.m_instances) {
-            listed[item.first] = jobs::InstanceEntry{item.first, item.second.pool, item.second.worker, item.second.state, {}, {}};
+            listed[item.first] = jobs::InstanceEntry{item.first, item.second.pool, item.second.worker, item.second.state, {}, item.second.zone};
         }
         m_executor.after(internal::oneWayLatency, [reply, listed] {
             reply(listed);
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -91,7 +91,9 @@
         for (int index = 0; index < pool.instances; ++index, ++number) {
             EmulatedInstance instance;
             instance.pool = pool.name;
-            instance.rack = absl::StrCat("rack-", number / std::max(m_deployment.instancesPerRack, 1));
+            const int rack = number / std::max(m_deployment.instancesPerRack, 1);
+            instance.rack = absl::StrCat("rack-", rack);
+            instance.zone = absl::StrCat("zone-", rack % std::max(m_deployment.zones, 1));
             const std::string name = absl::StrFormat("instance-%03d", number);
             m_instances[name] = instance;
             if (!pool.standby) {
@@ -113,6 +115,7 @@
     entry.pool = instance.pool;
     entry.address = entry.id;
     entry.rack = instance.rack;
+    entry.zone = instance.zone;
     entry.labels = {"plain", instance.rack};
     entry.capacity = {plan->cpu, 64'000, 0};
     entry.incarnation = m_lastWorker;
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -26,6 +26,7 @@
     std::uint64_t inTime{0}; /**< Completed within their objective. */
     std::uint64_t late{0}; /**< Completed after their objective, within three times of it. */
     std::uint64_t starts{0}; /**< Runs started on workers. */
+    std::uint64_t zoneClosures{0}; /**< Closures of zones by operators. */
     std::uint64_t polls{0}; /**< Polls of workers. */
     std::uint64_t moves{0}; /**< Instances moved to another pool. */
     std::uint64_t storeCalls{0};
@@ -44,6 +45,7 @@
     jobs::InstanceState state{jobs::InstanceState::Up};
     std::string worker; /**< Worker that runs on it; empty for none. */
     std::string rack;
+    std::string zone;
     std::int64_t wave{0}; /**< Number of its latest maintenance wave. */
 };
 
@@ -128,6 +130,8 @@
     void noteStart(const std::string &worker, const std::string &job);
     void injectWorkerFault(const Fault &fault);
     void startWave(const Fault &fault);
+    void closeZone(const Fault &fault);
+    void openZone(const std::string &zone);
     void injectLoadFault(const Fault &fault);
     void restartWorker(const std::string &name);
     void replaceDrainedWorker(const std::string &name);
@@ -164,6 +168,7 @@
     std::vector<std::shared_ptr<Client>> m_clients;
     double m_cancellationShare{0.0};
     std::int64_t m_lastWave{0};
+    std::map<std::string, int> m_zoneClosures; /**< Number of closures in force by zone. */
     std::int64_t m_lastJob{0};
     std::uint64_t m_continuousExpected{0};
     std::uint64_t m_continuousRunning{0};
--- a/src/emulator/world_troubles.cpp
+++ b/src/emulator/world_troubles.cpp
@@ -62,13 +62,13 @@
 void Simulation::injectFault(const Fault &fault)
 {
     /** Handler of each kind, in the order of `FaultKind`. */
-    static constexpr std::array<void (Simulation::*)(const Fault &), 21> handlers{
+    static constexpr std::array<void (Simulation::*)(const Fault &), 22> handlers{
         &Simulation::injectNodeFault,   &Simulation::injectNodeFault,   &Simulation::injectNodeFault,   &Simulation::injectNodeFault,
         &Simulation::injectStoreFault,  &Simulation::injectStoreFault,  &Simulation::injectStoreFault,  &Simulation::injectStoreFault,
         &Simulation::injectStoreFault,  &Simulation::injectStoreFault,  &Simulation::injectWorkerFault, &Simulation::injectWorkerFault,
         &Simulation::injectWorkerFault, &Simulation::injectWorkerFault, &Simulation::injectWorkerFault, &Simulation::injectWorkerFault,
         &Simulation::injectWorkerFault, &Simulation::startWave,         &Simulation::injectLoadFault,   &Simulation::injectLoadFault,
-        &Simulation::injectStoreFault,
+        &Simulation::injectStoreFault,  &Simulation::closeZone,
     };
     (this->*handlers.at(static_cast<std::size_t>(fault.kind)))(fault);
 }
@@ -237,6 +237,33 @@
     (void)m_store.commit(change);
 }
 
+void Simulation::closeZone(const Fault &fault)
+{
+    const int zones = std::max(m_deployment.zones, 1);
+    const int index = std::clamp(static_cast<int>(fault.share * zones), 0, zones - 1);
+    const std::string zone = absl::StrCat("zone-", index);
+    ++m_report.zoneClosures;
+    if (++m_zoneClosures[zone] == 1) {
+        jobs::StoreChange change;
+        change.writes.push_back({absl::StrCat("operators/closed-zones/", zone), "", 0});
+        (void)m_store.commit(change);
+        m_checker.zoneClosed(zone, now());
+    }
+    m_timeline.after(internal::fromS(fault.durationS), [this, zone] {
+        openZone(zone);
+    });
+}
+
+void Simulation::openZone(const std::string &zone)
+{
+    if (--m_zoneClosures[zone] == 0) {
+        m_checker.zoneOpened(zone);
+        jobs::StoreChange change;
+        change.removals.push_back(absl::StrCat("operators/closed-zones/", zone));
+        (void)m_store.commit(change);
+    }
+}
+
 void Simulation::injectLoadFault(const Fault &fault)
 {
     if (fault.kind == FaultKind::Cancellations) {
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -24,6 +24,7 @@
     bool withoutFaults{false};
     bool notifyOwner{false};
     bool silentWatches{false}; /**< Adds 13 s in which the store's watches are silent most of the time, also without other faults. */
+    bool zoneClosures{false}; /**< Adds random closures of zones, also without other faults. */
     bool logs{false};
     std::string svgPath; /**< File for a plot of the last simulation; empty for none. */
 };
@@ -46,6 +47,10 @@
     if (options.silentWatches) {
         fleet.faults.push_back(emulator::Fault{emulator::FaultKind::StoreWatchesSilent, 4.0, 13.0, 1.0});
     }
+    if (options.zoneClosures) {
+        const std::vector<emulator::Fault> closures = emulator::drawZoneClosures(fleet, seed);
+        fleet.faults.insert(fleet.faults.end(), closures.begin(), closures.end());
+    }
     return fleet;
 }
 
@@ -96,6 +101,7 @@
     parser.add_options()("calm", "without faults", cxxopts::value(options.withoutFaults));
     parser.add_options()("notify-owner", "nodes notify the owner of stored jobs", cxxopts::value(options.notifyOwner));
     parser.add_options()("silent-watches", "with silent watches from 4 to 17 s", cxxopts::value(options.silentWatches));
+    parser.add_options()("zone-closures", "operators close and open zones at random", cxxopts::value(options.zoneClosures));
     parser.add_options()("logs", "print the logs of the nodes", cxxopts::value(options.logs));
     parser.add_options()("picture", "file for an SVG plot of the last simulation", cxxopts::value(options.svgPath));
     parser.add_options()("help", "show this text");
--- a/test/emulator/judge.cpp
+++ b/test/emulator/judge.cpp
@@ -243,3 +243,24 @@
     fixture.checker.pendingReported("", 0, asked, asked);
     CHECK(fixture.checker.violations().empty());
 }
+
+// Guards against a checker that doesn't notice starts in a closed zone, or that reports those within the time that a closure may take.
+TEST_CASE("a start in a closed zone is a violation from 5 s after the acknowledgement until it is opened", "[invariant_checker]")
+{
+    InvariantCheckerFixture fixture;
+    fixture.worker.entry.zone = "zone-a";
+    fixture.checker.zoneClosed("zone-a", fixture.now);
+    fixture.checker.zoneClosed("zone-b", fixture.now);
+    fixture.now += std::chrono::seconds{5};
+    fixture.start(fixture.makeRun());
+    fixture.end(fixture.makeRun(), jobs::RunEndKind::Failed);
+    CHECK(fixture.checker.violations().empty());
+    fixture.now += std::chrono::milliseconds{1};
+    const EmulatedRun late = fixture.makeRun(0, 2);
+    fixture.start(late);
+    CHECK(fixture.violatesOnly("start_in_closed_zone"));
+    fixture.end(late, jobs::RunEndKind::Done, 2);
+    fixture.checker.zoneOpened("zone-a");
+    fixture.start(fixture.makeRun(1, 3));
+    CHECK(fixture.violatesOnly("start_in_closed_zone"));
+}
--- a/test/emulator/world.cpp
+++ b/test/emulator/world.cpp
@@ -120,3 +120,29 @@
     CHECK(report.violations.empty());
     CHECK(report.inTime * 10 >= report.jobs * 8);
 }
+
+// Guards against owners that start tasks in a closed zone, lose the closure with a change of owner or a compaction, or never use the zone again.
+TEST_CASE("zones that are closed and opened beside other faults violate no invariant", "[simulation]")
+{
+    for (const FaultKind kind : {FaultKind::NodeKill,
+                                 FaultKind::NodeFreeze,
+                                 FaultKind::AllNodesKilled,
+                                 FaultKind::StoreUnresponsive,
+                                 FaultKind::StoreRefusesSomeNodes,
+                                 FaultKind::StoreCompaction,
+                                 FaultKind::StoreWatchesSilent,
+                                 FaultKind::Wave}) {
+        Deployment fleet = emulator::makeSmallFleet();
+        // The zone stays closed for 11 s; the other fault hits first right after the closure, then when its bound is over.
+        fleet.faults = {Fault{FaultKind::ZoneClosed, 4.0, 11.0, 0.0}, Fault{kind, 4.0, 3.0, 0.4}, Fault{kind, 9.5, 3.0, 0.4}};
+        INFO(emulator::toText(kind));
+        checkSimulation(fleet, 60 + static_cast<std::uint64_t>(kind));
+    }
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U}) {
+        Deployment fleet = emulator::makeSmallFleet();
+        fleet.faults = emulator::drawFaults(fleet, seed);
+        const std::vector<Fault> closures = emulator::drawZoneClosures(fleet, seed);
+        fleet.faults.insert(fleet.faults.end(), closures.begin(), closures.end());
+        checkSimulation(fleet, seed);
+    }
+}
