Ignore SIGHUP on the request path

A node on its own interface ended at SIGHUP, without a graceful stop; one with scheduler settings has ignored it already. Settings apply at the start only, so that there is nothing to read again. The drill hang_up changes all settings files to text that isn't valid and sends SIGHUP to all nodes under load.

--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <random>
 #include <vector>
 
@@ -116,6 +117,8 @@
 
     [[nodiscard]] absl::Status run()
     {
+        // By default SIGHUP ends the process. It needs no action: a changed configuration arrives from the store, and settings apply at the start.
+        (void)std::signal(SIGHUP, SIG_IGN);
         const absl::StatusOr<std::uint16_t> control = m_controlServer.listen(m_settings.control);
         if (!control.ok()) {
             return control.status();
