Test jobs that can't be done and malformed keys of operators

Tests of jobs that fit no worker and of jobs that fail each time, at the scheduler; and a property of the translator: no key or value of operators ends it, and a key that closes a zone is never taken for a configuration or a wave.

--- a/test/oleanderwick/jobs/scheduler.cpp
+++ b/test/oleanderwick/jobs/scheduler.cpp
@@ -566,3 +566,60 @@
     }
     CHECK(saved.size() == 30);
 }
+
+// Guards against jobs that fit on no worker, or fail each time, and keep jobs from running that can be done.
+TEST_CASE("many jobs that can't be done don't keep the others waiting", "[jobs]")
+{
+    constexpr int hopeless = 400;
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    fleet.addWorker("w2");
+    for (int index = 0; index < hopeless; ++index) {
+        jobs::Step tooLarge = JobFleet::makeStep(3);
+        tooLarge.each.cpu = 17'000;
+        fleet.scheduler.addJob(JobFleet::makeJob("large" + std::to_string(index), {tooLarge}), std::nullopt, false, fleet.now);
+    }
+    CHECK(fleet.advance().empty());
+    for (int round = 0; round < 5; ++round) {
+        const std::string id = "done" + std::to_string(round);
+        fleet.scheduler.addJob(JobFleet::makeJob(id, {JobFleet::makeStep(4)}), std::nullopt, false, fleet.now);
+        const std::vector<jobs::StartCommand> starts = fleet.advance();
+        REQUIRE(starts.size() == 4);
+        fleet.accept(starts);
+        for (const jobs::StartCommand &start : starts) {
+            CHECK(start.task.job == id);
+            fleet.end(start, jobs::RunEndKind::Done);
+        }
+        CHECK(fleet.save().at(id).state == jobs::JobState::Completed);
+    }
+}
+
+// Guards against failing jobs that never get their `failed`, since their failures make the workers look bad.
+TEST_CASE("many jobs whose tasks fail each time all end as failed", "[jobs]")
+{
+    constexpr std::size_t failing = 60;
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    fleet.addWorker("w2");
+    for (std::size_t index = 0; index < failing; ++index) {
+        fleet.scheduler.addJob(JobFleet::makeJob("bad" + std::to_string(index), {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    }
+    std::set<std::string> failed;
+    for (int cycle = 0; cycle < 6000 && failed.size() < failing; ++cycle) {
+        const std::vector<jobs::StartCommand> starts = fleet.advance();
+        fleet.accept(starts);
+        for (const jobs::StartCommand &start : starts) {
+            fleet.end(start, jobs::RunEndKind::Failed);
+        }
+        for (const std::string worker : {"w1", "w2"}) {
+            fleet.report(worker, fleet.running[worker], fleet.ends[worker]);
+        }
+        for (const std::pair<const std::string, jobs::JobRecord> &saved : fleet.save()) {
+            if (saved.second.state == jobs::JobState::Failed) {
+                failed.insert(saved.first);
+            }
+        }
+    }
+    INFO("virtual time in s: " << std::chrono::duration<double>(fleet.now - core::TimePoint{std::chrono::seconds{100}}).count());
+    CHECK(failed.size() == failing);
+}
--- a/test/platform/translation.cpp
+++ b/test/platform/translation.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include "platform/ingress.hpp"
 #include "platform/notices.hpp"
@@ -137,3 +138,26 @@
     CHECK(post("") == 400);
     CHECK(platform::handleNotices(http::Request{"GET", platform::noticePath, {}, {}}, node, log).status == 405);
 }
+
+// Guards against an operator's key with an odd name or value that ends the process of each node, or that replaces the configuration.
+TEST_CASE("StoreTranslator takes malformed keys and values of operators, and closures never as configuration", "[platform]")
+{
+    http::Loop loop;
+    jobnode::LogSink log{loop, std::make_unique<jobnode::StandardOutput>()};
+    const bool passed = rc::check("odd keys and values of operators", [&log](const std::string &name, const std::string &odd) {
+        platform::StoreTranslator translator{log};
+        std::string mutated = *rc::gen::element<std::string>(configuration, R"({"wave":3,"machines":["m1","m2"],"duration_s":20,"cap":2})");
+        const std::size_t at = *rc::gen::inRange<std::size_t>(0, mutated.size());
+        mutated.replace(at, *rc::gen::inRange<std::size_t>(0, 8), odd);
+        for (const std::string &value : {odd, mutated, std::string{configuration}}) {
+            const jobnode::OperatorUpdate closure = translator.parseOperatorItem({translator.zoneClosurePrefix() + name, value, 2});
+            RC_ASSERT_FALSE(closure.config.has_value());
+            RC_ASSERT_FALSE(closure.wave.has_value());
+            RC_ASSERT(translator.routes().find("a.example", "/x/") == nullptr);
+        }
+        for (const std::string &key : {std::string{"op/config"}, std::string{"op/wave/3"}, "op/wave/" + name, "op/" + name}) {
+            (void)translator.parseOperatorItem({key, mutated, 3});
+        }
+    });
+    CHECK(passed);
+}
