Test callers that move, 900 more queues and malformed closures

Tests of the loads beside an evacuation: all callers of a team move to the nodes of another zone; a configuration with 900 more queues is read and applied; keys among the closures with odd, empty and very long names and values stop no owner, close no other zone and no worker without a zone.

--- a/test/oleanderwick/dispatch/fleet.cpp
+++ b/test/oleanderwick/dispatch/fleet.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <ctime>
 #include <random>
 
 #include "support/virtual_fleet.hpp"
@@ -336,3 +337,70 @@
     CHECK(wrongDeliveries == 0);
     CHECK(delivered > 50'000);
 }
+
+// Guards against permits that stay at the nodes of a zone that all callers have left, so that the team is short elsewhere.
+TEST_CASE("Dispatchers serve a team's callers that all move to the nodes of another zone", "[dispatch]")
+{
+    const config::Document document = DocumentBuilder{}.pool("p", 20, 8).team("t", 1, 40).queue("q", "p", {"t"}).build();
+    VirtualFleet fleet{fleetSize, document, runTimes(40, 40)};
+    std::size_t turn = 0;
+    const auto sendTo = [&fleet, &turn](std::size_t firstNode) {
+        // 0.7 requests a millisecond need 28 of the 40 permits.
+        return [&fleet, &turn, firstNode] {
+            if (++turn % 10 < 7) {
+                fleet.send(firstNode + turn % 3, "q", "t");
+            }
+        };
+    };
+    std::size_t firstNode = 0;
+    for (int move = 0; move < 4; ++move) {
+        // Permits may take 2 s to move. The 1,400 requests of that time are then served beside new ones by the 12 spare permits, in 4.7 s.
+        const std::size_t moved = fleet.completed().size();
+        fleet.runFor(seconds{7}, sendTo(firstNode));
+        for (std::size_t index = moved; index < fleet.completed().size(); ++index) {
+            CHECK(fleet.completed()[index].delivered);
+            CHECK(fleet.completed()[index].total <= milliseconds{2100});
+        }
+        const std::size_t before = fleet.completed().size();
+        fleet.runFor(seconds{4}, sendTo(firstNode));
+        std::size_t delivered = 0;
+        std::vector<core::Duration> times;
+        for (std::size_t index = before; index < fleet.completed().size(); ++index) {
+            delivered += fleet.completed()[index].delivered ? 1 : 0;
+            times.push_back(fleet.completed()[index].total);
+        }
+        CAPTURE(move);
+        CHECK(delivered == times.size());
+        CHECK(delivered >= 2700);
+        CHECK(percentile(times, 0.99) <= milliseconds{200});
+        firstNode = firstNode == 0 ? 4 : 0;
+    }
+}
+
+// Guards against work for each queue of a large configuration that keeps a node of 0.12 core from applying it within 5 s.
+TEST_CASE("A dispatcher applies a configuration with 900 more queues in 0.5 s of processor time", "[dispatch]")
+{
+    constexpr double maxCpuS = 0.5;
+    constexpr int queues = 900;
+    DocumentBuilder builder = DocumentBuilder{}.pool("p", 350, 8).team("t", 1, 40).queue("q", "p", {"t"});
+    VirtualFleet fleet{1, builder.build(), runTimes(40, 40)};
+    for (int index = 0; index < queues; ++index) {
+        builder.queue("more" + std::to_string(index), "p", {"t"});
+    }
+    config::Record record;
+    record.version = 2;
+    record.document = builder.build();
+    const std::string text = config::toText(record);
+    const std::clock_t start = std::clock();
+    const absl::StatusOr<config::Record> read = config::recordFromText(text);
+    REQUIRE(read.ok());
+    fleet.applyConfiguration(read->document);
+    const double cpuS = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+    INFO("processor time in s: " << cpuS << ", bytes: " << text.size());
+    CHECK(cpuS <= maxCpuS);
+    fleet.send(0, "more" + std::to_string(queues - 1), "t");
+    fleet.runFor(seconds{1}, [] {
+    });
+    REQUIRE(fleet.completed().size() == 1);
+    CHECK(fleet.completed().front().delivered);
+}
--- a/test/oleanderwick/jobnode/zone_closures.cpp
+++ b/test/oleanderwick/jobnode/zone_closures.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include "oleanderwick/jobnode/zone_closures.hpp"
 #include "support/node_fixture.hpp"
@@ -78,3 +79,50 @@
     CHECK(closures.zones() == std::set<std::string>{"b"});
     CHECK(changes >= 2);
 }
+
+// Guards against an operator's key that ends the processes of all nodes at once, since each of them reads it.
+TEST_CASE("a malformed key among the closures of zones stops no owner and closes only the zone that it names", "[jobnode]")
+{
+    const bool passed = rc::check("odd names and values of closures", [](const std::string &name, const std::string &value) {
+        NodeFixture fixture;
+        const std::unique_ptr<jobnode::JobNode> node = fixture.makeNode("n1");
+        fixture.run(std::chrono::seconds{1});
+        const std::size_t repeats = *rc::gen::element<std::size_t>(1, 1, 1, 20'000);
+        std::string zone;
+        for (std::size_t count = 0; count < repeats; ++count) {
+            zone += name;
+        }
+        RC_PRE(zone != "a");
+        fixture.put("op/closed/" + zone, value);
+        fixture.put("op/" + zone, value);
+        fixture.put("op/closed", value);
+        fixture.submit("job");
+        fixture.run(std::chrono::seconds{1});
+        RC_ASSERT(node->isOwner());
+        RC_ASSERT(fixture.workers.starts.size() == 1U);
+        fixture.remove("op/closed/" + zone);
+        fixture.put("op/closed/a", value);
+        fixture.run(std::chrono::milliseconds{20});
+        fixture.submit("next");
+        fixture.run(std::chrono::seconds{1});
+        RC_ASSERT(node->isOwner());
+        RC_ASSERT(fixture.workers.starts.size() == 1U);
+    });
+    CHECK(passed);
+}
+
+// Guards against names at the limits that random names hardly reach: an empty one must not close workers without a zone.
+TEST_CASE("closures with empty, very long and binary names leave open zones in use", "[jobnode]")
+{
+    const std::string zone =
+        GENERATE(std::string{}, std::string(1'000'000, 'x'), std::string("\0\xff\n\"", 4), std::string{"../a"}, std::string{"a/"}, std::string{" a"});
+    NodeFixture fixture;
+    fixture.put("workers/w1", "");
+    const std::unique_ptr<jobnode::JobNode> node = fixture.makeNode("n1");
+    fixture.put("op/closed/" + zone, std::string(1'000'000, '{'));
+    fixture.run(std::chrono::seconds{1});
+    fixture.submit("job");
+    fixture.run(std::chrono::seconds{1});
+    CHECK(node->isOwner());
+    CHECK(fixture.workers.starts.size() == 1);
+}
