Let late work yield its room to timely work

Cause: late runs hold room that jobs which can still meet their objective wait for, often for seconds. Change: LateWorkYield (setting yieldLateWork, off by default) stops late runs with saved progress, and others if the gain by estimates exceeds the work thrown away. Instances that are drained for another serving pool have such runs stopped.

--- a/src/emulator/world_load.cpp
+++ b/src/emulator/world_load.cpp
@@ -72,6 +72,7 @@
         step.each = {queue.cpu, 200, 0};
         step.estimateMs = static_cast<std::int64_t>(queue.workMs);
         step.continuous = continuous;
+        step.savesProgress = m_deployment.savesProgress && !continuous;
         step.maxUnavailable = continuous ? 1 : 0;
         step.maxPerWorker = continuous ? 3 : 0;
         if (index > 0) {
--- a/src/emulator/world_state.hpp
+++ b/src/emulator/world_state.hpp
@@ -35,6 +35,7 @@
 inline jobnode::OwnerOptions ownerOptionsOf(const Deployment &deployment, std::size_t node)
 {
     jobnode::OwnerOptions options;
+    options.scheduler.yieldLateWork = deployment.yieldLateWork;
     options.notifyOwner = deployment.notifyOwner;
     options.noticeAddress = noticeAddress(node);
     return options;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -23,6 +23,8 @@
     double storeLatencyMs{4.0}; /**< Time that the store takes for a call. */
     bool withoutFaults{false};
     bool notifyOwner{false};
+    bool yieldLateWork{false};
+    bool savesProgress{false};
     bool silentWatches{false}; /**< Adds 13 s in which the store's watches are silent most of the time, also without other faults. */
     bool logs{false};
     std::string svgPath; /**< File for a plot of the last simulation; empty for none. */
@@ -43,6 +45,8 @@
         fleet.faults = emulator::drawFaults(fleet, seed);
     }
     fleet.notifyOwner = options.notifyOwner;
+    fleet.yieldLateWork = options.yieldLateWork;
+    fleet.savesProgress = options.savesProgress;
     if (options.silentWatches) {
         fleet.faults.push_back(emulator::Fault{emulator::FaultKind::StoreWatchesSilent, 4.0, 13.0, 1.0});
     }
@@ -95,6 +99,8 @@
     parser.add_options()("store-ms", "time that the store takes for a call, in milliseconds", cxxopts::value(options.storeLatencyMs)->default_value("4"));
     parser.add_options()("calm", "without faults", cxxopts::value(options.withoutFaults));
     parser.add_options()("notify-owner", "nodes notify the owner of stored jobs", cxxopts::value(options.notifyOwner));
+    parser.add_options()("yield-late-work", "late work is stopped while timely work waits", cxxopts::value(options.yieldLateWork));
+    parser.add_options()("saved-progress", "tasks write checkpoints", cxxopts::value(options.savesProgress));
     parser.add_options()("silent-watches", "with silent watches from 4 to 17 s", cxxopts::value(options.silentWatches));
     parser.add_options()("logs", "print the logs of the nodes", cxxopts::value(options.logs));
     parser.add_options()("picture", "file for an SVG plot of the last simulation", cxxopts::value(options.svgPath));
--- a/src/oleanderwick/jobs/candidate.hpp
+++ b/src/oleanderwick/jobs/candidate.hpp
@@ -24,6 +24,12 @@
         return entry->job.steps[step];
     }
 
+    /** @return True for work of a job that will miss its objective or is beyond its team's rate; never for continuous tasks. */
+    [[nodiscard]] bool isLate() const
+    {
+        return !definition().continuous && (slackMs < 0 || entry->beyondRate);
+    }
+
     /** @return Tasks of the step. */
     [[nodiscard]] std::vector<Task> &tasks() const
     {
--- a/src/oleanderwick/jobs/candidate_finder.cpp
+++ b/src/oleanderwick/jobs/candidate_finder.cpp
@@ -13,7 +13,7 @@
 {
 }
 
-void CandidateFinder::addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found) const
+void CandidateFinder::addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, Scope scope, std::vector<Candidate> &found) const
 {
     const QueuePolicy *queue = m_state.findQueue(entry.job.queue);
     const std::int64_t priority = queue == nullptr ? 0 : queue->priority;
@@ -27,7 +27,7 @@
         double slackMs = 0.0;
         bool measured = false;
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            if (!needsTicket && !m_index.mayFit(entry.job.pool, StateTable::demandOf(entry.job.steps[step]))) {
+            if (scope == Scope::Placeable && !needsTicket && !m_index.mayFit(entry.job.pool, StateTable::demandOf(entry.job.steps[step]))) {
                 continue;
             }
             const std::vector<Task> &tasks = occurrence.steps[step].tasks;
@@ -45,7 +45,7 @@
     }
 }
 
-std::vector<Candidate> CandidateFinder::find(core::TimePoint now, std::int64_t wallMs) const
+std::vector<Candidate> CandidateFinder::find(core::TimePoint now, std::int64_t wallMs, Scope scope) const
 {
     std::vector<Candidate> found;
     std::map<std::string, bool> knownPools;
@@ -63,7 +63,7 @@
                 continue;
             }
         }
-        addCandidates(entry, now, wallMs, found);
+        addCandidates(entry, now, wallMs, scope, found);
     }
     return found;
 }
--- a/src/oleanderwick/jobs/candidate_finder.hpp
+++ b/src/oleanderwick/jobs/candidate_finder.hpp
@@ -17,6 +17,12 @@
 class CandidateFinder
 {
 public:
+    /** @brief Which steps are found. */
+    enum class Scope : std::uint8_t {
+        Placeable, /**< Steps that certainly find no room are left out, unless they need tickets. */
+        All, /**< All steps that are ready; the index of workers is not used. */
+    };
+
     /**
      * @brief Creates the object for one owner's term.
      * @param state State of the scheduler; must outlive this object.
@@ -30,12 +36,13 @@
      * @brief Finds the candidates of a placement.
      * @param now Current time of the monotonic clock.
      * @param wallMs Unix time in milliseconds.
-     * @return The candidates in the order of their jobs' names; steps that certainly find no room are left out, unless they need tickets.
+     * @param scope Which steps are found.
+     * @return The candidates in the order of their jobs' names.
      */
-    [[nodiscard]] std::vector<Candidate> find(core::TimePoint now, std::int64_t wallMs) const;
+    [[nodiscard]] std::vector<Candidate> find(core::TimePoint now, std::int64_t wallMs, Scope scope = Scope::Placeable) const;
 
 private:
-    void addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found) const;
+    void addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, Scope scope, std::vector<Candidate> &found) const;
 
     StateTable &m_state;
     const WorkerLeases &m_leases;
--- a/src/oleanderwick/jobs/codec.cpp
+++ b/src/oleanderwick/jobs/codec.cpp
@@ -151,8 +151,11 @@
         }
         occurrences.push_back(json::array({entry.first, std::move(steps)}));
     }
-    return json{{"state", static_cast<int>(record.state)}, {"ended", record.endedMs}, {"next", record.nextOccurrence}, {"runs", std::move(occurrences)}}.dump(
-        -1, ' ', false, json::error_handler_t::replace);
+    json value{{"state", static_cast<int>(record.state)}, {"ended", record.endedMs}, {"next", record.nextOccurrence}, {"runs", std::move(occurrences)}};
+    if (record.yields > 0) {
+        value["yields"] = record.yields;
+    }
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 absl::StatusOr<JobRecord> progressFromRecord(const std::string &text)
@@ -167,6 +170,7 @@
         record.state = static_cast<JobState>(state);
         value.at("ended").get_to(record.endedMs);
         value.at("next").get_to(record.nextOccurrence);
+        record.yields = value.value("yields", std::int64_t{0});
         for (const json &entry : value.at("runs")) {
             std::vector<std::vector<TaskRecord>> &steps = record.occurrences[entry.at(0).get<std::int64_t>()];
             for (const json &rows : entry.at(1)) {
--- a/src/oleanderwick/jobs/job_progress.cpp
+++ b/src/oleanderwick/jobs/job_progress.cpp
@@ -66,6 +66,7 @@
         entry.state = record->state;
         entry.storedState = record->state;
         entry.nextOccurrence = record->nextOccurrence;
+        entry.yields = record->yields;
         for (const std::pair<const std::int64_t, std::vector<std::vector<TaskRecord>>> &saved : record->occurrences) {
             openOccurrence(entry, saved.first, &saved.second);
         }
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -344,6 +344,8 @@
             commandMove(entry->second, moving.to, scheduler, now);
         } else if (now - moving.since >= internal::drainTimeout) {
             cancelDrain(id, scheduler);
+        } else if (!scheduler.isStandby(moving.to)) {
+            scheduler.yieldWorker(moving.worker, now);
         }
     }
 }
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -8,6 +8,7 @@
 #include "candidate_order.hpp"
 #include "job_estimates.hpp"
 #include "job_progress.hpp"
+#include "late_work_yield.hpp"
 #include "load_meter.hpp"
 #include "run_end_acks.hpp"
 #include "run_tracker.hpp"
@@ -41,6 +42,7 @@
 struct Scheduler::Components {
     Components(const SchedulerLimits &limits, core::TimePoint termStart)
         : leases{state, limits, termStart}
+        , yields{{state, estimates, loads, finder, chooser, stopper, output}, limits.yieldLateWork}
     {
     }
 
@@ -69,6 +71,7 @@
     CandidateFinder finder{state, leases, estimates, index};
     std::unique_ptr<CandidateOrder> order{std::make_unique<SlackOrder>(loads)};
     WorkerChooser chooser{state, tickets, health, index};
+    LateWorkYield yields;
     TaskPlacer placer{{state, leases, tickets, index, finder, *order, chooser, output}};
 };
 
@@ -177,6 +180,11 @@
     m_components->evacuation.evacuate(id, now);
 }
 
+void Scheduler::yieldWorker(const std::string &id, core::TimePoint now)
+{
+    m_components->yields.yieldWorker(id, now);
+}
+
 void Scheduler::setClosedZones(std::set<std::string> zones)
 {
     m_components->zones.setClosedZones(std::move(zones));
@@ -193,6 +201,7 @@
     m_components->runs.advance(now);
     m_components->jobs.advance(now, wallMs);
     m_components->loads.advance(now, wallMs);
+    m_components->yields.advance(now, wallMs);
     m_components->placer.advance(now, wallMs);
 }
 
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -173,6 +173,15 @@
      */
     void evacuate(const std::string &id, core::TimePoint now);
 
+    /**
+     * @brief Stops the runs on a worker that is to leave its pool, if all of them are late and save progress.
+     *
+     * Without effect unless `SchedulerLimits::yieldLateWork` is set.
+     * @param id Name of the worker; ignored if unknown.
+     * @param now Current time of the monotonic clock.
+     */
+    void yieldWorker(const std::string &id, core::TimePoint now);
+
     /**
      * @brief Replaces the closed zones. Workers of a closed zone get no new work; those of an opened zone get work at once.
      * @param zones Names of all closed zones.
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -94,6 +94,9 @@
     std::int64_t activeTasks{0}; /**< Number of active tasks. */
     bool allSpeculative{false}; /**< All steps are speculative, so that duplicate runs are harmless. */
     double criticalPathMs{0}; /**< Estimated duration of the critical path. */
+    bool beyondRate{false};
+    std::int64_t yields{0}; /**< See `JobRecord::yields`. */
+    core::TimePoint yieldedAt; /**< Start of the last yield. */
 };
 
 /** @brief Run end that is acknowledged to the worker once the job's state is stored. */
@@ -123,6 +126,7 @@
     bool pollInFlight{false}; /**< A poll is in flight. */
     bool unresponsive{false}; /**< The last poll failed. */
     Resources used; /**< Demand of the runs that are or may be on the worker. */
+    Resources promised; /**< Free room that late work must leave to tasks for which runs were stopped. */
     std::map<TaskName, std::int64_t> runs; /**< Run number by task, for the runs that are or may be on the worker. */
     std::int64_t lastEnd{0}; /**< Highest number of a run end that was processed. */
     std::int64_t storedEnd{0}; /**< Run ends up to this number are stored. */
--- a/src/oleanderwick/jobs/worker_chooser.cpp
+++ b/src/oleanderwick/jobs/worker_chooser.cpp
@@ -120,9 +120,15 @@
 }
 
 bool WorkerChooser::canPlace(const Worker &worker, const Candidate &candidate, core::TimePoint now) const
+{
+    const Resources available = worker.entry.capacity - worker.used - (candidate.isLate() ? worker.promised : Resources{});
+    return fits(StateTable::demandOf(candidate.definition()), available) && isSuitable(worker, candidate, now);
+}
+
+bool WorkerChooser::isSuitable(const Worker &worker, const Candidate &candidate, core::TimePoint now) const
 {
     const Step &step = candidate.definition();
-    if (!m_health.mayStart(worker, now) || !fits(StateTable::demandOf(step), worker.entry.capacity - worker.used)) {
+    if (!m_health.mayStart(worker, now)) {
         return false;
     }
     const std::vector<std::string> &labels = worker.entry.labels;
--- a/src/oleanderwick/jobs/worker_chooser.hpp
+++ b/src/oleanderwick/jobs/worker_chooser.hpp
@@ -37,6 +37,15 @@
      */
     [[nodiscard]] Worker *choose(const Candidate &candidate, Choices &choices, core::TimePoint now);
 
+    /**
+     * @brief Checks whether a worker can take a task of a step once it has room for it.
+     * @param worker Worker to check.
+     * @param candidate Step of the task.
+     * @param now Current time of the monotonic clock.
+     * @return True if nothing but room can be missing.
+     */
+    [[nodiscard]] bool isSuitable(const Worker &worker, const Candidate &candidate, core::TimePoint now) const;
+
 private:
     /** Function that adds a cost to the sum of those before it; adding one by one keeps the rounding of equal sums equal. */
     using AddCost = double (WorkerChooser::*)(double cost, const Worker &worker, const Candidate &candidate) const;
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -99,6 +99,7 @@
         {"parkAfterMs", milliseconds(&JobSettings::parkAfter)},
         {"reserveInstances", factor(&JobSettings::reserveInstances)},
         {"notifyOwner", flag(&JobSettings::notifyOwner)},
+        {"yieldLateWork", flag(&JobSettings::yieldLateWork)},
     };
     return table;
 }
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -34,6 +34,7 @@
     core::Duration parkAfter{std::chrono::milliseconds{1800}}; /**< Time for which a pool must have a surplus before one of its instances goes to standby. */
     double reserveInstances{1}; /**< Number of instances kept in each pool beyond its need. */
     bool notifyOwner{false}; /**< Notify the owner of stored jobs and cancels, so that it knows of them while the store's watches are silent. */
+    bool yieldLateWork{false}; /**< Stop late work while work that can meet its objective waits for its room. */
 
     [[nodiscard]] bool operator==(const JobSettings &) const = default;
 };
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -41,6 +41,7 @@
 {
     jobnode::OwnerOptions options;
     options.scheduler.maxLease = settings.longestLease;
+    options.scheduler.yieldLateWork = settings.yieldLateWork;
     options.notifyOwner = settings.notifyOwner;
     options.noticeAddress = settings.internal;
     options.commandDelay = settings.orderPause;
--- a/test/oleanderwick/jobs/codec.cpp
+++ b/test/oleanderwick/jobs/codec.cpp
@@ -24,12 +24,21 @@
     jobs::JobRecord record;
     record.state = jobs::JobState::Running;
     record.nextOccurrence = 2;
+    record.yields = 1;
     record.occurrences[1] = {{{true, {}, 1, ""}, {false, {}, 0, ""}, {false, {2, 4}, 5, "cp"}}, {}};
     const absl::StatusOr<jobs::JobRecord> read = jobs::progressFromRecord(jobs::toRecord(record));
     REQUIRE(read.ok());
     CHECK(*read == record);
 }
 
+TEST_CASE("the record of a job that has not yielded is the same as before yields were counted", "[jobs]")
+{
+    // Guards against records that a node of an earlier version wrote, or has to read.
+    const std::string earlier = R"({"ended":0,"next":0,"runs":[],"state":0})";
+    CHECK(jobs::toRecord(jobs::JobRecord{}) == earlier);
+    CHECK(jobs::progressFromRecord(earlier)->yields == 0);
+}
+
 TEST_CASE("malformed records are rejected", "[jobs]")
 {
     for (const char *text : {"", "[]", "{}", R"({"state":9,"ended":0,"next":0,"runs":[]})", R"({"state":1,"ended":0,"next":0,"runs":[[0]]})"}) {
