Take the progress of runs into account when late work is chosen to yield

Cause: the slack of the order of candidates counts a running step as not begun, so that jobs were stopped that would have met their objective. Change: a running job is late by its slack without the work that its runs have done (JobEstimates::runningSlackMs).

--- a/src/oleanderwick/jobs/job_estimates.cpp
+++ b/src/oleanderwick/jobs/job_estimates.cpp
@@ -35,13 +35,54 @@
 }
 
 double JobEstimates::slackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const
+{
+    return timeToObjectiveMs(entry, occurrence, wallMs) - criticalPathMs(entry.job, &occurrence);
+}
+
+double JobEstimates::runningSlackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, core::TimePoint now) const
+{
+    const Job &job = entry.job;
+    std::vector<double> ends(job.steps.size(), 0.0);
+    double longest = 0.0;
+    for (std::size_t index = 0; index < job.steps.size(); ++index) {
+        double start = 0.0;
+        for (const std::size_t before : job.steps[index].after) {
+            start = std::max(start, before < index ? ends[before] : 0.0);
+        }
+        ends[index] = start + remainingMs(job.steps[index], occurrence.steps[index], now);
+        longest = std::max(longest, ends[index]);
+    }
+    return timeToObjectiveMs(entry, occurrence, wallMs) - longest;
+}
+
+double JobEstimates::remainingMs(const Step &step, const StepState &state, core::TimePoint now)
+{
+    const double estimateMs = static_cast<double>(step.estimateMs);
+    double longest = 0.0;
+    for (const Task &task : state.tasks) {
+        if (task.record.done) {
+            continue;
+        }
+        double remaining = estimateMs;
+        if (task.isActive()) {
+            // Reports of progress may be seconds old, and a run that resumed from a checkpoint has less left than its start says.
+            const double workedMs = static_cast<double>(core::milliseconds(now - task.startedAt));
+            const double doneMs = std::max(workedMs, estimateMs * static_cast<double>(task.percent) / 100.0);
+            remaining = std::max(estimateMs - doneMs, 0.0);
+        }
+        longest = std::max(longest, remaining);
+    }
+    return longest;
+}
+
+double JobEstimates::timeToObjectiveMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const
 {
     static const QueuePolicy unknownQueue;
     const QueuePolicy *known = m_state.findQueue(entry.job.queue);
     const QueuePolicy &policy = known == nullptr ? unknownQueue : *known;
     const std::int64_t releaseMs = occurrence.dueMs > 0 ? occurrence.dueMs : entry.job.submittedMs;
     const double objective = policy.criticalPathFactor * entry.criticalPathMs + static_cast<double>(policy.objectiveMs);
-    return static_cast<double>(releaseMs - wallMs) + objective - criticalPathMs(entry.job, &occurrence);
+    return static_cast<double>(releaseMs - wallMs) + objective;
 }
 
 } // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/job_estimates.hpp
+++ b/src/oleanderwick/jobs/job_estimates.hpp
@@ -41,7 +41,22 @@
      */
     [[nodiscard]] double slackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const;
 
+    /**
+     * @brief Estimates the slack of a job of which tasks are running; unlike for `slackMs`, what these have done no longer counts as remaining.
+     * @param entry Job.
+     * @param occurrence Occurrence of the job.
+     * @param wallMs Unix time in milliseconds.
+     * @param now Current time of the monotonic clock.
+     * @return Time in milliseconds; negative if the objective will be missed although the running tasks go on.
+     */
+    [[nodiscard]] double runningSlackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, core::TimePoint now) const;
+
 private:
+    /** Estimated time until the last task of a step ends, if those that do not run start now. */
+    [[nodiscard]] static double remainingMs(const Step &step, const StepState &state, core::TimePoint now);
+    /** Time until the objective in milliseconds; negative once it has passed. */
+    [[nodiscard]] double timeToObjectiveMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const;
+
     const StateTable &m_state;
 };
 
--- a/src/oleanderwick/jobs/late_work_yield.cpp
+++ b/src/oleanderwick/jobs/late_work_yield.cpp
@@ -342,7 +342,7 @@
     if (!movable || !internal::mayYield(entry, *reference.task, now)) {
         return std::nullopt;
     }
-    const double slackMs = m_with.estimates.slackMs(entry, entry.occurrences.at(name.occurrence), wallMs);
+    const double slackMs = m_with.estimates.runningSlackMs(entry, entry.occurrences.at(name.occurrence), wallMs, now);
     if (slackMs >= 0 && !entry.beyondRate) {
         return std::nullopt;
     }
--- a/test/oleanderwick/jobs/late_work_yield.cpp
+++ b/test/oleanderwick/jobs/late_work_yield.cpp
@@ -190,6 +190,20 @@
     CHECK(fixture.takeStops().empty());
 }
 
+TEST_CASE("a job that meets its objective if its run goes on is not late", "[late_work]")
+{
+    // Guards against stops of jobs that have too little time left to start anew, but not to go on.
+    YieldFixture fixture{1};
+    fixture.add("running", makeLongStep(4), 1000);
+    REQUIRE(fixture.advance().size() == 1);
+    fixture.fleet.report("w0", {{{"running", 0, 0, 0}, 1, "", 0, 0}}, {});
+    fixture.fleet.running["w0"] = {{{"running", 0, 0, 0}, 1, "", 0, 0}};
+    (void)fixture.advance(std::chrono::seconds{3});
+    fixture.add("timely", makeLongStep(4), 1000);
+    (void)fixture.advance(std::chrono::milliseconds{300});
+    CHECK(fixture.takeStops().empty());
+}
+
 TEST_CASE("only a task that can be in time and gains by the room causes stops", "[late_work]")
 {
     const auto stopsFor = [](const std::function<void(YieldFixture &)> &addWaiting) {
