--- a/src/oleanderwick/jobs/candidate_finder.cpp
+++ b/src/oleanderwick/jobs/candidate_finder.cpp
@@ -26,7 +26,7 @@
 {
 }
 
-void CandidateFinder::addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, std::vector<Candidate> &found) const
+void CandidateFinder::addCandidates(JobEntry &entry, core::TimePoint now, std::int64_t wallMs, Scope scope, std::vector<Candidate> &found) const
 {
     const QueuePolicy *queue = m_state.findQueue(entry.job.queue);
     const std::int64_t priority = queue == nullptr ? 0 : queue->priority;
@@ -41,7 +41,7 @@
         bool measured = false;
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             const bool withoutRoom = !needsTicket && !m_index.mayFit(entry.job.pool, StateTable::demandOf(entry.job.steps[step]));
-            if (withoutRoom && !m_includeWithoutRoom) {
+            if (withoutRoom && scope == Scope::Placeable && !m_includeWithoutRoom) {
                 continue;
             }
             const Step &definition = entry.job.steps[step];
@@ -65,7 +65,7 @@
     }
 }
 
-std::vector<Candidate> CandidateFinder::find(core::TimePoint now, std::int64_t wallMs) const
+std::vector<Candidate> CandidateFinder::find(core::TimePoint now, std::int64_t wallMs, Scope scope) const
 {
     std::vector<Candidate> found;
     std::map<std::string, bool> knownPools;
@@ -83,7 +83,7 @@
                 continue;
             }
         }
-        addCandidates(entry, now, wallMs, found);
+        addCandidates(entry, now, wallMs, scope, found);
     }
     return found;
 }
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -10,6 +10,7 @@
 #include "job_classifier.hpp"
 #include "job_estimates.hpp"
 #include "job_progress.hpp"
+#include "late_work_yield.hpp"
 #include "load_meter.hpp"
 #include "run_end_acks.hpp"
 #include "run_tracker.hpp"
@@ -47,6 +48,7 @@
         , leases{state, limits, termStart}
         , finder{state, leases, estimates, index, limits.teamShares}
         , order{makeOrder(limits)}
+        , yields{{state, estimates, loads, finder, chooser, stopper, output}, limits.yieldLateWork}
         , placer{{state, leases, tickets, index, finder, *order, chooser, output}}
     {
     }
@@ -85,6 +87,7 @@
     CandidateFinder finder;
     std::unique_ptr<CandidateOrder> order;
     WorkerChooser chooser{state, tickets, health, index};
+    LateWorkYield yields;
     TaskPlacer placer;
 };
 
@@ -193,6 +196,11 @@
     m_components->evacuation.evacuate(id, now);
 }
 
+void Scheduler::yieldWorker(const std::string &id, core::TimePoint now)
+{
+    m_components->yields.yieldWorker(id, now);
+}
+
 void Scheduler::setClosedZones(std::set<std::string> zones)
 {
     m_components->zones.setClosedZones(std::move(zones));
@@ -210,6 +218,7 @@
     m_components->classifier.advance(now, wallMs);
     m_components->jobs.advance(now, wallMs);
     m_components->loads.advance(now, wallMs);
+    m_components->yields.advance(now, wallMs);
     m_components->placer.advance(now, wallMs);
 }
 
--- a/src/oleanderwick/jobs/scheduler_limits.hpp
+++ b/src/oleanderwick/jobs/scheduler_limits.hpp
@@ -13,6 +13,7 @@
     bool teamShares{false}; /**< Jobs have a class by the rate of their team, and teams share full pools by weight. */
     core::Duration teamRateWindow{std::chrono::seconds{5}}; /**< Time for whose jobs at its rate a team may have saved up. */
     bool attributeFailures{false}; /**< Tell tasks that fail on sound workers apart from workers that fail every task. */
+    bool yieldLateWork{false}; /**< Stop late work while timely work waits for its room. */
 
     [[nodiscard]] bool operator==(const SchedulerLimits &) const = default;
 };
--- a/src/oleanderwick/jobs/worker_chooser.cpp
+++ b/src/oleanderwick/jobs/worker_chooser.cpp
@@ -182,9 +182,15 @@
 }
 
 bool WorkerChooser::canPlace(const Worker &worker, const Candidate &candidate, core::TimePoint now) const
+{
+    const Resources available = worker.entry.capacity - worker.used - (candidate.isLate() ? worker.promised : Resources{});
+    return fits(StateTable::demandOf(candidate.definition()), available) && isSuitable(worker, candidate, now);
+}
+
+bool WorkerChooser::isSuitable(const Worker &worker, const Candidate &candidate, core::TimePoint now) const
 {
     const Step &step = candidate.definition();
-    if (!fits(StateTable::demandOf(step), worker.entry.capacity - worker.used) || !couldPlace(worker, candidate, now)) {
+    if (!couldPlace(worker, candidate, now)) {
         return false;
     }
     if (!m_health.mayStartJob(worker, candidate.entry->job.id, now)) {
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -102,6 +102,7 @@
         {"teamShares", flag(&JobSettings::teamShares)},
         {"teamRateWindowS", seconds(&JobSettings::teamRateWindow)},
         {"attributeFailures", flag(&JobSettings::attributeFailures)},
+        {"yieldLateWork", flag(&JobSettings::yieldLateWork)},
     };
     return table;
 }
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -37,6 +37,7 @@
     bool teamShares{false}; /**< Give room in full pools to teams by their weights, first for jobs within the rate of their team. */
     core::Duration teamRateWindow{std::chrono::seconds{5}}; /**< Time for whose jobs at its rate a team may have saved up. */
     bool attributeFailures{false}; /**< Tell tasks that fail on sound workers apart from workers that fail every task. */
+    bool yieldLateWork{false}; /**< Stop late work while work that can meet its objective waits for its room. */
 
     [[nodiscard]] bool operator==(const JobSettings &) const = default;
 };
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -45,6 +45,7 @@
     options.scheduler.teamRateWindow = settings.teamRateWindow;
     options.balancing.divideScarceInstances = settings.teamShares;
     options.scheduler.attributeFailures = settings.attributeFailures;
+    options.scheduler.yieldLateWork = settings.yieldLateWork;
     options.notifyOwner = settings.notifyOwner;
     options.noticeAddress = settings.internal;
     options.commandDelay = settings.orderPause;
