--- a/test/platform/translation.cpp
+++ b/test/platform/translation.cpp
@@ -27,6 +27,7 @@
     REQUIRE(parsed.has_value());
     const jobs::FleetConfig &fleet = *parsed->second.config;
     CHECK(parsed->second.configVersion == 7);
+    CHECK(fleet.teams.at("t1").rate == 2.5);
     CHECK(fleet.queues.at("q1") == jobs::QueuePolicy{"s1", 1, 3, 1.5, 600, false});
     CHECK(fleet.queues.at("q2").needsTicket);
     CHECK_FALSE(fleet.pools.at("s1").workersEnforceCapacity);
