Show teams' shares and late jobs as metrics

Cause: an operator could not see which team has how much of a pool, nor which share it is entitled to. Change: with teamShares the owner measures once a second, by pool and team, share, entitled share, waiting jobs and jobs beyond the rate, and by queue late jobs; the figures go when the term ends.

--- a/src/oleanderwick/fairness/share_table.cpp
+++ b/src/oleanderwick/fairness/share_table.cpp
@@ -69,6 +69,12 @@
     return use == nullptr ? 0.0 : use->debt;
 }
 
+double ShareTable::entitledShare(const std::string &pool, const std::string &team) const
+{
+    const Use *use = findUse(pool, team);
+    return use == nullptr ? 0.0 : use->entitledShare;
+}
+
 std::map<std::string, double> ShareTable::shares(const std::string &pool) const
 {
     std::map<std::string, double> found;
@@ -90,7 +96,9 @@
     const double kept = std::exp(-std::max(0.0, elapsed.count()) / internal::debtTimeConstant.count());
     for (std::pair<const std::string, Use> &item : state.uses) {
         const auto portion = entitled.find(item.first);
-        const double excess = portion == entitled.end() ? 0.0 : std::max(0.0, dominantShare(state.capacity, item.second.amounts) - portion->second);
+        const double share = dominantShare(state.capacity, item.second.amounts);
+        item.second.entitledShare = portion == entitled.end() ? share : portion->second;
+        const double excess = std::max(0.0, share - item.second.entitledShare);
         item.second.debt = item.second.debt * kept + excess * (1.0 - kept);
     }
 }
--- a/src/oleanderwick/fairness/share_table.hpp
+++ b/src/oleanderwick/fairness/share_table.hpp
@@ -49,6 +49,14 @@
      */
     [[nodiscard]] double debt(const std::string &pool, const std::string &team) const;
 
+    /**
+     * @brief Says to which share a team was entitled at the last update of the debts.
+     * @param pool Name of the pool.
+     * @param team Name of the team.
+     * @return Its entitled share if the pool was full, otherwise the share that it had.
+     */
+    [[nodiscard]] double entitledShare(const std::string &pool, const std::string &team) const;
+
     /** @return Shares of all teams that have had a use of a pool. @param pool Name of the pool. */
     [[nodiscard]] std::map<std::string, double> shares(const std::string &pool) const;
 
@@ -64,6 +72,7 @@
     struct Use {
         Amounts amounts{};
         double debt{0.0};
+        double entitledShare{0.0};
     };
 
     struct Pool {
--- a/src/oleanderwick/jobnode/job_metrics.cpp
+++ b/src/oleanderwick/jobnode/job_metrics.cpp
@@ -1,6 +1,7 @@
 #include "job_metrics.hpp"
 
 #include <map>
+#include <utility>
 
 #include <absl/strings/str_cat.h>
 
@@ -37,6 +38,7 @@
     std::map<std::string, std::int64_t> gauges;
     std::map<std::pair<std::string, std::string>, internal::Series> series;
     std::map<std::string, internal::Series> intake; /**< By source. */
+    jobs::TeamFigures teams;
 };
 
 JobMetrics::JobMetrics()
@@ -71,6 +73,11 @@
     m_state->gauges[name] = value;
 }
 
+void JobMetrics::setTeamFigures(jobs::TeamFigures figures)
+{
+    m_state->teams = std::move(figures);
+}
+
 std::string JobMetrics::toText() const
 {
     std::string text;
@@ -80,6 +87,16 @@
     for (const std::pair<const std::string, std::uint64_t> &event : m_state->events) {
         absl::StrAppend(&text, "oleanderwick_events_total{event=\"", event.first, "\"} ", event.second, "\n");
     }
+    for (const std::pair<const std::pair<std::string, std::string>, jobs::TeamUse> &entry : m_state->teams.uses) {
+        const std::string labels = absl::StrCat("{pool=\"", entry.first.first, "\",team=\"", entry.first.second, "\"} ");
+        absl::StrAppend(&text, "oleanderwick_team_share", labels, entry.second.share, "\n");
+        absl::StrAppend(&text, "oleanderwick_team_entitled_share", labels, entry.second.entitledShare, "\n");
+        absl::StrAppend(&text, "oleanderwick_team_waiting_jobs", labels, entry.second.waitingJobs, "\n");
+        absl::StrAppend(&text, "oleanderwick_team_beyond_rate_jobs", labels, entry.second.beyondRateJobs, "\n");
+    }
+    for (const std::pair<const std::string, std::int64_t> &queue : m_state->teams.lateJobs) {
+        absl::StrAppend(&text, "oleanderwick_late_jobs{queue=\"", queue.first, "\"} ", queue.second, "\n");
+    }
     for (const std::pair<const std::pair<std::string, std::string>, internal::Series> &entry : m_state->series) {
         const std::string labels = absl::StrCat("team=\"", entry.first.first, "\",queue=\"", entry.first.second, "\"");
         telemetry::appendHistogram(text, "oleanderwick_job_seconds", labels, entry.second.durations, entry.second.sum);
--- a/src/oleanderwick/jobnode/job_metrics.hpp
+++ b/src/oleanderwick/jobnode/job_metrics.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "../core/core.hpp"
+#include "../jobs/commands.hpp"
 
 namespace oleanderwick::jobnode
 {
@@ -47,6 +48,12 @@
      */
     void setGauge(const std::string &name, std::int64_t value);
 
+    /**
+     * @brief Replaces the figures about teams and queues, which only the owner has.
+     * @param figures New figures; empty ones when the node ceases to be the owner.
+     */
+    void setTeamFigures(jobs::TeamFigures figures);
+
     /** @return All metrics in the Prometheus text format, times in seconds. */
     [[nodiscard]] std::string toText() const;
 
--- a/src/oleanderwick/jobnode/owner_term.cpp
+++ b/src/oleanderwick/jobnode/owner_term.cpp
@@ -464,6 +464,7 @@
 OwnerTerm::~OwnerTerm()
 {
     m_state->stopped = true;
+    m_state->log.metrics().setTeamFigures({});
     m_state->missedChanges.reset();
     m_state->cancelWatcher.reset();
     m_state->jobWatcher.reset();
--- a/src/oleanderwick/jobnode/owner_term_commands.cpp
+++ b/src/oleanderwick/jobnode/owner_term_commands.cpp
@@ -16,6 +16,9 @@
 /** Evacuations and maintenance examine each worker and each instance of a wave, so they don't run in each cycle. */
 constexpr core::Duration evacuationInterval = std::chrono::milliseconds{20};
 
+/** Interval at which the metrics of teams are measured, which examines every job. */
+constexpr core::Duration teamRecordInterval = std::chrono::seconds{1};
+
 } // namespace internal
 
 void OwnerTerm::State::evacuateDraining(core::TimePoint now)
@@ -54,9 +57,18 @@
     removeExpired();
     listInstances();
     logDecisions();
+    recordTeams(now);
     lastCycleDuration = executor.now() - now;
 }
 
+void OwnerTerm::State::recordTeams(core::TimePoint now)
+{
+    if (options.scheduler.teamShares && now - teamsRecordedAt >= internal::teamRecordInterval) {
+        teamsRecordedAt = now;
+        log.metrics().setTeamFigures(scheduler.measureTeams(executor.wallMs()));
+    }
+}
+
 void OwnerTerm::State::sendCommands()
 {
     saveUsedWorkers();
--- a/src/oleanderwick/jobnode/owner_term_state.hpp
+++ b/src/oleanderwick/jobnode/owner_term_state.hpp
@@ -86,6 +86,7 @@
     /** @} */
 
     void logDecisions();
+    void recordTeams(core::TimePoint now);
     void logDecision(const jobs::Decision &decision);
     [[nodiscard]] bool isActive() const;
 
@@ -107,6 +108,7 @@
     core::TimePoint lastCycleAt;
     core::Duration lastCycleDuration{};
     core::TimePoint lastEvacuationAt;
+    core::TimePoint teamsRecordedAt;
 
     std::map<std::string, jobs::JobRecord> storedStates; /**< States by job id; empty once the state has been restored. */
     /** Jobs with the store revisions of their records, by id; empty once the state has been restored. */
--- a/src/oleanderwick/jobs/commands.hpp
+++ b/src/oleanderwick/jobs/commands.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "table.hpp"
@@ -92,6 +94,22 @@
     [[nodiscard]] bool operator==(const PoolLoad &) const = default;
 };
 
+/** @brief What a team has and waits for in a pool. */
+struct TeamUse {
+    double share{0.0}; /**< Dominant share of what runs over the capacity of the pool. */
+    double entitledShare{0.0}; /**< Share by weight, up to the need, while the pool is full; otherwise the same as `share`. */
+    std::int64_t waitingJobs{0}; /**< Jobs that have not ended and of which no task is active. */
+    std::int64_t beyondRateJobs{0}; /**< Jobs that have not ended and are beyond the rate of the team. */
+
+    [[nodiscard]] bool operator==(const TeamUse &) const = default;
+};
+
+/** @brief Figures about teams and queues, for metrics. */
+struct TeamFigures {
+    std::map<std::pair<std::string, std::string>, TeamUse> uses; /**< By pool and team. */
+    std::map<std::string, std::int64_t> lateJobs; /**< Jobs that can't meet their objective, by queue. */
+};
+
 /** @brief Scheduling decision, to be logged. */
 struct Decision {
     std::string event;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -1,5 +1,6 @@
 #include "scheduler.hpp"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -293,6 +294,33 @@
     return m_components->loads.loads();
 }
 
+TeamFigures Scheduler::measureTeams(std::int64_t wallMs) const
+{
+    TeamFigures figures;
+    const StateTable &state = m_components->state;
+    for (const std::pair<const std::string, JobEntry> &item : state.jobs()) {
+        const JobEntry &entry = item.second;
+        if (isFinal(entry.state)) {
+            continue;
+        }
+        TeamUse &use = figures.uses[{entry.job.pool, entry.job.team}];
+        use.waitingJobs += entry.activeTasks == 0 ? 1 : 0;
+        use.beyondRateJobs += entry.beyondRate ? 1 : 0;
+        const bool late = std::any_of(entry.occurrences.begin(), entry.occurrences.end(), [&](const std::pair<const std::int64_t, Occurrence> &occurrence) {
+            return occurrence.second.remainingSteps > 0 && m_components->estimates.slackMs(entry, occurrence.second, wallMs) < 0;
+        });
+        figures.lateJobs[entry.job.queue] += late ? 1 : 0;
+    }
+    for (const std::pair<const std::string, PoolPolicy> &pool : state.config().pools) {
+        for (const std::pair<const std::string, double> &share : state.shares().shares(pool.first)) {
+            TeamUse &use = figures.uses[{pool.first, share.first}];
+            use.share = share.second;
+            use.entitledShare = state.shares().entitledShare(pool.first, share.first);
+        }
+    }
+    return figures;
+}
+
 std::uint64_t Scheduler::usedWorkersVersion() const noexcept
 {
     return m_components->state.usedWorkersVersion();
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -275,6 +275,13 @@
     /** @return Load by pool, without standby pools, as last measured by `advance`. */
     [[nodiscard]] const std::map<std::string, PoolLoad> &poolLoads() const noexcept;
 
+    /**
+     * @brief Measures what teams have and wait for; examines every job.
+     * @param wallMs Unix time in milliseconds.
+     * @return The figures; shares are 0 unless `SchedulerLimits::teamShares` is set.
+     */
+    [[nodiscard]] TeamFigures measureTeams(std::int64_t wallMs) const;
+
     /** @return Number that changes with each change of `usedWorkers`. */
     [[nodiscard]] std::uint64_t usedWorkersVersion() const noexcept;
 
--- a/test/oleanderwick/jobnode/job_service.cpp
+++ b/test/oleanderwick/jobnode/job_service.cpp
@@ -154,7 +154,13 @@
     metrics.count("refused");
     metrics.recordJob("team", "queue", std::chrono::seconds{1});
     metrics.setGauge("owner", 1);
+    metrics.setTeamFigures({{{{"pool", "team"}, {0.5, 0.25, 3, 2}}}, {{"queue", 4}}});
     const std::string text = metrics.toText();
+    CHECK(text.find("oleanderwick_team_share{pool=\"pool\",team=\"team\"} 0.5\n") != std::string::npos);
+    CHECK(text.find("oleanderwick_team_entitled_share{pool=\"pool\",team=\"team\"} 0.25\n") != std::string::npos);
+    CHECK(text.find("oleanderwick_team_waiting_jobs{pool=\"pool\",team=\"team\"} 3\n") != std::string::npos);
+    CHECK(text.find("oleanderwick_team_beyond_rate_jobs{pool=\"pool\",team=\"team\"} 2\n") != std::string::npos);
+    CHECK(text.find("oleanderwick_late_jobs{queue=\"queue\"} 4\n") != std::string::npos);
     CHECK(text.find("oleanderwick_owner 1\n") != std::string::npos);
     CHECK(text.find("oleanderwick_events_total{event=\"refused\"} 1\n") != std::string::npos);
     CHECK(text.find("oleanderwick_job_seconds_count{team=\"team\",queue=\"queue\"} 1\n") != std::string::npos);
--- a/test/oleanderwick/jobs/fair_shares.cpp
+++ b/test/oleanderwick/jobs/fair_shares.cpp
@@ -180,7 +180,11 @@
     CHECK(fleet.scheduler.poolLoads().at("pool").waitingLateCpu == 1000);
     add("d", fleet.wallMs(), false);
     CHECK(fleet.scheduler.findJob("d")->beyondRate);
+    const jobs::TeamFigures figures = fleet.scheduler.measureTeams(fleet.wallMs());
+    CHECK(figures.uses.at({"pool", "team"}) == jobs::TeamUse{0.0, 0.0, 4, 2});
+    CHECK(figures.lateJobs.at("queue") == 0);
     (void)fleet.advance(std::chrono::milliseconds{2600});
+    CHECK(fleet.scheduler.measureTeams(fleet.wallMs()).lateJobs.at("queue") == 4);
     add("e", fleet.wallMs(), false);
     CHECK_FALSE(fleet.scheduler.findJob("e")->beyondRate);
     CHECK(fleet.scheduler.findJob("d")->beyondRate);
