Let tasks wait for the rack of their data while it pays

Cause: a task whose rack is full starts on another rack at once, where it takes remote_factor times as long, even if its own rack has room a moment later. Change: with remoteFactor above 1 a task waits while the expected wait, with the time waited so far, is shorter than what the far run loses, and within its slack. Tasks that wait book the expected room, so that others overflow. The default of 1 keeps today's behaviour.

--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -9,6 +9,7 @@
 #include "job_estimates.hpp"
 #include "job_progress.hpp"
 #include "load_meter.hpp"
+#include "rack_wait.hpp"
 #include "run_end_acks.hpp"
 #include "run_tracker.hpp"
 #include "save_queue.hpp"
@@ -42,6 +43,7 @@
     Components(const SchedulerLimits &limits, core::TimePoint termStart)
         : health{state, output, limits.attributeFailures}
         , leases{state, limits, termStart}
+        , racks{state, health, index, limits.remoteFactor}
     {
     }
 
@@ -67,10 +69,11 @@
     ZoneEvacuation zones{{state, loads, evacuation, output}};
 
     WorkerIndex index;
+    RackWait racks;
     CandidateFinder finder{state, leases, estimates, index};
     std::unique_ptr<CandidateOrder> order{std::make_unique<SlackOrder>(loads)};
     WorkerChooser chooser{state, tickets, health, index};
-    TaskPlacer placer{{state, leases, tickets, index, finder, *order, chooser, output}};
+    TaskPlacer placer{{state, leases, tickets, index, finder, *order, chooser, racks, output}};
 };
 
 Scheduler::Scheduler(const SchedulerLimits &limits, core::TimePoint now)
--- a/src/oleanderwick/jobs/task_placer.cpp
+++ b/src/oleanderwick/jobs/task_placer.cpp
@@ -29,6 +29,7 @@
 void TaskPlacer::place(core::TimePoint now, std::int64_t wallMs)
 {
     m_with.index.rebuild(m_with.state);
+    m_with.racks.begin(now);
     m_with.order.arrange(m_with.finder.find(now, wallMs));
     for (const Candidate *candidate = m_with.order.next(); candidate != nullptr; candidate = m_with.order.next()) {
         if (candidate->needsTicket) {
@@ -77,6 +78,9 @@
         if (worker == nullptr) {
             break;
         }
+        if (!retried && m_with.racks.shouldWait(candidate, index, *worker, now)) {
+            continue;
+        }
         startTask(candidate, index, *worker, task.record.lastRun + 1, now);
         absl::StrAppend(&placed, placed.empty() ? "" : ",", index, ":", worker->entry.id, ":", task.run);
         if (retried) {
--- a/src/oleanderwick/jobs/task_placer.hpp
+++ b/src/oleanderwick/jobs/task_placer.hpp
@@ -5,6 +5,7 @@
 
 #include "candidate_finder.hpp"
 #include "candidate_order.hpp"
+#include "rack_wait.hpp"
 #include "scheduler_output.hpp"
 #include "ticket_table.hpp"
 #include "worker_chooser.hpp"
@@ -26,6 +27,7 @@
         const CandidateFinder &finder;
         CandidateOrder &order;
         WorkerChooser &chooser;
+        RackWait &racks;
         SchedulerOutput &output;
     };
 
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -100,6 +100,7 @@
         {"reserveInstances", factor(&JobSettings::reserveInstances)},
         {"notifyOwner", flag(&JobSettings::notifyOwner)},
         {"attributeFailures", flag(&JobSettings::attributeFailures)},
+        {"remoteFactor", factor(&JobSettings::remoteFactor)},
     };
     return table;
 }
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -35,6 +35,7 @@
     double reserveInstances{1}; /**< Number of instances kept in each pool beyond its need. */
     bool notifyOwner{false}; /**< Notify the owner of stored jobs and cancels, so that it knows of them while the store's watches are silent. */
     bool attributeFailures{false}; /**< Tell tasks that fail on sound workers apart from workers that fail every task. */
+    double remoteFactor{1.0}; /**< Factor on the duration of a task away from the rack of its data; 1 if unknown. */
 
     [[nodiscard]] bool operator==(const JobSettings &) const = default;
 };
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -42,6 +42,7 @@
     jobnode::OwnerOptions options;
     options.scheduler.maxLease = settings.longestLease;
     options.scheduler.attributeFailures = settings.attributeFailures;
+    options.scheduler.remoteFactor = settings.remoteFactor;
     options.notifyOwner = settings.notifyOwner;
     options.noticeAddress = settings.internal;
     options.commandDelay = settings.orderPause;
