--- a/src/oleanderwick/jobnode/owner_term.cpp
+++ b/src/oleanderwick/jobnode/owner_term.cpp
@@ -7,7 +7,6 @@
 #include <absl/strings/str_cat.h>
 
 #include "keys.hpp"
-#include "queue_age_gauges.hpp"
 
 namespace oleanderwick::jobnode
 {
@@ -437,7 +436,6 @@
 
 OwnerTerm::~OwnerTerm()
 {
-    clearQueueAges(m_state->log.metrics(), m_state->scheduler.queueAgesMs());
     m_state->stopped = true;
     m_state->missedChanges.reset();
     m_state->cancelWatcher.reset();
--- a/src/oleanderwick/jobnode/queue_age_gauges.cpp
+++ b/src/oleanderwick/jobnode/queue_age_gauges.cpp
@@ -22,11 +22,4 @@
     }
 }
 
-void clearQueueAges(JobMetrics &metrics, const std::map<std::string, std::int64_t> &agesMs)
-{
-    for (const std::pair<const std::string, std::int64_t> &age : agesMs) {
-        metrics.setGauge(internal::gaugeName(age.first), 0);
-    }
-}
-
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/queue_age_gauges.hpp
+++ b/src/oleanderwick/jobnode/queue_age_gauges.hpp
@@ -16,11 +16,4 @@
  */
 void setQueueAges(JobMetrics &metrics, const std::map<std::string, std::int64_t> &agesMs);
 
-/**
- * @brief Sets the gauges of all queues to 0, since only the owner knows the ages.
- * @param metrics Metrics of the node.
- * @param agesMs Ages of the term that ends, by queue.
- */
-void clearQueueAges(JobMetrics &metrics, const std::map<std::string, std::int64_t> &agesMs);
-
 } // namespace oleanderwick::jobnode
--- a/test/oleanderwick/jobs/failure_attribution.cpp
+++ b/test/oleanderwick/jobs/failure_attribution.cpp
@@ -126,7 +126,8 @@
             const std::int64_t durationMs = fails ? 60 : fleet.scheduler.findJob(start.task.job)->job.steps[0].estimateMs;
             runs.push_back({start, fleet.now + std::chrono::milliseconds{durationMs}, fails ? jobs::RunEndKind::Failed : jobs::RunEndKind::Done});
         }
-        std::map<std::string, std::pair<std::vector<jobs::ReportedRun>, std::vector<jobs::ReportedEnd>>> reports;
+        using Report = std::pair<std::vector<jobs::ReportedRun>, std::vector<jobs::ReportedEnd>>;
+        std::map<std::string, Report> reports;
         for (const Run &run : runs) {
             if (run.endsAt <= fleet.now) {
                 reports[run.start.worker].second.push_back({++lastEnd[run.start.worker], run.start.task, run.start.run, run.kind, ""});
@@ -137,7 +138,7 @@
         std::erase_if(runs, [&fleet](const Run &run) {
             return run.endsAt <= fleet.now;
         });
-        for (const auto &report : reports) {
+        for (const std::pair<const std::string, Report> &report : reports) {
             fleet.report(report.first, report.second.first, report.second.second);
         }
         for (const jobs::Decision &decision : fleet.scheduler.takeDecisions()) {
