Keep the stopped node of a test until its timers are gone

Cause: the test destroyed a node whose log timer still ran, which reads freed memory and crashed once the layout of the heap had changed. The conditions that the test checks are unchanged.

--- a/test/oleanderwick/jobnode/zone_closures.cpp
+++ b/test/oleanderwick/jobnode/zone_closures.cpp
@@ -31,7 +31,7 @@
     CHECK(fixture.log.metrics().toText().find("oleanderwick_closed_zones 1\n") != std::string::npos);
     const std::unique_ptr<jobnode::JobNode> next = fixture.makeNode("n2");
     node->stop();
-    node.reset();
+    // The node stays until the end, since its timers refer to it.
     fixture.run(std::chrono::seconds{2});
     REQUIRE(next->isOwner());
     CHECK(fixture.workers.starts.empty());
