--- a/src/oleanderwick/jobs/job_estimates.cpp
+++ b/src/oleanderwick/jobs/job_estimates.cpp
@@ -34,6 +34,11 @@
     });
 }
 
+std::int64_t JobEstimates::releaseMs(const Job &job, const Occurrence &occurrence)
+{
+    return occurrence.dueMs > 0 ? occurrence.dueMs : job.submittedMs;
+}
+
 double JobEstimates::objectiveMs(const JobEntry &entry) const
 {
     static const QueuePolicy unknownQueue;
@@ -85,8 +90,7 @@
 
 double JobEstimates::timeToObjectiveMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const
 {
-    const std::int64_t releaseMs = occurrence.dueMs > 0 ? occurrence.dueMs : entry.job.submittedMs;
-    return static_cast<double>(releaseMs - wallMs) + objectiveMs(entry);
+    return static_cast<double>(releaseMs(entry.job, occurrence) - wallMs) + objectiveMs(entry);
 }
 
 } // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/job_estimates.hpp
+++ b/src/oleanderwick/jobs/job_estimates.hpp
@@ -58,6 +58,14 @@
      */
     [[nodiscard]] double runningSlackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, core::TimePoint now) const;
 
+    /**
+     * @brief Determines from when the time of an occurrence counts.
+     * @param job Job of the occurrence.
+     * @param occurrence Occurrence of the job.
+     * @return Unix time in milliseconds at which it was due, or was submitted if it does not repeat.
+     */
+    [[nodiscard]] static std::int64_t releaseMs(const Job &job, const Occurrence &occurrence);
+
 private:
     /** Estimated time until the last task of a step ends, if those that do not run start now. */
     [[nodiscard]] static double remainingMs(const Step &step, const StepState &state, core::TimePoint now);
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -13,6 +13,8 @@
 #include "job_progress.hpp"
 #include "late_work_yield.hpp"
 #include "load_meter.hpp"
+#include "queue_ages.hpp"
+#include "rack_wait.hpp"
 #include "run_end_acks.hpp"
 #include "run_tracker.hpp"
 #include "save_queue.hpp"
@@ -47,10 +49,11 @@
         : classifier{state, limits, output}
         , health{state, output, limits.attributeFailures}
         , leases{state, limits, termStart}
+        , racks{state, health, index, limits.remoteFactor}
         , finder{state, leases, estimates, index, limits.teamShares}
         , order{makeOrder(limits)}
         , yields{{state, estimates, loads, finder, chooser, stopper, output}, limits.yieldLateWork}
-        , placer{{state, leases, tickets, index, finder, *order, chooser, output}}
+        , placer{{state, leases, tickets, index, finder, *order, chooser, racks, output}}
     {
     }
 
@@ -68,6 +71,7 @@
     JobEstimates estimates{state};
     LoadMeter loads{state, estimates};
     JobClassifier classifier;
+    QueueAges ages{state, estimates, output};
     SaveQueue saves{state};
     RunEndAcks acks{state};
     TicketTable tickets{state};
@@ -85,6 +89,7 @@
     ZoneEvacuation zones{{state, loads, evacuation, output}};
 
     WorkerIndex index;
+    RackWait racks;
     CandidateFinder finder;
     std::unique_ptr<CandidateOrder> order;
     WorkerChooser chooser{state, tickets, health, index};
@@ -219,6 +224,7 @@
     m_components->classifier.advance(now, wallMs);
     m_components->jobs.advance(now, wallMs);
     m_components->loads.advance(now, wallMs);
+    m_components->ages.advance(now, wallMs);
     m_components->yields.advance(now, wallMs);
     m_components->placer.advance(now, wallMs);
 }
@@ -331,6 +337,11 @@
     return figures;
 }
 
+const std::map<std::string, std::int64_t> &Scheduler::queueAgesMs() const noexcept
+{
+    return m_components->ages.agesMs();
+}
+
 std::uint64_t Scheduler::usedWorkersVersion() const noexcept
 {
     return m_components->state.usedWorkersVersion();
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -291,6 +291,9 @@
      */
     [[nodiscard]] TeamFigures measureTeams(std::int64_t wallMs) const;
 
+    /** @return Age of the oldest unfinished job in milliseconds by queue, as last measured by `advance`; jobs with continuous tasks don't count. */
+    [[nodiscard]] const std::map<std::string, std::int64_t> &queueAgesMs() const noexcept;
+
     /** @return Number that changes with each change of `usedWorkers`. */
     [[nodiscard]] std::uint64_t usedWorkersVersion() const noexcept;
 
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -103,6 +103,7 @@
         {"teamRateWindowS", seconds(&JobSettings::teamRateWindow)},
         {"attributeFailures", flag(&JobSettings::attributeFailures)},
         {"yieldLateWork", flag(&JobSettings::yieldLateWork)},
+        {"remoteFactor", factor(&JobSettings::remoteFactor)},
     };
     return table;
 }
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -38,6 +38,7 @@
     core::Duration teamRateWindow{std::chrono::seconds{5}}; /**< Time for whose jobs at its rate a team may have saved up. */
     bool attributeFailures{false}; /**< Tell tasks that fail on sound workers apart from workers that fail every task. */
     bool yieldLateWork{false}; /**< Stop late work while work that can meet its objective waits for its room. */
+    double remoteFactor{1.0}; /**< Factor on the duration of a task away from the rack of its data; 1 if unknown. */
 
     [[nodiscard]] bool operator==(const JobSettings &) const = default;
 };
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -46,6 +46,7 @@
     options.balancing.divideScarceInstances = settings.teamShares;
     options.scheduler.attributeFailures = settings.attributeFailures;
     options.scheduler.yieldLateWork = settings.yieldLateWork;
+    options.scheduler.remoteFactor = settings.remoteFactor;
     options.notifyOwner = settings.notifyOwner;
     options.noticeAddress = settings.internal;
     options.commandDelay = settings.orderPause;
--- a/test/oleanderwick/settings/job_settings.cpp
+++ b/test/oleanderwick/settings/job_settings.cpp
@@ -9,7 +9,7 @@
     const std::string text =
         "scheduler:\n  node: n1\n  callers: 127.0.0.1:1\n  readiness: 127.0.0.1:2\n  internal: 127.0.0.1:3\n  store: 127.0.0.1:4\n"
         "  peers: [\"127.0.0.1:5\"]\n  longestLeaseMs: 4000\n  keepEndedS: 1.5\n  processorShare: 0.25\n  notifyOwner: true\n  attributeFailures: true\n  "
-        "yieldLateWork: true\n  teamShares: true\n  teamRateWindowS: 2.5\n";
+        "yieldLateWork: true\n  teamShares: true\n  teamRateWindowS: 2.5\n  remoteFactor: 2.5\n";
     REQUIRE(settings::isJobSettings(text));
     const absl::StatusOr<settings::JobSettings> read = settings::parseJobSettings(text);
     REQUIRE(read.ok());
@@ -20,6 +20,7 @@
     CHECK(read->yieldLateWork);
     CHECK(read->teamShares);
     CHECK(read->teamRateWindow == std::chrono::milliseconds{2500});
+    CHECK(read->remoteFactor == 2.5);
     CHECK(read->peers == std::vector<std::string>{"127.0.0.1:5"});
 }
 
