Record refusals of jobs so that they stay true

A refused job could still be stored by a delayed write of an earlier attempt. JobService::refuse writes q/r/ID, bound to a lease that outlives delayed writes, on condition that the job isn't stored; submissions depend on the absence or the known revision of that record. Off by default: without the option a submission's change is unchanged.

--- a/src/oleanderwick/jobnode/job_service.cpp
+++ b/src/oleanderwick/jobnode/job_service.cpp
@@ -16,6 +16,17 @@
 constexpr core::Duration refusalTimeout = std::chrono::milliseconds{500};
 /** Time reserved before the submitter's deadline for the transfer of the reply. */
 constexpr core::Duration replyMargin = std::chrono::milliseconds{150};
+/** Conflicts with records of refusals after which a submission waits before it is repeated, or a refusal is given up. */
+constexpr int maxImmediateRepeats = 3;
+
+/** Returns the item of a key, or null if the reply has none. */
+const jobs::StoreItem *findItem(const jobs::StoreReply &reply, const std::string &key)
+{
+    const auto item = std::find_if(reply.items.begin(), reply.items.end(), [&key](const jobs::StoreItem &candidate) {
+        return candidate.key == key;
+    });
+    return item == reply.items.end() ? nullptr : &*item;
+}
 
 } // namespace internal
 
@@ -29,13 +40,17 @@
     core::Duration retryDelay{internal::minRetryDelay};
     bool outcomeUnknown{false}; /**< A write got no usable reply, or a read failed; the call is then not reported as NotStored. */
     int attempts{0};
+    std::optional<jobs::Job> job; /**< Job of a submission that heeds refusals. */
+    RefusalRecord refusal; /**< Record of an earlier refusal on which the change depends. */
     OnReply onReply;
 };
 
-JobService::JobService(core::Executor &executor, jobs::CoordinationStore &store, LogSink &log)
+JobService::JobService(core::Executor &executor, jobs::CoordinationStore &store, LogSink &log, bool heedsRefusals)
     : m_executor{executor}
     , m_store{store}
     , m_log{log}
+    , m_heedsRefusals{heedsRefusals}
+    , m_refusalLease{executor, store}
 {
 }
 
@@ -50,9 +65,16 @@
     return call;
 }
 
-void JobService::submit(const jobs::Job &job, core::TimePoint deadline, OnReply onReply)
+void JobService::submit(const jobs::Job &job, core::TimePoint deadline, OnReply onReply, const RefusalRecord &refusal)
 {
     const std::shared_ptr<Call> call = makeCall("submit", job.id, deadline, std::move(onReply));
+    if (m_heedsRefusals) {
+        call->job = job;
+        call->refusal = refusal;
+        prepareSubmission(*call);
+        commit(call);
+        return;
+    }
     const std::string key = keys::jobPrefix + job.id;
     const std::string marker = keys::queuedPrefixOf(job.queue) + job.id;
     // The condition for the marker lets the store's client repeat the change, as it then only creates keys.
@@ -65,6 +87,10 @@
 {
     ++call->attempts;
     m_store.commit(call->change, [this, call](const jobs::StoreReply &reply) {
+        if (reply.outcome == jobs::StoreOutcome::Conflict && call->job.has_value()) {
+            handleSubmitConflict(call, reply);
+            return;
+        }
         if (reply.outcome == jobs::StoreOutcome::Done || reply.outcome == jobs::StoreOutcome::Conflict) {
             call->revision = reply.revision;
             // A conflict means that the record exists already, from an earlier attempt or from the same call on another node.
@@ -78,6 +104,128 @@
     });
 }
 
+void JobService::prepareSubmission(Call &call)
+{
+    jobs::Job job = *call.job;
+    if (call.refusal.firstMs > 0) {
+        job.submittedMs = std::min(job.submittedMs, call.refusal.firstMs);
+    }
+    const std::string key = keys::jobPrefix + job.id;
+    const std::string marker = keys::queuedPrefixOf(job.queue) + job.id;
+    const std::string refusalKey = keys::refusalPrefix + job.id;
+    call.change = {};
+    call.change.conditions = {{key, 0}, {marker, 0}, {refusalKey, call.refusal.revision}};
+    call.change.writes = {{key, jobs::toRecord(job), 0}, {marker, "1", 0}};
+    if (call.refusal.revision != 0) {
+        call.change.removals = {refusalKey};
+    }
+}
+
+void JobService::handleSubmitConflict(const std::shared_ptr<Call> &call, const jobs::StoreReply &reply)
+{
+    const jobs::StoreItem *refusal = internal::findItem(reply, keys::refusalPrefix + call->id);
+    if (internal::findItem(reply, keys::jobPrefix + call->id) != nullptr) {
+        call->revision = reply.revision;
+        finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
+    } else if (refusal != nullptr && refusal->revision != call->refusal.revision) {
+        repeatSubmission(call, refusalFromItem(*refusal));
+    } else if (internal::findItem(reply, keys::queuedPrefixOf(call->job->queue) + call->id) != nullptr) {
+        // Only the marker of the job exists; this is answered as without refusals.
+        call->revision = reply.revision;
+        finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
+    } else {
+        // The record of the refusal has expired or was removed, or the reply came without its items.
+        lookUpConflict(call);
+    }
+}
+
+void JobService::lookUpConflict(const std::shared_ptr<Call> &call)
+{
+    read(call, keys::jobPrefix + call->id, [this, call](const jobs::StoreReply &job) {
+        if (job.outcome == jobs::StoreOutcome::Done) {
+            call->revision = job.items.empty() ? 0 : job.items.front().revision;
+            finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
+            return;
+        }
+        read(call, keys::refusalPrefix + call->id, [this, call](const jobs::StoreReply &refusal) {
+            const bool isFound = refusal.outcome == jobs::StoreOutcome::Done && !refusal.items.empty();
+            repeatSubmission(call, isFound ? refusalFromItem(refusal.items.front()) : RefusalRecord{call->refusal.firstMs, 0});
+        });
+    });
+}
+
+void JobService::repeatSubmission(const std::shared_ptr<Call> &call, const RefusalRecord &refusal)
+{
+    call->refusal = refusal;
+    prepareSubmission(*call);
+    if (call->attempts <= internal::maxImmediateRepeats) {
+        commit(call);
+        return;
+    }
+    retry(call, [this](const std::shared_ptr<Call> &retried) {
+        commit(retried);
+    });
+}
+
+void JobService::findRefusal(const std::string &id, OnRefusal onRefusal)
+{
+    m_store.read(keys::refusalPrefix + id, [found = std::move(onRefusal)](const jobs::StoreReply &reply) {
+        const bool isFound = reply.outcome == jobs::StoreOutcome::Done && !reply.items.empty();
+        found(isFound ? refusalFromItem(reply.items.front()) : RefusalRecord{});
+    });
+}
+
+void JobService::refuse(const std::string &id, core::TimePoint deadline, OnReply onReply, const RefusalRecord &refusal)
+{
+    const std::shared_ptr<Call> call = makeCall("refuse", id, deadline, std::move(onReply));
+    call->refusal = refusal;
+    m_refusalLease.obtain([this, call](const std::optional<RefusalLease::Grant> &grant) {
+        if (!m_heedsRefusals || !grant.has_value() || !RefusalLease::outlivesDelayedWrites(*grant, m_executor.now())) {
+            finish(*call, JobReply{JobCallOutcome::NotRefused, {}, 0});
+            return;
+        }
+        writeRefusal(call, *grant);
+    });
+}
+
+void JobService::writeRefusal(const std::shared_ptr<Call> &call, const RefusalLease::Grant &grant)
+{
+    ++call->attempts;
+    const std::string key = keys::refusalPrefix + call->id;
+    const std::int64_t wallMs = m_executor.wallMs();
+    const std::int64_t firstMs = call->refusal.firstMs > 0 ? std::min(call->refusal.firstMs, wallMs) : wallMs;
+    call->change = {};
+    call->change.conditions = {{keys::jobPrefix + call->id, 0}, {key, call->refusal.revision}};
+    call->change.writes = {{key, toText(RefusalRecord{firstMs, 0}), grant.lease}};
+    m_store.commit(call->change, [this, call, grant](const jobs::StoreReply &reply) {
+        handleRefusalReply(call, grant, reply);
+    });
+}
+
+void JobService::handleRefusalReply(const std::shared_ptr<Call> &call, const RefusalLease::Grant &grant, const jobs::StoreReply &reply)
+{
+    const core::TimePoint now = m_executor.now();
+    JobCallOutcome outcome = JobCallOutcome::NotRefused;
+    if (reply.outcome == jobs::StoreOutcome::Done) {
+        // A process that was frozen must not report a refusal after its submitter may have submitted the job again elsewhere.
+        const bool isLate = now >= call->deadline;
+        const bool isHeld = RefusalLease::outlivesDelayedWrites(grant, now);
+        outcome = isLate ? JobCallOutcome::Unknown : isHeld ? JobCallOutcome::Refused : JobCallOutcome::NotRefused;
+    } else if (reply.outcome == jobs::StoreOutcome::Conflict) {
+        const jobs::StoreItem *refusal = internal::findItem(reply, keys::refusalPrefix + call->id);
+        if (internal::findItem(reply, keys::jobPrefix + call->id) != nullptr) {
+            outcome = JobCallOutcome::Done;
+        } else if (refusal != nullptr && call->attempts < internal::maxImmediateRepeats) {
+            call->refusal = refusalFromItem(*refusal);
+            writeRefusal(call, grant);
+            return;
+        }
+    } else if (reply.outcome == jobs::StoreOutcome::NotFound) {
+        m_refusalLease.discard(grant.lease);
+    }
+    finish(*call, JobReply{outcome, {}, 0});
+}
+
 void JobService::retry(const std::shared_ptr<Call> &call, std::function<void(const std::shared_ptr<Call> &)> attempt)
 {
     const core::TimePoint now = m_executor.now();
@@ -97,7 +245,8 @@
 void JobService::finish(Call &call, JobReply reply)
 {
     const core::Duration elapsed = m_executor.now() - call.startedAt;
-    const bool isLogged = call.kind != "status" || reply.outcome != JobCallOutcome::Done;
+    // The node logs refusals itself, with what they were decided from.
+    const bool isLogged = (call.kind != "status" || reply.outcome != JobCallOutcome::Done) && reply.outcome != JobCallOutcome::Refused;
     if (isLogged) {
         telemetry::Event event{call.kind};
         event.with("job", call.id).with("outcome", static_cast<std::int64_t>(reply.outcome)).with("attempts", call.attempts);
--- a/src/oleanderwick/jobnode/job_service.hpp
+++ b/src/oleanderwick/jobnode/job_service.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "../core/core.hpp"
@@ -11,6 +12,8 @@
 #include "../jobs/ports.hpp"
 #include "log_sink.hpp"
 #include "owner_notice.hpp"
+#include "refusal_lease.hpp"
+#include "refusal_record.hpp"
 
 namespace oleanderwick::jobnode
 {
@@ -21,6 +24,8 @@
     NotFound, /**< The job does not exist. */
     NotStored, /**< Certainly nothing was stored. */
     Unknown, /**< The change may have been stored, or a read did not succeed in time. */
+    Refused, /**< The job is not stored, and no earlier attempt to store it can take effect any more. */
+    NotRefused, /**< The refusal could not be recorded, so the submitter must not be told of one. */
 };
 
 /** @brief Reply to a submitter. */
@@ -41,8 +46,9 @@
      * @param executor Runs the retries.
      * @param store Store of the jobs.
      * @param log Receives the log events.
+     * @param heedsRefusals Submissions depend on the records that `refuse()` writes; must be set on all nodes if any node refuses jobs.
      */
-    JobService(core::Executor &executor, jobs::CoordinationStore &store, LogSink &log);
+    JobService(core::Executor &executor, jobs::CoordinationStore &store, LogSink &log, bool heedsRefusals = false);
 
     /**
      * @brief Sets what is called after a submission or a cancellation was found stored and its caller was answered.
@@ -55,8 +61,33 @@
      * @param job Job to store.
      * @param deadline Time at which the submitter gives up.
      * @param onReply Called once with the reply.
+     * @param refusal Record of an earlier refusal of this job, if it is known; the job then counts as submitted at the time of its first refusal.
      */
-    void submit(const jobs::Job &job, core::TimePoint deadline, OnReply onReply);
+    void submit(const jobs::Job &job, core::TimePoint deadline, OnReply onReply, const RefusalRecord &refusal = {});
+
+    /** @brief Receives the record of a refusal; its revision is 0 if there is none or the read failed. */
+    using OnRefusal = std::function<void(const RefusalRecord &)>;
+
+    /**
+     * @brief Looks for a refusal of a job.
+     *
+     * A read that fails needs no repetition: the conditions of `submit()` and `refuse()` fail if there is a record that they don't know.
+     * @param id Id of the job.
+     * @param onRefusal Called once.
+     */
+    void findRefusal(const std::string &id, OnRefusal onRefusal);
+
+    /**
+     * @brief Records that a job is refused, so that no earlier attempt to store it can take effect any more.
+     *
+     * The reply is `Done` if the job is stored already; `Refused` if the refusal holds; `NotRefused` if it could not be recorded, which leaves `submit()`
+     * possible; `Unknown` if it was recorded too late for the submitter.
+     * @param id Id of the job.
+     * @param deadline Time at which the submitter gives up.
+     * @param onReply Called once with the reply.
+     * @param refusal Record of an earlier refusal, if it is known; the time of the first refusal is kept.
+     */
+    void refuse(const std::string &id, core::TimePoint deadline, OnReply onReply, const RefusalRecord &refusal = {});
 
     /**
      * @brief Cancels a job.
@@ -91,12 +122,20 @@
     void commit(const std::shared_ptr<Call> &call);
     void read(const std::shared_ptr<Call> &call, const std::string &key, std::function<void(const jobs::StoreReply &)> onFound);
     void countQueued(const std::shared_ptr<Call> &call, const std::string &after, std::int64_t counted);
+    static void prepareSubmission(Call &call);
+    void handleSubmitConflict(const std::shared_ptr<Call> &call, const jobs::StoreReply &reply);
+    void lookUpConflict(const std::shared_ptr<Call> &call);
+    void repeatSubmission(const std::shared_ptr<Call> &call, const RefusalRecord &refusal);
+    void writeRefusal(const std::shared_ptr<Call> &call, const RefusalLease::Grant &grant);
+    void handleRefusalReply(const std::shared_ptr<Call> &call, const RefusalLease::Grant &grant, const jobs::StoreReply &reply);
     void finish(Call &call, JobReply reply);
     void retry(const std::shared_ptr<Call> &call, std::function<void(const std::shared_ptr<Call> &)> attempt);
 
     core::Executor &m_executor;
     jobs::CoordinationStore &m_store;
     LogSink &m_log;
+    bool m_heedsRefusals;
+    RefusalLease m_refusalLease;
     std::function<void(const OwnerNotice &)> m_onStored;
 };
 
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -44,6 +44,8 @@
         return jsonResponse(410, {});
     case jobnode::JobCallOutcome::NotStored:
         return unavailableResponse(503);
+    case jobnode::JobCallOutcome::Refused:
+    case jobnode::JobCallOutcome::NotRefused:
     case jobnode::JobCallOutcome::Unknown:
         break;
     }
