--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -21,8 +21,8 @@
     "store": {"core", "http"},
     "peer": {"core", "config", "http", "membership"},
     "telemetry": {"core", "dispatch"},
-    "jobs": {"core"},
-    "jobnode": {"core", "jobs", "http", "telemetry"},
+    "jobs": {"core", "admission"},
+    "jobnode": {"core", "admission", "jobs", "http", "telemetry"},
     "node": set(LAYERS) - {"node"},
 }
 MAX_LINES = 500
--- a/src/oleanderwick/admission/fwd.hpp
+++ b/src/oleanderwick/admission/fwd.hpp
@@ -7,6 +7,10 @@
 
 class FairQueue;
 class RunTimes;
+class JobAdmission;
+class OverloadControl;
+class ReturnSchedule;
+struct LoadFigures;
 struct QueuedRequest;
 struct TeamLoad;
 
