Publish load figures and refuse jobs by them

Beyond capacity the owner accepted all jobs. With refuseJobs it publishes load figures in pub/load while a pool or the owner itself is overloaded (jobs::DemandMeter, admission::OverloadControl), and each node refuses by them with 429 or 503 and Retry-After (jobnode::JobGate). A refusal that can't be recorded becomes a submission. TeamPolicy::rate is the team's weight on the platform.

--- a/src/oleanderwick/admission/job_admission.cpp
+++ b/src/oleanderwick/admission/job_admission.cpp
@@ -61,9 +61,14 @@
     return std::max({std::int64_t{0}, core::milliseconds(now - m_receivedAt), wallMs - m_figures->wallMs});
 }
 
+bool JobAdmission::isStale(std::int64_t ageMs) noexcept
+{
+    return ageMs > internal::maxAgeMs;
+}
+
 bool JobAdmission::mayRefuse(const std::string &queue, const std::string &team, core::TimePoint now, std::int64_t wallMs) const
 {
-    if (!m_figures.has_value() || !m_figures->overloaded || ageMs(now, wallMs) > internal::maxAgeMs) {
+    if (!m_figures.has_value() || !m_figures->overloaded || isStale(ageMs(now, wallMs))) {
         return false;
     }
     const ShareFigures *share = m_figures->find(queue, team);
@@ -74,7 +79,7 @@
 {
     AdmissionDecision decision;
     decision.ageMs = ageMs(now, wallMs);
-    decision.isStale = decision.ageMs > internal::maxAgeMs;
+    decision.isStale = isStale(decision.ageMs);
     if (!mayRefuse(request.queue, request.team, now, wallMs)) {
         return decision;
     }
--- a/src/oleanderwick/admission/job_admission.hpp
+++ b/src/oleanderwick/admission/job_admission.hpp
@@ -73,6 +73,13 @@
      */
     [[nodiscard]] std::int64_t ageMs(core::TimePoint now, std::int64_t wallMs) const noexcept;
 
+    /**
+     * @brief Checks whether figures are too old to refuse anything.
+     * @param ageMs Age in milliseconds.
+     * @return True above 3 s.
+     */
+    [[nodiscard]] static bool isStale(std::int64_t ageMs) noexcept;
+
     /**
      * @brief Checks whether jobs of a team on a queue may be refused, so that the time of their first refusal matters.
      * @param queue Name of the queue.
--- a/src/oleanderwick/jobnode/fwd.hpp
+++ b/src/oleanderwick/jobnode/fwd.hpp
@@ -6,6 +6,9 @@
 class Watcher;
 class Ownership;
 class JobService;
+class JobGate;
+class RefusalLease;
+struct RefusalRecord;
 class OwnerTerm;
 class JobNode;
 class LogSink;
--- a/src/oleanderwick/jobnode/job_node.cpp
+++ b/src/oleanderwick/jobnode/job_node.cpp
@@ -1,5 +1,7 @@
 #include "job_node.hpp"
 
+#include "keys.hpp"
+
 namespace oleanderwick::jobnode
 {
 
@@ -8,6 +10,8 @@
 
 /** Short, so that a store connection that went silent is noticed well within the time in which a new configuration must be in force. */
 constexpr core::Duration operatorWatchTimeout = std::chrono::milliseconds{1000};
+/** Figures that are older than 3 s refuse nothing, so a silent connection is noticed before. */
+constexpr core::Duration publishedWatchTimeout = std::chrono::milliseconds{1000};
 constexpr core::Duration logFlushInterval = std::chrono::milliseconds{250};
 
 } // namespace internal
@@ -17,7 +21,7 @@
     , m_ports{ports}
     , m_options{options}
     , m_log{log}
-    , m_jobService{executor, ports.store, log}
+    , m_jobService{executor, ports.store, log, options.refuseJobs}
     , m_zoneClosures{ports.translator.zoneClosurePrefix()}
 {
     m_log.metrics().setGauge("closed_zones", 0);
@@ -61,7 +65,13 @@
         };
     }
     m_ownership = std::make_unique<Ownership>(executor, ports.store, name, options.electionDelay, log, std::move(ownershipCallbacks), std::move(noticeAddress));
+    if (options.refuseJobs) {
+        followLoad();
+    }
     executor.every(internal::logFlushInterval, [this] {
+        if (m_gate != nullptr) {
+            m_gate->updateMetrics();
+        }
         m_log.flush();
     });
 }
@@ -73,6 +83,30 @@
     return m_jobService;
 }
 
+void JobNode::followLoad()
+{
+    m_gate = std::make_unique<JobGate>(m_executor, m_jobService, m_log, admission::JobAdmissionPolicy{m_options.lateBoundFactor, m_options.nodes});
+    Watcher::Callbacks callbacks;
+    callbacks.onItem = [this](const jobs::StoreItem &item) {
+        m_gate->handleItem(item);
+    };
+    callbacks.onRemoved = [this](const std::string &key) {
+        m_gate->handleRemoval(key);
+    };
+    callbacks.onListed = [] {
+    };
+    m_publishedWatcher = std::make_unique<Watcher>(m_executor, m_ports.store, keys::publishedPrefix, internal::publishedWatchTimeout, std::move(callbacks));
+}
+
+void JobNode::submit(const jobs::Job &job, const jobs::QueuePolicy &policy, core::TimePoint deadline, JobService::OnReply onReply)
+{
+    if (m_gate != nullptr) {
+        m_gate->submit(job, policy, deadline, std::move(onReply));
+    } else {
+        m_jobService.submit(job, deadline, std::move(onReply));
+    }
+}
+
 bool JobNode::isReady() const noexcept
 {
     return !m_stopping && m_config.configVersion > 0;
@@ -126,6 +160,9 @@
 void JobNode::becomeOwner(std::int64_t token)
 {
     m_term = std::make_unique<OwnerTerm>(m_executor, m_ports, *m_ownership, token, m_options, m_log);
+    if (m_gate != nullptr) {
+        m_term->restoreLoad(m_gate->figures());
+    }
     m_term->applyUpdate(m_config);
     for (const std::pair<const std::int64_t, OperatorUpdate> &wave : m_waves) {
         m_term->applyUpdate(wave.second);
--- a/src/oleanderwick/jobnode/job_node.hpp
+++ b/src/oleanderwick/jobnode/job_node.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "job_gate.hpp"
 #include "job_service.hpp"
 #include "owner_notifier.hpp"
 #include "owner_term.hpp"
@@ -33,6 +34,15 @@
     /** @return Service for the calls of submitters. */
     [[nodiscard]] JobService &jobService() noexcept;
 
+    /**
+     * @brief Stores a job, or refuses it if the node refuses jobs and the fleet is overloaded.
+     * @param job Job to store.
+     * @param policy Policy of its queue.
+     * @param deadline Time at which the submitter gives up.
+     * @param onReply Called once with the reply.
+     */
+    void submit(const jobs::Job &job, const jobs::QueuePolicy &policy, core::TimePoint deadline, JobService::OnReply onReply);
+
     /** @return True if submitters may call this node: it has a configuration and is not stopping. */
     [[nodiscard]] bool isReady() const noexcept;
 
@@ -55,6 +65,7 @@
 private:
     void handleOperatorItem(const jobs::StoreItem &item);
     void recordZone(const char *event, const std::string &key, std::int64_t revision);
+    void followLoad();
     void becomeOwner(std::int64_t token);
     void notify(const OwnerNotice &notice);
 
@@ -63,6 +74,7 @@
     OwnerOptions m_options;
     LogSink &m_log;
     JobService m_jobService;
+    std::unique_ptr<JobGate> m_gate; /**< Null if this node refuses no jobs. */
     ZoneClosures m_zoneClosures; /**< As this node knows them, for its log and metrics; an owner's term lists them itself. */
     OperatorUpdate m_config;
     std::map<std::int64_t, OperatorUpdate> m_waves;
@@ -72,6 +84,7 @@
     std::unique_ptr<OwnerNotifier> m_notifier; /**< Null if this node sends no notices. */
     std::unique_ptr<Ownership> m_ownership;
     std::unique_ptr<Watcher> m_operatorWatcher;
+    std::unique_ptr<Watcher> m_publishedWatcher; /**< Null if this node refuses no jobs. */
 };
 
 } // namespace oleanderwick::jobnode
--- a/src/oleanderwick/jobnode/job_service.hpp
+++ b/src/oleanderwick/jobnode/job_service.hpp
@@ -33,6 +33,8 @@
     JobCallOutcome outcome{JobCallOutcome::Unknown};
     jobs::JobState state{jobs::JobState::Queued}; /**< Only set by status(). */
     std::int64_t pending{0}; /**< Number of waiting jobs; only set by pending(). */
+    std::int64_t retryAfterS{0}; /**< Time until the submitter should return, in seconds; only set for a refusal. */
+    bool beyondRate{false}; /**< Reason of a refusal: the team is beyond its rate; otherwise even a job within it would be too late. */
 };
 
 /** @brief Handles submissions, cancellations and queries on any node; a change that it acknowledges is in the store. */
--- a/src/oleanderwick/jobnode/keys.hpp
+++ b/src/oleanderwick/jobnode/keys.hpp
@@ -16,6 +16,8 @@
 inline const std::string ownerPrefix = "own/";
 inline const std::string usedWorkers = "use/workers"; /**< Workers that may have active runs; written by the owner only. */
 inline const std::string commandedInstances = "use/instances"; /**< Instances with recent commands of the owner; written before the commands are sent. */
+inline const std::string loadFigures = "pub/load"; /**< Load figures; written by the owner only, while the fleet is overloaded. */
+inline const std::string publishedPrefix = "pub/";
 inline const std::string queuedPrefix = "w/"; /**< Markers of jobs without a started task, by queue and id; created together with the job. */
 /** @} */
 
--- a/src/oleanderwick/jobnode/owner_term.hpp
+++ b/src/oleanderwick/jobnode/owner_term.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "../admission/load_figures.hpp"
 #include "log_sink.hpp"
 #include "owner_notice.hpp"
 #include "ownership.hpp"
@@ -25,6 +26,9 @@
     core::Duration commandDelay{std::chrono::seconds{3}};
     bool notifyOwner{false}; /**< Send notices to the owner, and take them as owner. */
     std::string noticeAddress; /**< Address at which this node takes notices. */
+    bool refuseJobs{false}; /**< Publish load figures as owner, and refuse jobs by them on each node. */
+    double lateBoundFactor{3.0}; /**< Multiple of a job's objective after which its answer has no use. */
+    std::size_t nodes{1}; /**< Number of nodes that take submissions. */
     core::Duration endedJobRetention{std::chrono::seconds{180}}; /**< Time for which the state of an ended job can be read. */
 };
 
@@ -58,6 +62,12 @@
      */
     void handleNotices(const std::vector<OwnerNotice> &notices);
 
+    /**
+     * @brief Continues after load figures that a former owner published.
+     * @param figures Last figures that this node has seen.
+     */
+    void restoreLoad(const admission::LoadFigures &figures);
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/src/oleanderwick/jobnode/owner_term_commands.cpp
+++ b/src/oleanderwick/jobnode/owner_term_commands.cpp
@@ -48,6 +48,7 @@
         }
         balancer.advance(scheduler, maintenance, now);
         sendCommands();
+        publishLoad(now);
     }
     saveStates();
     saveWaves();
--- a/src/oleanderwick/jobnode/owner_term_state.hpp
+++ b/src/oleanderwick/jobnode/owner_term_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../admission/overload_control.hpp"
 #include "commanded_instances.hpp"
 #include "job_intake.hpp"
 #include "missed_changes.hpp"
@@ -73,6 +74,13 @@
     void handleFenced(const std::string &worker);
     /** @} */
 
+    /** @name Load figures */
+    /** @{ */
+    void publishLoad(core::TimePoint now);
+    [[nodiscard]] bool isBehind(core::TimePoint now);
+    void writeLoad();
+    /** @} */
+
     /** @name Saving */
     /** @{ */
     void saveStates();
@@ -129,6 +137,11 @@
     bool removalInFlight{false};
     core::TimePoint lastRemovalAt;
     bool waveSaveInFlight{false};
+    admission::OverloadControl overloadControl;
+    std::string unsavedLoad; /**< Load figures to write; empty if the newest ones are written. */
+    bool loadSaveInFlight{false};
+    core::TimePoint loadSavedAt;
+    core::TimePoint intakeEmptyAt; /**< Last cycle that took all submitted jobs. */
     bool instanceListInFlight{false};
     core::TimePoint lastInstanceListAt;
     std::vector<jobs::AdviceRequest> adviceRequests;
--- a/src/oleanderwick/jobs/model.hpp
+++ b/src/oleanderwick/jobs/model.hpp
@@ -195,6 +195,7 @@
 /** @brief Scheduling parameters of a team. */
 struct TeamPolicy {
     double weight{1.0}; /**< Relative share under full load; not used by the scheduler. */
+    double rate{0.0}; /**< Jobs a second to whose objective the team has a claim; 0 for no rate, so that all its jobs are within it. */
     Resources limit; /**< Upper limit of the resources in use, except that a start from 0 may exceed it; 0 for no limit on a resource. */
 
     [[nodiscard]] bool operator==(const TeamPolicy &) const = default;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -6,6 +6,7 @@
 #include "best_effort_pacer.hpp"
 #include "candidate_finder.hpp"
 #include "candidate_order.hpp"
+#include "demand_meter.hpp"
 #include "job_estimates.hpp"
 #include "job_progress.hpp"
 #include "load_meter.hpp"
@@ -49,6 +50,7 @@
 
     JobEstimates estimates{state};
     LoadMeter loads{state, estimates};
+    DemandMeter demand{state, estimates, loads};
     SaveQueue saves{state};
     RunEndAcks acks{state};
     TicketTable tickets{state};
@@ -101,6 +103,9 @@
 
 void Scheduler::addJob(Job job, const std::optional<JobRecord> &record, bool predatesTerm, core::TimePoint now)
 {
+    if (!record.has_value() && !predatesTerm) {
+        m_components->demand.recordArrival(job);
+    }
     m_components->jobs.add(std::move(job), record, predatesTerm, now);
 }
 
@@ -277,6 +282,11 @@
     return m_components->loads.loads();
 }
 
+admission::FleetDemand Scheduler::fleetDemand(double lateBoundFactor, std::int64_t wallMs) const
+{
+    return m_components->demand.measure(lateBoundFactor, wallMs);
+}
+
 std::uint64_t Scheduler::usedWorkersVersion() const noexcept
 {
     return m_components->state.usedWorkersVersion();
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "../admission/overload_control.hpp"
 #include "commands.hpp"
 #include "scheduler_limits.hpp"
 #include "table.hpp"
@@ -275,6 +276,14 @@
     /** @return Load by pool, without standby pools, as last measured by `advance`. */
     [[nodiscard]] const std::map<std::string, PoolLoad> &poolLoads() const noexcept;
 
+    /**
+     * @brief Measures the demand of teams on queues, for the admission of further jobs; linear in the jobs and tasks.
+     * @param lateBoundFactor Multiple of the objective after which an answer has no use.
+     * @param wallMs Unix time in milliseconds.
+     * @return Demand and the load of the pools as last measured by `advance`.
+     */
+    [[nodiscard]] admission::FleetDemand fleetDemand(double lateBoundFactor, std::int64_t wallMs) const;
+
     /** @return Number that changes with each change of `usedWorkers`. */
     [[nodiscard]] std::uint64_t usedWorkersVersion() const noexcept;
 
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -99,6 +99,8 @@
         {"parkAfterMs", milliseconds(&JobSettings::parkAfter)},
         {"reserveInstances", factor(&JobSettings::reserveInstances)},
         {"notifyOwner", flag(&JobSettings::notifyOwner)},
+        {"refuseJobs", flag(&JobSettings::refuseJobs)},
+        {"lateBoundFactor", factor(&JobSettings::lateBoundFactor)},
     };
     return table;
 }
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -34,6 +34,8 @@
     core::Duration parkAfter{std::chrono::milliseconds{1800}}; /**< Time for which a pool must have a surplus before one of its instances goes to standby. */
     double reserveInstances{1}; /**< Number of instances kept in each pool beyond its need. */
     bool notifyOwner{false}; /**< Notify the owner of stored jobs and cancels, so that it knows of them while the store's watches are silent. */
+    bool refuseJobs{false}; /**< Refuse jobs that the fleet can't carry while it is overloaded; must be the same on all nodes. */
+    double lateBoundFactor{3.0}; /**< Multiple of a job's objective after which its answer has no use. */
 
     [[nodiscard]] bool operator==(const JobSettings &) const = default;
 };
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -34,6 +34,13 @@
     return response;
 }
 
+http::Response refusalResponse(const jobnode::JobReply &result)
+{
+    http::Response response = jsonResponse(result.beyondRate ? 429 : 503, json{{"error", result.beyondRate ? "beyond rate" : "no room in time"}});
+    response.headers.push_back({"Retry-After", absl::StrCat(std::max<std::int64_t>(result.retryAfterS, 1))});
+    return response;
+}
+
 /** Converts the outcome of a job call to a response; `successBody` is the body of a 200. */
 http::Response toResponse(const jobnode::JobReply &result, const json &successBody)
 {
@@ -45,6 +52,7 @@
     case jobnode::JobCallOutcome::NotStored:
         return unavailableResponse(503);
     case jobnode::JobCallOutcome::Refused:
+        return refusalResponse(result);
     case jobnode::JobCallOutcome::NotRefused:
     case jobnode::JobCallOutcome::Unknown:
         break;
@@ -201,7 +209,7 @@
     job->maxAttempts = policy.maxAttempts;
     job->team = team;
     job->submittedMs = m_clock.wallMs();
-    m_node.jobService().submit(*job, deadline, [answer = std::move(respond)](const jobnode::JobReply &result) {
+    m_node.submit(*job, policy, deadline, [answer = std::move(respond)](const jobnode::JobReply &result) {
         answer(internal::toResponse(result, json::object()));
     });
 }
--- a/src/platform/routes.cpp
+++ b/src/platform/routes.cpp
@@ -51,6 +51,7 @@
         const auto weight = row.find("weight");
         jobs::TeamPolicy team;
         team.weight = weight != row.end() && weight->is_number() ? weight->get<double>() : 1.0;
+        team.rate = team.weight;
         team.limit = row.contains("cap") && row["cap"].is_object() ? readResources(row["cap"]) : jobs::Resources{};
         fleet.teams[name] = team;
         for (const json &key : internal::readArray(row, "api_keys")) {
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -1,5 +1,6 @@
 #include "run.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <csignal>
 #include <random>
@@ -43,6 +44,11 @@
     options.scheduler.maxLease = settings.longestLease;
     options.notifyOwner = settings.notifyOwner;
     options.noticeAddress = settings.internal;
+    options.refuseJobs = settings.refuseJobs;
+    options.lateBoundFactor = settings.lateBoundFactor;
+    options.nodes = 1 + static_cast<std::size_t>(std::count_if(settings.peers.begin(), settings.peers.end(), [&settings](const std::string &peer) {
+                        return peer != settings.internal;
+                    }));
     options.commandDelay = settings.orderPause;
     options.balancing.clearWithin = settings.clearWithin;
     options.balancing.arrivingWeight = settings.arrivingWeight;
--- a/test/oleanderwick/settings/job_settings.cpp
+++ b/test/oleanderwick/settings/job_settings.cpp
@@ -8,13 +8,17 @@
 {
     const std::string text =
         "scheduler:\n  node: n1\n  callers: 127.0.0.1:1\n  readiness: 127.0.0.1:2\n  internal: 127.0.0.1:3\n  store: 127.0.0.1:4\n"
-        "  peers: [\"127.0.0.1:5\"]\n  longestLeaseMs: 4000\n  keepEndedS: 1.5\n  processorShare: 0.25\n  notifyOwner: true\n";
+        "  peers: [\"127.0.0.1:5\"]\n  longestLeaseMs: 4000\n  keepEndedS: 1.5\n  processorShare: 0.25\n  notifyOwner: true\n  refuseJobs: true\n  "
+        "lateBoundFactor: 2.5\n";
     REQUIRE(settings::isJobSettings(text));
     const absl::StatusOr<settings::JobSettings> read = settings::parseJobSettings(text);
     REQUIRE(read.ok());
     CHECK(read->longestLease == std::chrono::seconds{4});
     CHECK(read->keepEnded == std::chrono::milliseconds{1500});
     CHECK(read->notifyOwner);
+    CHECK(read->refuseJobs);
+    CHECK(read->lateBoundFactor == 2.5);
+    CHECK_FALSE(settings::JobSettings{}.refuseJobs);
     CHECK(read->peers == std::vector<std::string>{"127.0.0.1:5"});
 }
 
--- a/test/platform/translation.cpp
+++ b/test/platform/translation.cpp
@@ -31,6 +31,7 @@
     CHECK(fleet.queues.at("q2").needsTicket);
     CHECK_FALSE(fleet.pools.at("s1").workersEnforceCapacity);
     CHECK(fleet.pools.at("s2").standby);
+    CHECK(fleet.teams.at("t1").rate == 2.5);
     CHECK(fleet.teams.at("t1").limit == jobs::Resources{4000, 100, 0});
     CHECK(*parsed->first.teamOf("k1") == "t1");
     CHECK(parsed->first.teamOf("k2") == nullptr);
--- a/test/support/node_fixture.hpp
+++ b/test/support/node_fixture.hpp
@@ -167,6 +167,7 @@
             update.configVersion = item.revision;
             update.config.emplace();
             update.config->queues["queue"].pool = "pool";
+            update.config->queues["queue"].objectiveMs = objectiveMs;
             update.config->pools["pool"] = {};
         }
         return update;
@@ -185,6 +186,8 @@
     {
         return {};
     }
+
+    std::int64_t objectiveMs{0}; /**< Constant part of the queue's latency objective; 0 leaves jobs no slack. */
 };
 
 class KeptLog final : public jobnode::LogOutput
