--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -22,8 +22,8 @@
     "store": {"core", "http"},
     "peer": {"core", "config", "http", "membership"},
     "telemetry": {"core", "dispatch"},
-    "jobs": {"core", "fairness"},
-    "jobnode": {"core", "jobs", "http", "telemetry"},
+    "jobs": {"core", "admission", "fairness"},
+    "jobnode": {"core", "admission", "jobs", "http", "telemetry"},
     "node": set(LAYERS) - {"node"},
 }
 MAX_LINES = 500
--- a/src/oleanderwick/jobnode/owner_term_commands.cpp
+++ b/src/oleanderwick/jobnode/owner_term_commands.cpp
@@ -51,6 +51,7 @@
         }
         balancer.advance(scheduler, maintenance, now);
         sendCommands();
+        publishLoad(now);
     }
     saveStates();
     saveWaves();
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -7,6 +7,7 @@
 #include "best_effort_pacer.hpp"
 #include "candidate_finder.hpp"
 #include "candidate_order.hpp"
+#include "demand_meter.hpp"
 #include "fair_order.hpp"
 #include "job_classifier.hpp"
 #include "job_estimates.hpp"
@@ -72,6 +73,7 @@
     LoadMeter loads{state, estimates};
     JobClassifier classifier;
     QueueAges ages{state, estimates, output};
+    DemandMeter demand{state, estimates, loads};
     SaveQueue saves{state};
     RunEndAcks acks{state};
     TicketTable tickets{state};
@@ -126,6 +128,9 @@
 
 void Scheduler::addJob(Job job, const std::optional<JobRecord> &record, bool predatesTerm, core::TimePoint now)
 {
+    if (!record.has_value() && !predatesTerm) {
+        m_components->demand.recordArrival(job);
+    }
     m_components->jobs.add(std::move(job), record, predatesTerm, now);
 }
 
@@ -342,6 +347,11 @@
     return m_components->ages.agesMs();
 }
 
+admission::FleetDemand Scheduler::fleetDemand(double lateBoundFactor, std::int64_t wallMs) const
+{
+    return m_components->demand.measure(lateBoundFactor, wallMs);
+}
+
 std::uint64_t Scheduler::usedWorkersVersion() const noexcept
 {
     return m_components->state.usedWorkersVersion();
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -104,6 +104,8 @@
         {"attributeFailures", flag(&JobSettings::attributeFailures)},
         {"yieldLateWork", flag(&JobSettings::yieldLateWork)},
         {"remoteFactor", factor(&JobSettings::remoteFactor)},
+        {"refuseJobs", flag(&JobSettings::refuseJobs)},
+        {"lateBoundFactor", factor(&JobSettings::lateBoundFactor)},
     };
     return table;
 }
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -39,6 +39,8 @@
     bool attributeFailures{false}; /**< Tell tasks that fail on sound workers apart from workers that fail every task. */
     bool yieldLateWork{false}; /**< Stop late work while work that can meet its objective waits for its room. */
     double remoteFactor{1.0}; /**< Factor on the duration of a task away from the rack of its data; 1 if unknown. */
+    bool refuseJobs{false}; /**< Refuse jobs that the fleet can't carry while it is overloaded; must be the same on all nodes. */
+    double lateBoundFactor{3.0}; /**< Multiple of a job's objective after which its answer has no use. */
 
     [[nodiscard]] bool operator==(const JobSettings &) const = default;
 };
--- a/test/oleanderwick/jobs/fair_shares.cpp
+++ b/test/oleanderwick/jobs/fair_shares.cpp
@@ -156,7 +156,7 @@
 // Guards against a class that depends on the order in which a new owner lists jobs, and against work beyond the rate that sizes pools like timely work.
 TEST_CASE("a job beyond its team's rate counts as late work, and a new owner classifies in the order of submission", "[fair]")
 {
-    JobFleet fleet{jobs::SchedulerLimits{std::chrono::seconds{6}, true, std::chrono::seconds{5}}};
+    JobFleet fleet{jobs::SchedulerLimits{.teamShares = true}};
     jobs::FleetConfig config;
     config.queues["queue"] = {"pool", 0, 2, 1.6, 600, false};
     config.pools["pool"] = {};
--- a/test/oleanderwick/jobs/late_work_load.cpp
+++ b/test/oleanderwick/jobs/late_work_load.cpp
@@ -21,7 +21,7 @@
 {
 public:
     explicit PlayedPool(bool yieldLateWork)
-        : m_fleet{jobs::SchedulerLimits{std::chrono::seconds{6}, yieldLateWork}}
+        : m_fleet{jobs::SchedulerLimits{.yieldLateWork = yieldLateWork}}
     {
         jobs::FleetConfig config;
         config.queues["queue"] = {"pool", 0, 2, 1.6, 600, false};
--- a/test/oleanderwick/jobs/late_work_yield.cpp
+++ b/test/oleanderwick/jobs/late_work_yield.cpp
@@ -14,7 +14,7 @@
 {
 
 constexpr std::int64_t workerCpu = 4000;
-constexpr jobs::SchedulerLimits yielding{std::chrono::seconds{6}, true};
+constexpr jobs::SchedulerLimits yielding{.yieldLateWork = true};
 
 /** Step of one task with the cpu of `cores` that saves its progress and takes 10 s. */
 jobs::Step makeLongStep(std::int64_t cores, std::int64_t count = 1)
--- a/test/support/load_player.hpp
+++ b/test/support/load_player.hpp
@@ -38,7 +38,7 @@
 {
 public:
     LoadPlayer(bool teamShares, const std::map<std::string, double> &weights, int workers)
-        : m_fleet{jobs::SchedulerLimits{std::chrono::seconds{6}, teamShares, std::chrono::seconds{5}}}
+        : m_fleet{jobs::SchedulerLimits{.teamShares = teamShares}}
     {
         jobs::FleetConfig config;
         config.queues["queue"] = {"pool", 0, 2, 1.6, 600, false};
