--- a/src/emulator/deployment.hpp
+++ b/src/emulator/deployment.hpp
@@ -90,6 +90,8 @@
     core::Duration migrationTime{std::chrono::milliseconds{1500}}; /**< Time that the move of an instance to another pool takes. */
     core::Duration maintenanceTime{std::chrono::milliseconds{2000}}; /**< Time that the maintenance of an instance takes. */
     bool notifyOwner{false}; /**< Nodes notify the owner of stored jobs and cancels. */
+    bool teamShares{false}; /**< Full pools are shared by the weights of teams. */
+    bool attributeFailures{false}; /**< Failures are attributed to tasks or to workers. */
     bool yieldLateWork{false}; /**< The owner stops late work while timely work waits for its room. */
     bool savesProgress{false}; /**< Tasks that are not continuous write checkpoints. */
     double lostNoticeShare{0.0}; /**< Share of the messages with notices that are lost. */
--- a/src/emulator/world_state.hpp
+++ b/src/emulator/world_state.hpp
@@ -35,6 +35,9 @@
 inline jobnode::OwnerOptions ownerOptionsOf(const Deployment &deployment, std::size_t node)
 {
     jobnode::OwnerOptions options;
+    options.scheduler.teamShares = deployment.teamShares;
+    options.balancing.divideScarceInstances = deployment.teamShares;
+    options.scheduler.attributeFailures = deployment.attributeFailures;
     options.scheduler.yieldLateWork = deployment.yieldLateWork;
     options.notifyOwner = deployment.notifyOwner;
     options.noticeAddress = noticeAddress(node);
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -23,6 +23,8 @@
     double storeLatencyMs{4.0}; /**< Time that the store takes for a call. */
     bool withoutFaults{false};
     bool notifyOwner{false};
+    bool teamShares{false};
+    bool attributeFailures{false};
     bool yieldLateWork{false};
     bool savesProgress{false};
     bool silentWatches{false}; /**< Adds 13 s in which the store's watches are silent most of the time, also without other faults. */
@@ -46,6 +48,8 @@
         fleet.faults = emulator::drawFaults(fleet, seed);
     }
     fleet.notifyOwner = options.notifyOwner;
+    fleet.teamShares = options.teamShares;
+    fleet.attributeFailures = options.attributeFailures;
     fleet.yieldLateWork = options.yieldLateWork;
     fleet.savesProgress = options.savesProgress;
     if (options.silentWatches) {
@@ -104,6 +108,8 @@
     parser.add_options()("store-ms", "time that the store takes for a call, in milliseconds", cxxopts::value(options.storeLatencyMs)->default_value("4"));
     parser.add_options()("calm", "without faults", cxxopts::value(options.withoutFaults));
     parser.add_options()("notify-owner", "nodes notify the owner of stored jobs", cxxopts::value(options.notifyOwner));
+    parser.add_options()("team-shares", "full pools are shared by the weights of teams", cxxopts::value(options.teamShares));
+    parser.add_options()("attribute-failures", "failures are attributed to tasks or to workers", cxxopts::value(options.attributeFailures));
     parser.add_options()("yield-late-work", "late work is stopped while timely work waits", cxxopts::value(options.yieldLateWork));
     parser.add_options()("saved-progress", "tasks write checkpoints", cxxopts::value(options.savesProgress));
     parser.add_options()("silent-watches", "with silent watches from 4 to 17 s", cxxopts::value(options.silentWatches));
