--- a/src/oleanderwick/jobnode/job_service.cpp
+++ b/src/oleanderwick/jobnode/job_service.cpp
@@ -124,15 +124,15 @@
 void JobService::handleSubmitConflict(const std::shared_ptr<Call> &call, const jobs::StoreReply &reply)
 {
     const jobs::StoreItem *refusal = internal::findItem(reply, keys::refusalPrefix + call->id);
-    if (internal::findItem(reply, keys::jobPrefix + call->id) != nullptr) {
+    const bool isRefusalNew = refusal != nullptr && refusal->revision != call->refusal.revision;
+    const bool hasJob = internal::findItem(reply, keys::jobPrefix + call->id) != nullptr;
+    const bool hasMarker = internal::findItem(reply, keys::queuedPrefixOf(call->job->queue) + call->id) != nullptr;
+    // If only the marker of the job exists, this is answered as without refusals.
+    if (hasJob || (hasMarker && !isRefusalNew)) {
         call->revision = reply.revision;
         finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
-    } else if (refusal != nullptr && refusal->revision != call->refusal.revision) {
+    } else if (isRefusalNew) {
         repeatSubmission(call, refusalFromItem(*refusal));
-    } else if (internal::findItem(reply, keys::queuedPrefixOf(call->job->queue) + call->id) != nullptr) {
-        // Only the marker of the job exists; this is answered as without refusals.
-        call->revision = reply.revision;
-        finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
     } else {
         // The record of the refusal has expired or was removed, or the reply came without its items.
         lookUpConflict(call);
