--- a/src/oleanderwick/admission/overload_control.cpp
+++ b/src/oleanderwick/admission/overload_control.cpp
@@ -13,7 +13,7 @@
 /** Interval of publications, and of looking for an overload before the first one: a flood of ten times the capacity adds 10 s of work each second. */
 constexpr core::Duration publishInterval = std::chrono::milliseconds{500};
 constexpr core::Duration watchInterval = std::chrono::milliseconds{100};
-/** Control of a pool goes on for this long after its overload: with a fraction in force an overload vanishes at once, and without it returns. */
+/** Time for which a pool stays controlled after its overload; without it the overload would return as soon as the fraction is lifted. */
 constexpr core::Duration controlHold = std::chrono::seconds{2};
 /** Time constant of the estimate of the offered load. */
 constexpr double offeredTimeConstantS = 1.0;
--- a/src/oleanderwick/admission/return_schedule.hpp
+++ b/src/oleanderwick/admission/return_schedule.hpp
@@ -12,7 +12,7 @@
 {
 
 /**
- * @brief Spreads the returns of refused callers, so that those refused first return first and no more return at a time than there is room for.
+ * @brief Spreads the returns of refused callers, so that those refused first return first and the number that returns at a time fits the room.
  *
  * Each node has its own schedule and takes its part of the room. Not thread-safe.
  */
