Log which workers crash, and which tasks were on them

CrashAttribution keeps the runs that are given up while it is unknown whether their worker ended, until its fate is known.

--- a/src/oleanderwick/jobs/run_tracker.cpp
+++ b/src/oleanderwick/jobs/run_tracker.cpp
@@ -76,6 +76,7 @@
             if (worker.zoneClosed) {
                 m_with.stopper.stopRun(worker, command.task, command.run);
             }
+            m_with.crashes.addDoubt(command.worker, {command.task, command.run, task.startedAt}, now);
             m_with.state.detach(*reference.entry, command.task, task);
             task.notBefore = now;
             worker.quarantinedUntil = now + internal::refusalDelay;
@@ -248,7 +249,7 @@
         if (reference.task == nullptr || !reference.step->speculative) {
             continue;
         }
-        m_with.output.logDecision("run_doubted", toText(run.first), worker.entry.id, absl::StrCat("run=", run.second));
+        m_with.crashes.addDoubt(worker.entry.id, {run.first, run.second, reference.task->startedAt}, now);
         m_with.state.detach(*reference.entry, run.first, *reference.task);
         reference.task->notBefore = now;
     }
--- a/src/oleanderwick/jobs/run_tracker.hpp
+++ b/src/oleanderwick/jobs/run_tracker.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "crash_attribution.hpp"
 #include "job_progress.hpp"
 #include "run_end_acks.hpp"
 #include "save_queue.hpp"
@@ -23,6 +24,7 @@
         StateTable &state;
         JobProgress &jobs;
         WorkerHealth &health;
+        CrashAttribution &crashes;
         RunEndAcks &acks;
         SaveQueue &saves;
         TicketTable &tickets;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -7,6 +7,7 @@
 #include "best_effort_pacer.hpp"
 #include "candidate_finder.hpp"
 #include "candidate_order.hpp"
+#include "crash_attribution.hpp"
 #include "demand_meter.hpp"
 #include "fair_order.hpp"
 #include "job_classifier.hpp"
@@ -83,9 +84,10 @@
     WorkerLeases leases;
     WorkerPolls polls{state, leases};
     JobProgress jobs{{state, loads, classifier, saves, tickets, stopper, output}};
-    RunTracker runs{{state, jobs, health, acks, saves, tickets, stopper, output}};
+    CrashAttribution crashes{state, output};
+    RunTracker runs{{state, jobs, health, crashes, acks, saves, tickets, stopper, output}};
     WorkerRegistry registry{state, output};
-    WorkerMonitor monitor{{state, leases, registry, runs, acks, output}};
+    WorkerMonitor monitor{{state, leases, registry, runs, crashes, acks, output}};
     BestEffortPacer pacer{state, output};
     TaskEvacuation evacuation{state, stopper, output};
     ZoneEvacuation zones{{state, loads, evacuation, output}};
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -42,6 +42,7 @@
     bool stopAcknowledged{false}; /**< The worker has acknowledged the stop of the current run. */
     std::set<std::string> failedOn; /**< Workers on which runs of the task failed in this term; kept only with `SchedulerLimits::attributeFailures`. */
     core::TimePoint failedAt; /**< Time of the last failure in `failedOn`. */
+    std::int64_t crashes{0}; /**< Number of workers that crashed in this term while a run of the task was on them. */
     bool unsound{false}; /**< The task has failed on several sound workers, so that the failures are attributed to it. */
 
     /** @return True while a run of the task may exist on a worker. */
@@ -121,6 +122,8 @@
     std::int64_t incarnation{0}; /**< Newest known incarnation; 0 while unknown. */
     std::int64_t clockMs{0}; /**< Time of the worker's clock at `clockAt`; 0 while unknown. */
     core::TimePoint clockAt;
+    core::TimePoint restartedAt; /**< Time at which a new incarnation was noticed that has not reported yet; zero if there is none. */
+    bool restartPlanned{false}; /**< The incarnation before it was draining or cordoned. */
     core::TimePoint leaseExpiresBy; /**< Time by which the worker's runs have ended unless its lease is extended. */
     core::TimePoint lastReplyAt; /**< Last reply of the worker. */
     core::TimePoint nextPollAt; /**< Earliest time of the next poll. */
@@ -139,6 +142,12 @@
     std::int64_t ackedEnd{0}; /**< Run ends up to this number were acknowledged in a poll of the worker. */
     std::deque<PendingEnd> pendingEnds; /**< Processed run ends that are not stored yet, in the order of their numbers. */
 
+    /** @return True if an end of the worker would be no surprise: it is leaving, or about to be stopped by a move or maintenance. */
+    [[nodiscard]] bool mayEndAsPlanned() const noexcept
+    {
+        return entry.draining || cordoned;
+    }
+
     /** @return True if the worker is registered, responsive, not cordoned, not draining, and in an open zone. */
     [[nodiscard]] bool isSchedulable() const noexcept
     {
--- a/src/oleanderwick/jobs/worker_monitor.cpp
+++ b/src/oleanderwick/jobs/worker_monitor.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
+#include <vector>
 
 #include <absl/strings/str_cat.h>
 
@@ -39,6 +41,7 @@
     }
     worker.unresponsive = false;
     worker.lastReplyAt = now;
+    handleRestart(worker, report, now);
     m_with.runs.handleReport(worker, report, sentAt, now, wallMs);
     worker.reported = true;
     m_with.acks.advance(worker);
@@ -47,6 +50,23 @@
     return found;
 }
 
+void WorkerMonitor::handleRestart(Worker &worker, const WorkerReport &report, core::TimePoint now)
+{
+    const core::TimePoint restartedAt = std::exchange(worker.restartedAt, core::TimePoint{});
+    if (restartedAt == core::TimePoint{} || worker.restartPlanned) {
+        m_with.crashes.clearDoubts(worker.entry.id);
+        return;
+    }
+    std::vector<CrashAttribution::Suspect> suspects = m_with.crashes.suspectsOn(worker, restartedAt);
+    // A command that was sent before the restart was known may have reached the new incarnation.
+    std::erase_if(suspects, [&report](const CrashAttribution::Suspect &suspect) {
+        return std::any_of(report.running.begin(), report.running.end(), [&suspect](const ReportedRun &run) {
+            return run.task == suspect.task && run.run == suspect.run;
+        });
+    });
+    m_with.crashes.recordCrash(worker.entry.id, std::move(suspects), "restart", now);
+}
+
 void WorkerMonitor::handlePollFailure(const std::string &id, bool gone, core::TimePoint now)
 {
     constexpr core::Duration retryDelay = std::chrono::milliseconds{400};
@@ -74,14 +94,21 @@
 
 void WorkerMonitor::handleEnd(Worker &worker, std::string_view reason, core::TimePoint now)
 {
+    std::vector<CrashAttribution::Suspect> suspects = m_with.crashes.suspectsOn(worker);
     m_with.runs.dropRuns(worker, reason, now);
+    if (worker.mayEndAsPlanned()) {
+        m_with.crashes.clearDoubts(worker.entry.id);
+    } else if (!suspects.empty() || m_with.crashes.hasDoubts(worker.entry.id)) {
+        m_with.crashes.recordCrash(worker.entry.id, std::move(suspects), reason, now);
+    }
     worker.reported = true;
     worker.leaseExpiresBy = now;
 }
 
 bool WorkerMonitor::mayHaveEnded(const Worker &worker, core::TimePoint requestedAt) const
 {
-    if ((worker.registered && !worker.unresponsive) || worker.lastReplyAt >= requestedAt || (worker.reported && worker.runs.empty())) {
+    const bool mayHaveRuns = !worker.reported || !worker.runs.empty() || m_with.crashes.hasDoubts(worker.entry.id);
+    if ((worker.registered && !worker.unresponsive) || worker.lastReplyAt >= requestedAt || !mayHaveRuns) {
         return false;
     }
     return std::none_of(worker.runs.begin(), worker.runs.end(), [this, requestedAt](const std::pair<const TaskName, std::int64_t> &run) {
@@ -106,6 +133,8 @@
                                                worker.unresponsive ? 1 : 0,
                                                " runs=",
                                                worker.runs.size(),
+                                               " planned=",
+                                               worker.mayEndAsPlanned() ? 1 : 0,
                                                " list_age_ms=",
                                                core::milliseconds(now - requestedAt)));
         handleEnd(worker, "worker_ended", now);
@@ -126,6 +155,9 @@
         Worker &worker = item->second;
         const core::TimePoint runsEndBy = m_with.leases.runsEndBy(worker);
         if (!worker.runs.empty() && now > runsEndBy) {
+            for (const CrashAttribution::Suspect &suspect : m_with.crashes.suspectsOn(worker)) {
+                m_with.crashes.addDoubt(item->first, suspect, now);
+            }
             m_with.runs.dropRuns(worker, "lease_over", now);
         }
         const bool unused = !worker.registered && worker.runs.empty() && !worker.pollInFlight && now > runsEndBy;
@@ -133,6 +165,9 @@
             m_with.state.removeUsedWorker(item->first);
         }
         const bool removable = unused && now - std::max(worker.lastReplyAt, m_with.leases.termStart()) > removalDelay;
+        if (removable) {
+            m_with.crashes.clearDoubts(item->first);
+        }
         item = removable ? workers.erase(item) : std::next(item);
     }
 }
--- a/src/oleanderwick/jobs/worker_monitor.hpp
+++ b/src/oleanderwick/jobs/worker_monitor.hpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "crash_attribution.hpp"
 #include "run_end_acks.hpp"
 #include "run_tracker.hpp"
 #include "scheduler_output.hpp"
@@ -23,6 +24,7 @@
         const WorkerLeases &leases;
         WorkerRegistry &registry;
         RunTracker &runs;
+        CrashAttribution &crashes;
         RunEndAcks &acks;
         SchedulerOutput &output;
     };
@@ -58,6 +60,8 @@
 
 private:
     [[nodiscard]] bool mayHaveEnded(const Worker &worker, core::TimePoint requestedAt) const;
+    /** Finds out from the first report of a new incarnation which runs its predecessor's end has cost. */
+    void handleRestart(Worker &worker, const WorkerReport &report, core::TimePoint now);
     /** Records that the process of a worker has ended, together with its runs. */
     void handleEnd(Worker &worker, std::string_view reason, core::TimePoint now);
 
--- a/src/oleanderwick/jobs/worker_registry.cpp
+++ b/src/oleanderwick/jobs/worker_registry.cpp
@@ -87,6 +87,8 @@
 {
     m_output.logDecision(
         "worker_reborn", "", worker.entry.id, absl::StrCat("born=", incarnation, " before=", worker.incarnation, " runs=", worker.runs.size()));
+    worker.restartedAt = now;
+    worker.restartPlanned = worker.mayEndAsPlanned();
     // A command that was sent before the restart was known may have reached the new incarnation, so the runs are kept until its next report.
     worker.nextPollAt = now;
     worker.incarnation = incarnation;
