Tell the cause of a crash from the start that preceded it

A suspect now starts with no start of another job on its worker within 100 ms, where there is room for it, so that its second crash tells whether it was the cause; only tasks that are beside crashes again and again without being among the last started get a worker of their own. A first suspect never waits.

--- a/src/oleanderwick/jobs/candidate.hpp
+++ b/src/oleanderwick/jobs/candidate.hpp
@@ -67,7 +67,7 @@
         // The list of instances, which tells the fate of a worker, may be unavailable for longer than a task should wait.
         constexpr core::Duration maxWait = std::chrono::seconds{10};
         const bool isFateUnknown = task.doubts > 0 && now - task.suspectedAt < maxWait;
-        return task.needsTrial() && (isFateUnknown || task.evidenceVersion > entry->savedVersion);
+        return task.needsVerdict() && (isFateUnknown || task.evidenceVersion > entry->savedVersion);
     }
 
     /**
--- a/src/oleanderwick/jobs/crash_attribution.cpp
+++ b/src/oleanderwick/jobs/crash_attribution.cpp
@@ -13,15 +13,14 @@
 
 /** A run that has lasted this long does not crash its worker by itself. */
 constexpr core::Duration harmlessAge = std::chrono::seconds{10};
-/** A crash this soon after the start, twice and with no other job on the worker, can hardly have another cause than the task. */
-constexpr core::Duration earlyAge = std::chrono::seconds{1};
-constexpr std::int64_t earlyCrashesForVerdict = 2;
-/** The third crash comes after a trial; a task that is merely beside the cause is not among the youngest on its worker three times. */
-constexpr std::int64_t crashesForVerdict = 3;
-/** A task that crashes its workers only after a while is found on trial, where it is alone; until then younger runs are blamed. */
+/** Workers that crash later than this after a start are more likely to have another cause. */
+constexpr core::Duration likelyAge = std::chrono::seconds{1};
+/** The second crash right after a start, one of them with no other job started at the same time, can hardly have another cause. */
+constexpr std::int64_t crashesForVerdict = 2;
+/** Without such a crash, as with gangs, the task has at least been among the last started each time. */
+constexpr std::int64_t ambiguousCrashesForVerdict = 3;
+/** A task that crashes its workers only after a while is found on trial, where it is alone; until then others are blamed. */
 constexpr std::int64_t crashesForVerdictAlone = 4;
-/** Runs that began within this time of each other are equally likely to be the cause; the end of a worker is noticed with such a delay. */
-constexpr core::Duration simultaneousAge = std::chrono::milliseconds{300};
 /** Silence of a listed worker after which it counts as unreachable rather than as crashed and restarted. */
 constexpr core::Duration unreachableAfter = std::chrono::seconds{1};
 
@@ -49,7 +48,7 @@
 {
     Task *task = m_with.state.findTask(suspect.task).task;
     if (task != nullptr && !worker.mayEndAsPlanned()) {
-        const bool delays = suspect.age <= internal::earlyAge;
+        const bool delays = suspect.age <= internal::likelyAge;
         m_doubts[worker.entry.id].push_back(Doubt{suspect, now, delays});
         task->doubts += delays ? 1 : 0;
         task->suspectedAt = now;
@@ -114,16 +113,22 @@
     if (suspects.empty()) {
         return;
     }
-    const bool alone = std::all_of(suspects.begin(), suspects.end(), [&suspects](const Suspect &suspect) {
-        return suspect.task.job == suspects.front().task.job;
-    });
     const auto youngest = std::min_element(suspects.begin(), suspects.end(), [](const Suspect &left, const Suspect &right) {
         return left.age < right.age;
     });
-    const core::Duration likelyAge = alone ? internal::harmlessAge : std::max(internal::simultaneousAge, 2 * youngest->age);
+    const core::Duration simultaneousAge = youngest->age + simultaneousStarts;
+    const auto isOtherJob = [job = youngest->task.job](const Suspect &suspect) {
+        return suspect.task.job != job;
+    };
+    Circumstances circumstances;
+    circumstances.alone = std::none_of(suspects.begin(), suspects.end(), isOtherJob);
+    circumstances.sole = std::none_of(suspects.begin(), suspects.end(), [&isOtherJob, simultaneousAge](const Suspect &suspect) {
+        return isOtherJob(suspect) && suspect.age <= simultaneousAge;
+    });
     for (const Suspect &suspect : suspects) {
+        circumstances.likely = suspect.age <= std::min(simultaneousAge, internal::likelyAge);
         if (suspect.age <= internal::harmlessAge) {
-            recordEvidence(worker, suspect, Circumstances{alone, suspect.age <= likelyAge}, now);
+            recordEvidence(worker, suspect, circumstances, now);
         }
     }
 }
@@ -142,7 +147,7 @@
     task.suspectedAt = now;
     if (circumstances.likely) {
         runs.push_back(suspect.run);
-        task.earlyCrashes += circumstances.alone && suspect.age <= internal::earlyAge ? 1 : 0;
+        task.soleCrashes += circumstances.sole ? 1 : 0;
         m_with.saves.markChanged(*reference.entry);
         task.evidenceVersion = reference.entry->version;
     } else {
@@ -157,6 +162,8 @@
                                            core::milliseconds(suspect.age),
                                            " alone=",
                                            circumstances.alone ? 1 : 0,
+                                           " sole=",
+                                           circumstances.sole ? 1 : 0,
                                            " crashes=",
                                            runs.size(),
                                            " unlikely=",
@@ -169,7 +176,7 @@
 bool CrashAttribution::isGuilty(const TaskReference &reference, const TaskName &name, bool alone)
 {
     const std::int64_t crashes = StateTable::countRuns(reference, name, &TaskRecord::crashedRuns);
-    return crashes >= internal::crashesForVerdict || reference.task->earlyCrashes >= internal::earlyCrashesForVerdict
+    return (crashes >= internal::crashesForVerdict && reference.task->soleCrashes > 0) || crashes >= internal::ambiguousCrashesForVerdict
         || (alone && crashes + reference.task->unlikelyCrashes >= internal::crashesForVerdictAlone);
 }
 
@@ -185,7 +192,7 @@
         task.record.crashedRuns.clear();
         m_with.saves.markChanged(*reference.entry);
     }
-    task.earlyCrashes = 0;
+    task.soleCrashes = 0;
     task.unlikelyCrashes = 0;
 }
 
--- a/src/oleanderwick/jobs/crash_attribution.hpp
+++ b/src/oleanderwick/jobs/crash_attribution.hpp
@@ -18,10 +18,12 @@
 /**
  * @brief Attributes crashes of workers to the tasks that were running on them, and gives up tasks that crash their workers.
  *
- * Each task on a crashed worker is a suspect; those whose runs began last are the likely ones. Runs that were given up while it was unknown
- * whether their worker had ended are kept as doubts until the worker's fate is known. A suspect is started again at once; after two crashes
- * or doubts only when the fate of its workers is known and the evidence is stored, on a worker of its own. The third crash ends its job, or
- * the second if both times no other job was on the worker and it crashed right after the start. A run that lasts proves its task harmless.
+ * Each task on a crashed worker is a suspect; those whose runs began last are the likely ones. A suspect starts again at once, but with
+ * no other job's start on its worker at the same time, so that the next crash tells whether it was the cause; after two crashes only when the
+ * fate of its workers is known and the evidence is stored. Two likely crashes, one of them without another job started at the same time, end
+ * the job of the task. A task that is on workers which crash again and again, but never among the last started, gets a worker of its own. A run
+ * that lasts proves its task harmless. Runs that were given up while it was unknown whether their worker had ended are kept as doubts until
+ * the worker's fate is known.
  */
 class CrashAttribution
 {
@@ -115,7 +117,8 @@
     /** What speaks for a task as the cause of a crash. */
     struct Circumstances {
         bool alone{false}; /**< No other job had runs on the worker. */
-        bool likely{false}; /**< The run was among the youngest on the worker. */
+        bool sole{false}; /**< The runs that began last on the worker were of one job. */
+        bool likely{false}; /**< The run is one of those that began last, a short time before the crash. */
     };
 
     void stopDelaying(Doubt &doubt);
--- a/src/oleanderwick/jobs/state_table.cpp
+++ b/src/oleanderwick/jobs/state_table.cpp
@@ -6,14 +6,6 @@
 namespace oleanderwick::jobs
 {
 
-namespace internal
-{
-
-/** Time for which a worker gets no other tasks after the start of one that may crash it. */
-constexpr core::Duration trialTime = std::chrono::seconds{5};
-
-} // namespace internal
-
 void StateTable::configure(FleetConfig config)
 {
     m_config = std::move(config);
@@ -214,10 +206,6 @@
     task.stopSentAt = {};
     task.record.lastRun = std::max(task.record.lastRun, run);
     worker.runs[name] = run;
-    if (task.needsTrial()) {
-        worker.trialTask = name;
-        worker.trialEndsAt = now + internal::trialTime;
-    }
     worker.used = worker.used + demandOf(step);
     Resources &teamUse = m_teamUse[entry.job.team];
     teamUse = teamUse + step.each;
@@ -236,8 +224,8 @@
     const auto worker = m_workers.find(task.worker);
     if (worker != m_workers.end()) {
         worker->second.runs.erase(name);
-        if (worker->second.trialTask == name) {
-            worker->second.trialTask.reset();
+        if (worker->second.reservedFor == name) {
+            worker->second.reservedFor.reset();
         }
         worker->second.used = worker->second.used - demandOf(step);
     }
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -14,6 +14,9 @@
 namespace oleanderwick::jobs
 {
 
+/** Starts on a worker within this time of each other are equally likely to be the cause of its crash. */
+inline constexpr core::Duration simultaneousStarts = std::chrono::milliseconds{100};
+
 /** @brief Phase of a task. */
 enum class TaskPhase : std::uint8_t {
     Waiting, /**< Has no run on any worker. */
@@ -44,7 +47,7 @@
     core::TimePoint failedAt; /**< Time of the last failure in `failedOn`. */
     std::int64_t doubts{0}; /**< Runs that were given up while it was unknown whether their workers had crashed, as long as the task waits for that. */
     std::int64_t unlikelyCrashes{0}; /**< Crashes in this term of workers on which other runs had begun later. */
-    std::int64_t earlyCrashes{0}; /**< Crashes in this term soon after a start, with no other job on the worker. */
+    std::int64_t soleCrashes{0}; /**< Crashes in this term of workers on which runs of no other job had begun at the same time. */
     core::TimePoint suspectedAt; /**< Time of the last crash or doubt. */
     std::uint64_t evidenceVersion{0}; /**< Version of the job that contains the last change of `TaskRecord::crashedRuns`. */
     bool unsound{false}; /**< The task has failed on several sound workers, so that the failures are attributed to it. */
@@ -55,12 +58,24 @@
         return static_cast<std::int64_t>(record.crashedRuns.size()) + doubts;
     }
 
-    /** @return True if the task is started only on a worker of its own, once the fate of its workers is known. */
+    /** @return True if the task may crash its worker, so that no others are started there at the same time. */
+    [[nodiscard]] bool isSuspect() const noexcept
+    {
+        return suspicions() > 0 || unlikelyCrashes > 0;
+    }
+
+    /** @return True if the task is not started before the fate of its workers is known. */
+    [[nodiscard]] bool needsVerdict() const noexcept
+    {
+        constexpr std::int64_t suspicionsForVerdict = 2;
+        return suspicions() >= suspicionsForVerdict;
+    }
+
+    /** @return True if the task is started on a worker of its own, since it may crash its worker only after a while. */
     [[nodiscard]] bool needsTrial() const noexcept
     {
-        constexpr std::int64_t suspicionsForTrial = 2;
         constexpr std::int64_t unlikelyCrashesForTrial = 3;
-        return suspicions() >= suspicionsForTrial || unlikelyCrashes >= unlikelyCrashesForTrial;
+        return unlikelyCrashes >= unlikelyCrashesForTrial;
     }
 
     /** @return True while a run of the task may exist on a worker. */
@@ -157,8 +172,11 @@
     bool unresponsive{false}; /**< The last poll failed. */
     Resources used; /**< Demand of the runs that are or may be on the worker. */
     Resources promised; /**< Free room that late work must leave to tasks for which runs were stopped. */
-    std::optional<TaskName> trialTask; /**< Task that needs a worker of its own; no others are started here while it is on trial. */
-    core::TimePoint trialEndsAt; /**< End of that time. */
+    core::TimePoint lastStartAt; /**< When a run was last commanded to start in this incarnation. */
+    std::string lastStartJob; /**< Job of that run. */
+    std::optional<TaskName> reservedFor; /**< Suspect that is started here, or will be, with no start of another job at the same time. */
+    core::TimePoint reservedUntil; /**< End of the reservation. */
+    bool reservedForVerdict{false}; /**< The suspect needs a verdict, so that no other suspects share the worker either. */
     std::map<TaskName, std::int64_t> runs; /**< Run number by task, for the runs that are or may be on the worker. */
     std::int64_t lastEnd{0}; /**< Highest number of a run end that was processed. */
     std::int64_t storedEnd{0}; /**< Run ends up to this number are stored. */
@@ -171,6 +189,31 @@
         return entry.draining || (unresponsive ? cordonedWhenSilent : cordoned);
     }
 
+    /**
+     * @brief Reserves the worker for a suspect.
+     * @param task Name of the task.
+     * @param until End of the reservation.
+     * @param forVerdict See `reservedForVerdict`.
+     */
+    void reserveFor(const TaskName &task, core::TimePoint until, bool forVerdict)
+    {
+        reservedFor = task;
+        reservedUntil = until;
+        reservedForVerdict = forVerdict;
+    }
+
+    /**
+     * @brief Checks whether tasks of a job may be started now as far as the suspects on the worker are concerned.
+     * @param job Name of the job.
+     * @param suspects True for the suspects of the job, which may share a worker with others as long as none of them needs a verdict.
+     * @param now Current time of the monotonic clock.
+     * @return False while the worker is reserved for a suspect of another job.
+     */
+    [[nodiscard]] bool isOpenTo(const std::string &job, bool suspects, core::TimePoint now) const noexcept
+    {
+        return !reservedFor.has_value() || now >= reservedUntil || reservedFor->job == job || (suspects && !reservedForVerdict);
+    }
+
     /** @return True if the worker is registered, responsive, not cordoned, not draining, and in an open zone. */
     [[nodiscard]] bool isSchedulable() const noexcept
     {
--- a/src/oleanderwick/jobs/task_placer.cpp
+++ b/src/oleanderwick/jobs/task_placer.cpp
@@ -8,6 +8,14 @@
 namespace oleanderwick::jobs
 {
 
+namespace internal
+{
+
+/** Time for which a worker gets no starts of other jobs after that of a task which may crash it only after a while. */
+constexpr core::Duration trialTime = std::chrono::seconds{5};
+
+} // namespace internal
+
 TaskPlacer::TaskPlacer(const Collaborators &collaborators)
     : m_with{collaborators}
 {
@@ -69,9 +77,9 @@
         if (!m_with.state.isWithinTeamLimit(candidate.entry->job.team, step.each)) {
             break;
         }
-        const bool suspected = task.suspicions() > 0;
+        const bool suspected = task.isSuspect();
         const bool retried = suspected || !task.failedOn.empty();
-        Worker *worker = suspected ? m_with.chooser.chooseForSuspect(candidate, task, now)
+        Worker *worker = suspected ? m_with.chooser.chooseForSuspect(candidate, index, now)
             : retried              ? m_with.chooser.chooseForRetry(candidate, task, now)
                                    : m_with.chooser.choose(candidate, choices, now);
         if (worker == nullptr && retried) {
@@ -151,6 +159,11 @@
     const bool wasIdle = worker.runs.empty();
     TaskName name = candidate.taskName(index);
     m_with.state.attach(entry, name, task, worker, run, TaskPhase::Starting, now);
+    worker.lastStartAt = now;
+    worker.lastStartJob = entry.job.id;
+    if (task.isSuspect()) {
+        worker.reserveFor(name, now + (task.needsTrial() ? internal::trialTime : simultaneousStarts), task.needsVerdict() || task.needsTrial());
+    }
     const std::string *ticket = m_with.tickets.find(candidate.stepName(), worker.entry.id, now);
     StartCommand command{worker.entry.id,
                          worker.entry.address,
--- a/src/oleanderwick/jobs/worker_chooser.cpp
+++ b/src/oleanderwick/jobs/worker_chooser.cpp
@@ -70,7 +70,7 @@
     {WorkerChooser::RetryCondition::Other, std::chrono::seconds{10}},
 }};
 
-/** Time for which a task on trial waits for an empty worker; in a full pool it then takes the one with the fewest tasks. */
+/** Time for which a task that needs a trial waits for an empty worker; in a full pool it then takes the one with the fewest tasks. */
 constexpr core::Duration emptyWorkerWait = std::chrono::seconds{2};
 
 } // namespace internal
@@ -95,7 +95,8 @@
     } else if (choices.m_last < choices.m_workers.size()) {
         // Of all workers, only the last one chosen has changed.
         Choice &last = choices.m_workers[choices.m_last];
-        last.cost = canPlace(*last.worker, candidate, now) ? costOf(*last.worker, candidate, choices) : internal::excluded;
+        const bool isOpen = last.worker->isOpenTo(candidate.entry->job.id, choices.m_forSuspect, now);
+        last.cost = isOpen && canPlace(*last.worker, candidate, now) ? costOf(*last.worker, candidate, choices) : internal::excluded;
     }
     const auto best = std::min_element(choices.m_workers.begin(), choices.m_workers.end(), [](const Choice &left, const Choice &right) {
         return left.cost < right.cost;
@@ -128,7 +129,7 @@
             continue;
         }
         fitsSomewhere = true;
-        if (canPlace(*worker, candidate, now)) {
+        if (worker->isOpenTo(candidate.entry->job.id, choices.m_forSuspect, now) && canPlace(*worker, candidate, now)) {
             choices.m_workers.push_back(Choice{worker, costOf(*worker, candidate, choices)});
         }
     }
@@ -154,36 +155,53 @@
     return best == nullptr ? nullptr : best->worker;
 }
 
-Worker *WorkerChooser::chooseForSuspect(const Candidate &candidate, const Task &task, core::TimePoint now)
+Worker *WorkerChooser::chooseForSuspect(const Candidate &candidate, std::size_t index, core::TimePoint now)
 {
     if (m_index.isUnplaceable(candidate.entry->job.pool, StateTable::demandOf(candidate.definition()))) {
         return nullptr;
     }
+    const TaskName name = candidate.taskName(index);
+    const Task &task = candidate.tasks()[index];
     Choices choices;
+    choices.m_forSuspect = true;
     list(candidate, choices, now);
     const bool waitsForEmpty = task.needsTrial() && now - task.suspectedAt < internal::emptyWorkerWait;
     // Separate workers for the suspects of a crash tell them apart at the next one, which then costs few other tasks.
-    using Rank = std::tuple<std::int64_t, std::size_t, double>;
+    using Rank = std::tuple<bool, std::int64_t, std::size_t, double>;
     const Choice *best = nullptr;
     Rank bestRank;
     for (const Choice &choice : choices.m_workers) {
-        if (waitsForEmpty && !choice.worker->runs.empty()) {
+        const Worker &worker = *choice.worker;
+        const bool isReserved = worker.reservedFor.has_value() && now < worker.reservedUntil;
+        if (isReserved && worker.reservedFor == name) {
+            return now - worker.lastStartAt >= simultaneousStarts ? choice.worker : nullptr;
+        }
+        if (waitsForEmpty && !worker.runs.empty()) {
             continue;
         }
-        const Rank rank{countSuspects(*choice.worker), choice.worker->runs.size(), choice.cost};
+        const bool hasJustStarted = now - worker.lastStartAt < simultaneousStarts && worker.lastStartJob != name.job;
+        const Rank rank{hasJustStarted, countSuspects(worker), worker.runs.size(), choice.cost};
         if (best == nullptr || rank < bestRank) {
             best = &choice;
             bestRank = rank;
         }
     }
-    return best == nullptr ? nullptr : best->worker;
+    if (best == nullptr) {
+        return nullptr;
+    }
+    if (std::get<0>(bestRank) && task.needsVerdict()) {
+        // Other jobs have just started runs on all workers: one of them is kept free of further starts until these have proved harmless.
+        best->worker->reserveFor(name, best->worker->lastStartAt + 2 * simultaneousStarts, true);
+        return nullptr;
+    }
+    return best->worker;
 }
 
 std::int64_t WorkerChooser::countSuspects(const Worker &worker) const
 {
     return std::count_if(worker.runs.begin(), worker.runs.end(), [this](const std::pair<const TaskName, std::int64_t> &run) {
         const JobEntry *entry = m_state.findJob(run.first.job);
-        return entry != nullptr && StateTable::taskOf(*entry, run.first).suspicions() > 0;
+        return entry != nullptr && StateTable::taskOf(*entry, run.first).isSuspect();
     });
 }
 
@@ -230,9 +248,6 @@
     if (!couldPlace(worker, candidate, now)) {
         return false;
     }
-    if (worker.trialTask.has_value() && now < worker.trialEndsAt) {
-        return false;
-    }
     if (!m_health.mayStartJob(worker, candidate.entry->job.id, now)) {
         return false;
     }
--- a/src/oleanderwick/jobs/worker_chooser.hpp
+++ b/src/oleanderwick/jobs/worker_chooser.hpp
@@ -56,15 +56,15 @@
     [[nodiscard]] Worker *chooseForRetry(const Candidate &candidate, const Task &task, core::TimePoint now);
 
     /**
-     * @brief Chooses a worker for a task under which a worker has crashed, or may have crashed: one with no other such tasks, and few tasks.
+     * @brief Chooses a worker for a suspect: one with no start of another job at the same time, with no other suspects, and few tasks.
      *
-     * A task that needs a trial waits for a bounded time for a worker without tasks.
+     * Reserves a worker if all of them have just got starts. A task that needs a trial waits for a bounded time for a worker without tasks.
      * @param candidate Step of the task.
-     * @param task The task.
+     * @param index Index of the task.
      * @param now Current time of the monotonic clock.
-     * @return The worker; null if none can take the task.
+     * @return The worker; null if none can take the task now.
      */
-    [[nodiscard]] Worker *chooseForSuspect(const Candidate &candidate, const Task &task, core::TimePoint now);
+    [[nodiscard]] Worker *chooseForSuspect(const Candidate &candidate, std::size_t index, core::TimePoint now);
 
     /**
      * @brief Checks whether a worker can take a task of a step once it has room for it.
@@ -127,6 +127,7 @@
     std::vector<Choice> m_workers;
     std::size_t m_last{SIZE_MAX}; /**< Index of the worker chosen last. */
     bool m_listed{false};
+    bool m_forSuspect{false}; /**< See `Worker::isOpenTo`. */
     std::array<AddCost, termCount> m_terms{}; /**< Terms that apply to the step; null after the last one. */
 };
 
--- a/src/oleanderwick/jobs/worker_registry.cpp
+++ b/src/oleanderwick/jobs/worker_registry.cpp
@@ -98,6 +98,8 @@
     worker.clockMs = 0;
     worker.consecutiveFailures = 0;
     worker.quarantinedUntil = {};
+    worker.lastStartAt = {};
+    worker.reservedFor.reset();
     worker.failedTasks.clear();
     worker.provenBy.clear();
     worker.entry.draining = false;
