Refuse jobs whose states could exhaust owners or the store

A job of 256 steps of 10,000 tasks, or one whose 10^12 occurrences are all due, was accepted and stored; each owner then opened all of its tasks in memory. Its state doesn't fit into a value of the store either, so that it could never be saved, nor the states that share its change. Such a job is now refused at once with 400.

--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -18,7 +18,8 @@
 constexpr std::size_t jobIdDigits = 16;
 constexpr std::size_t maxSpecBytes = 4000;
 constexpr std::size_t maxSteps = 256;
-constexpr std::int64_t maxTasksPerStep = 10'000;
+/** Tasks of all steps and occurrences of a job; their states are one record, which has to fit into a value of the store. */
+constexpr std::int64_t maxTasksPerJob = 10'000;
 
 http::Response jsonResponse(int status, const json &body)
 {
@@ -101,7 +102,7 @@
     const bool invalidDependency = std::any_of(step.after.begin(), step.after.end(), [position](std::size_t dependency) {
         return dependency >= position;
     });
-    if (invalidDependency || step.count < 1 || step.count > maxTasksPerStep || step.each.cpu < 0 || step.each.memory < 0 || step.each.gpu < 0) {
+    if (invalidDependency || step.count < 1 || step.count > maxTasksPerJob || step.each.cpu < 0 || step.each.memory < 0 || step.each.gpu < 0) {
         throw std::out_of_range("step");
     }
     return step;
@@ -130,6 +131,14 @@
     } catch (const std::exception &error) {
         return absl::InvalidArgumentError(absl::StrCat("step ", job.steps.size(), ": ", error.what()));
     }
+    std::int64_t tasks = 0;
+    for (const jobs::Step &step : job.steps) {
+        tasks += step.count;
+    }
+    if (job.repeatCount < 0 || job.intervalMs < 0 || tasks > internal::maxTasksPerJob
+        || std::max<std::int64_t>(job.repeatCount, 1) > internal::maxTasksPerJob / tasks) {
+        return absl::InvalidArgumentError(absl::StrCat("all occurrences together have more than ", internal::maxTasksPerJob, " tasks"));
+    }
     return job;
 }
 
--- a/test/platform/translation.cpp
+++ b/test/platform/translation.cpp
@@ -109,6 +109,18 @@
     }
 }
 
+TEST_CASE("parseSubmission rejects a job whose states would exhaust an owner's memory or a value of the store", "[platform]")
+{
+    CHECK(platform::parseSubmission(R"({"spec":"s","steps":[{"count":5000},{"count":5000}]})").ok());
+    CHECK(platform::parseSubmission(R"({"spec":"s","steps":[{"count":5}],"repeat_count":2000,"interval_ms":1000})").ok());
+    const std::string text = GENERATE(R"({"spec":"s","steps":[{"count":5000},{"count":5001}]})",
+                                      R"({"spec":"s","steps":[{"count":5}],"repeat_count":2001})",
+                                      R"({"spec":"s","steps":[{"count":1}],"repeat_count":1000000000000,"first_run_ms":1})",
+                                      R"({"spec":"s","steps":[{"count":1}],"repeat_count":9223372036854775807})",
+                                      R"({"spec":"s","steps":[{"count":1}],"repeat_count":2,"interval_ms":-1000})");
+    CHECK_FALSE(platform::parseSubmission(text).ok());
+}
+
 TEST_CASE("StoreTranslator parses a maintenance wave and formats its status for operators", "[platform]")
 {
     http::Loop loop;
