Count only runs that a worker has confirmed as evidence of a crash

Unconfirmed runs now count as unlikely causes only, and without a crash that no other job's start preceded, the fourth decides, for gangs the third.

--- a/src/oleanderwick/jobnode/job_service.cpp
+++ b/src/oleanderwick/jobnode/job_service.cpp
@@ -242,7 +242,7 @@
     });
 }
 
-void JobService::finish(Call &call, JobReply reply)
+void JobService::finish(Call &call, const JobReply &reply)
 {
     const core::Duration elapsed = m_executor.now() - call.startedAt;
     // The node logs refusals itself, with what they were decided from.
@@ -304,7 +304,7 @@
             if (record.ok()) {
                 JobReply found{JobCallOutcome::Done, record->state, 0};
                 found.reason = record->reason;
-                finish(*call, std::move(found));
+                finish(*call, found);
                 return;
             }
             m_log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("job", call->id).with("error", std::string{record.status().message()}));
--- a/src/oleanderwick/jobnode/job_service.hpp
+++ b/src/oleanderwick/jobnode/job_service.hpp
@@ -131,7 +131,7 @@
     void repeatSubmission(const std::shared_ptr<Call> &call, const RefusalRecord &refusal);
     void writeRefusal(const std::shared_ptr<Call> &call, const RefusalLease::Grant &grant);
     void handleRefusalReply(const std::shared_ptr<Call> &call, const RefusalLease::Grant &grant, const jobs::StoreReply &reply);
-    void finish(Call &call, JobReply reply);
+    void finish(Call &call, const JobReply &reply);
     void retry(const std::shared_ptr<Call> &call, std::function<void(const std::shared_ptr<Call> &)> attempt);
 
     core::Executor &m_executor;
--- a/src/oleanderwick/jobs/crash_attribution.cpp
+++ b/src/oleanderwick/jobs/crash_attribution.cpp
@@ -17,8 +17,10 @@
 constexpr core::Duration likelyAge = std::chrono::seconds{1};
 /** The second crash right after a start, one of them with no other job started at the same time, can hardly have another cause. */
 constexpr std::int64_t crashesForVerdict = 2;
-/** Without such a crash, as with gangs, the task has at least been among the last started each time. */
-constexpr std::int64_t ambiguousCrashesForVerdict = 3;
+/** Without such a crash, the task has at least been among the last started each time. */
+constexpr std::int64_t ambiguousCrashesForVerdict = 4;
+/** Members of a gang are always started together, so that waiting for better evidence would cost more workers. */
+constexpr std::int64_t gangCrashesForVerdict = 3;
 /** A task that crashes its workers only after a while is found on trial, where it is alone; until then others are blamed. */
 constexpr std::int64_t crashesForVerdictAlone = 4;
 /** Silence of a listed worker after which it counts as unreachable rather than as crashed and restarted. */
@@ -31,6 +33,12 @@
 {
 }
 
+CrashAttribution::Suspect CrashAttribution::makeSuspect(const TaskName &name, const Task &task, core::TimePoint endedBy)
+{
+    const bool confirmed = task.phase == TaskPhase::Running || task.phase == TaskPhase::Stopping;
+    return Suspect{name, task.run, std::max(endedBy - task.startedAt, core::Duration::zero()), confirmed};
+}
+
 std::vector<CrashAttribution::Suspect> CrashAttribution::suspectsOn(const Worker &worker, core::TimePoint endedBy)
 {
     const core::TimePoint end = worker.unresponsive ? std::min(worker.silentSince, endedBy) : endedBy;
@@ -38,7 +46,7 @@
     for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
         const Task *task = m_with.state.findTask(run.first).task;
         if (task != nullptr && task->startedAt < endedBy) {
-            suspects.push_back(Suspect{run.first, run.second, std::max(end - task->startedAt, core::Duration::zero())});
+            suspects.push_back(makeSuspect(run.first, *task, end));
         }
     }
     return suspects;
@@ -113,8 +121,9 @@
     if (suspects.empty()) {
         return;
     }
+    // A run whose start was not confirmed may have been commanded after the crash.
     const auto youngest = std::min_element(suspects.begin(), suspects.end(), [](const Suspect &left, const Suspect &right) {
-        return left.age < right.age;
+        return std::pair{!left.confirmed, left.age} < std::pair{!right.confirmed, right.age};
     });
     const core::Duration simultaneousAge = youngest->age + simultaneousStarts;
     const auto isOtherJob = [job = youngest->task.job](const Suspect &suspect) {
@@ -126,7 +135,7 @@
         return isOtherJob(suspect) && suspect.age <= simultaneousAge;
     });
     for (const Suspect &suspect : suspects) {
-        circumstances.likely = suspect.age <= std::min(simultaneousAge, internal::likelyAge);
+        circumstances.likely = suspect.confirmed && suspect.age <= std::min(simultaneousAge, internal::likelyAge);
         if (suspect.age <= internal::harmlessAge) {
             recordEvidence(worker, suspect, circumstances, now);
         }
@@ -176,7 +185,8 @@
 bool CrashAttribution::isGuilty(const TaskReference &reference, const TaskName &name, bool alone)
 {
     const std::int64_t crashes = StateTable::countRuns(reference, name, &TaskRecord::crashedRuns);
-    return (crashes >= internal::crashesForVerdict && reference.task->soleCrashes > 0) || crashes >= internal::ambiguousCrashesForVerdict
+    const std::int64_t ambiguousLimit = reference.step->gang ? internal::gangCrashesForVerdict : internal::ambiguousCrashesForVerdict;
+    return (crashes >= internal::crashesForVerdict && reference.task->soleCrashes > 0) || crashes >= ambiguousLimit
         || (alone && crashes + reference.task->unlikelyCrashes >= internal::crashesForVerdictAlone);
 }
 
--- a/src/oleanderwick/jobs/crash_attribution.hpp
+++ b/src/oleanderwick/jobs/crash_attribution.hpp
@@ -40,7 +40,8 @@
     struct Suspect {
         TaskName task;
         std::int64_t run{0};
-        core::Duration age{}; /**< Time from the command to start the run until the worker was last known to be alive, or noticed to be silent. */
+        core::Duration age{}; /**< Time from the command to start the run until the worker was noticed to be silent. */
+        bool confirmed{false}; /**< The worker has confirmed the start. */
 
         [[nodiscard]] bool operator==(const Suspect &) const = default;
     };
@@ -51,6 +52,15 @@
      */
     explicit CrashAttribution(const Collaborators &collaborators);
 
+    /**
+     * @brief Describes the active run of a task.
+     * @param name Name of the task.
+     * @param task The task.
+     * @param endedBy Time by which the process of its worker has ended, or may have ended.
+     * @return The run.
+     */
+    [[nodiscard]] static Suspect makeSuspect(const TaskName &name, const Task &task, core::TimePoint endedBy);
+
     /**
      * @brief Lists the runs that the end of a worker's process ends.
      * @param worker Worker to examine.
--- a/src/oleanderwick/jobs/run_tracker.cpp
+++ b/src/oleanderwick/jobs/run_tracker.cpp
@@ -76,7 +76,7 @@
             if (worker.zoneClosed) {
                 m_with.stopper.stopRun(worker, command.task, command.run);
             }
-            m_with.crashes.addDoubt(worker, {command.task, command.run, now - task.startedAt}, now);
+            m_with.crashes.addDoubt(worker, CrashAttribution::makeSuspect(command.task, task, now), now);
             m_with.state.detach(*reference.entry, command.task, task);
             task.notBefore = now;
             worker.quarantinedUntil = now + internal::refusalDelay;
@@ -250,7 +250,7 @@
         if (reference.task == nullptr || !reference.step->speculative) {
             continue;
         }
-        m_with.crashes.addDoubt(worker, {run.first, run.second, now - reference.task->startedAt}, now);
+        m_with.crashes.addDoubt(worker, CrashAttribution::makeSuspect(run.first, *reference.task, now), now);
         m_with.state.detach(*reference.entry, run.first, *reference.task);
         reference.task->notBefore = now;
     }
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -46,7 +46,7 @@
     std::set<std::string> failedOn; /**< Workers on which runs of the task failed in this term; kept only with `SchedulerLimits::attributeFailures`. */
     core::TimePoint failedAt; /**< Time of the last failure in `failedOn`. */
     std::int64_t doubts{0}; /**< Runs that were given up while it was unknown whether their workers had crashed, as long as the task waits for that. */
-    std::int64_t unlikelyCrashes{0}; /**< Crashes in this term of workers on which other runs had begun later. */
+    std::int64_t unlikelyCrashes{0}; /**< Crashes in this term of workers on which other runs had begun later, or this one may not have begun. */
     std::int64_t soleCrashes{0}; /**< Crashes in this term of workers on which runs of no other job had begun at the same time. */
     core::TimePoint suspectedAt; /**< Time of the last crash or doubt. */
     std::uint64_t evidenceVersion{0}; /**< Version of the job that contains the last change of `TaskRecord::crashedRuns`. */
--- a/test/oleanderwick/jobs/crash_attribution.cpp
+++ b/test/oleanderwick/jobs/crash_attribution.cpp
@@ -281,8 +281,11 @@
     fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false, fleet.now);
     const std::vector<jobs::StartCommand> starts = fleet.advance();
     REQUIRE(starts.size() == 1);
-    fleet.scheduler.handleStartReply(starts[0], step.speculative ? jobs::StartOutcome::Unknown : jobs::StartOutcome::Started, 0, fleet.now);
+    fleet.accept(starts);
     fleet.now += std::chrono::milliseconds{10};
+    if (step.speculative) {
+        fleet.scheduler.handlePollFailure("w0", false, fleet.now);
+    }
     jobs::WorkerEntry entry = fleet.scheduler.workers().at("w0").entry;
     entry.incarnation = 2;
     fleet.scheduler.registerWorker(entry, fleet.now);
@@ -312,3 +315,33 @@
     }
     CHECK(fleet.scheduler.findJob("a")->state == jobs::JobState::Running);
 }
+
+TEST_CASE("a run whose start was not confirmed is no evidence that its task crashed the worker", "[jobs]")
+{
+    CrashingFleet fleet{8};
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    for (int round = 0; round < 3; ++round) {
+        const std::vector<jobs::StartCommand> starts = fleet.advance(std::chrono::milliseconds{200});
+        REQUIRE(starts.size() == 1);
+        fleet.crash(starts[0].worker);
+        fleet.listInstances();
+        (void)fleet.save();
+    }
+    REQUIRE(fleet.scheduler.findJob("a") != nullptr);
+    CHECK(fleet.scheduler.findJob("a")->state == jobs::JobState::Queued);
+}
+
+TEST_CASE("a crashed worker that was cordoned as idle before its end was noticed is evidence", "[jobs]")
+{
+    CrashingFleet fleet{8};
+    jobs::Step step = JobFleet::makeStep(1);
+    step.speculative = true;
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {step}), std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartCommand> starts = fleet.advance();
+    REQUIRE(starts.size() == 1);
+    fleet.accept(starts);
+    fleet.crash(starts[0].worker);
+    fleet.scheduler.setCordoned(starts[0].worker, true);
+    fleet.listInstances();
+    CHECK(fleet.scheduler.findJob("a")->occurrences.at(0).steps[0].tasks[0].record.crashedRuns.size() == 1);
+}
