Keep room for runs that a worker without capacity guard may still have

As soon as the worker responds, it got more than it holds. Such copies now keep their room until their worker has reported or ended, and what a report lists besides counts until it is gone; with a run of unknown demand nothing is started.

--- a/src/oleanderwick/jobs/fair_order.cpp
+++ b/src/oleanderwick/jobs/fair_order.cpp
@@ -80,7 +80,7 @@
     std::vector<std::pair<const Worker *, Resources>> rooms;
     for (const Worker *worker : m_with.index.workersOf(pool)) {
         if (m_with.health.mayStart(*worker, m_now)) {
-            rooms.emplace_back(worker, worker->entry.capacity - worker->used);
+            rooms.emplace_back(worker, worker->freeRoom());
         }
     }
     std::sort(steps.begin(), steps.end(), [](const Demand &left, const Demand &right) {
--- a/src/oleanderwick/jobs/late_work_yield.cpp
+++ b/src/oleanderwick/jobs/late_work_yield.cpp
@@ -181,7 +181,7 @@
         }
         Host host;
         host.worker = &worker;
-        host.free = worker.entry.capacity - worker.used - reserved[item.first];
+        host.free = worker.freeRoom() - reserved[item.first];
         host.coming = host.free;
         host.reservedFor = reservedFor[item.first];
         for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
--- a/src/oleanderwick/jobs/model.hpp
+++ b/src/oleanderwick/jobs/model.hpp
@@ -206,7 +206,7 @@
 
 /** @brief Scheduling parameters of a pool. */
 struct PoolPolicy {
-    bool workersEnforceCapacity{true}; /**< Workers refuse runs that exceed their free capacity; not used by the scheduler. */
+    bool workersEnforceCapacity{true}; /**< Workers refuse runs that exceed their free capacity. */
     bool standby{false}; /**< Instances are switched off and free of charge. */
 
     [[nodiscard]] bool operator==(const PoolPolicy &) const = default;
--- a/src/oleanderwick/jobs/rack_wait.cpp
+++ b/src/oleanderwick/jobs/rack_wait.cpp
@@ -63,7 +63,7 @@
         const std::vector<std::string> &labels = worker->entry.labels;
         const bool labelled = step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
         // A worker with room that was not chosen is no alternative: another condition or a cost speaks against it.
-        const bool full = !fits(demand, worker->entry.capacity - worker->used);
+        const bool full = !fits(demand, worker->freeRoom());
         if (worker->entry.rack != step.affinityRack || !labelled || !full || bestMs <= 0.0 || !m_health.mayStart(*worker, now)) {
             continue;
         }
@@ -111,7 +111,7 @@
 
 double RackWait::waitMs(const Worker &worker, const std::vector<Change> &changes, const Resources &demand, double durationMs)
 {
-    Resources free = worker.entry.capacity - worker.used;
+    Resources free = worker.freeRoom();
     double since = internal::never;
     for (const Change &change : changes) {
         if (change.atMs >= since + durationMs) {
--- a/src/oleanderwick/jobs/run_tracker.cpp
+++ b/src/oleanderwick/jobs/run_tracker.cpp
@@ -71,7 +71,7 @@
     Task &task = *reference.task;
     if (outcome == StartOutcome::Unknown) {
         worker.nextPollAt = now;
-        if (reference.step->speculative) {
+        if (reference.step->speculative && m_with.state.enforcesCapacity(worker.entry.pool)) {
             // A duplicate run on another worker is harmless, but in a closed zone none may start late.
             if (worker.zoneClosed) {
                 m_with.stopper.stopRun(worker, command.task, command.run);
@@ -129,6 +129,22 @@
         handleRun(worker, reported, now);
     }
     handleMissingRuns(worker, report, sentAt, now);
+    measureUnattached(worker, report);
+}
+
+void RunTracker::measureUnattached(Worker &worker, const WorkerReport &report)
+{
+    worker.unattached = {};
+    worker.hasUnknownRuns = false;
+    for (const ReportedRun &reported : report.running) {
+        const TaskReference reference = m_with.state.findTask(reported.task);
+        const bool attached = reference.task != nullptr && reference.task->isActive() && reference.task->worker == worker.entry.id;
+        if (reference.step == nullptr) {
+            worker.hasUnknownRuns = true;
+        } else if (!attached) {
+            worker.unattached = worker.unattached + StateTable::demandOf(*reference.step);
+        }
+    }
 }
 
 void RunTracker::handleEnd(Worker &worker, const ReportedEnd &end, core::TimePoint now, std::int64_t wallMs)
@@ -244,6 +260,10 @@
 
 void RunTracker::dropSpeculative(Worker &worker, core::TimePoint now)
 {
+    if (!m_with.state.enforcesCapacity(worker.entry.pool)) {
+        // The runs may still take up room when the worker responds again, and it would accept more than it can hold.
+        return;
+    }
     const std::map<TaskName, std::int64_t> runs = worker.runs;
     for (const std::pair<const TaskName, std::int64_t> &run : runs) {
         const TaskReference reference = m_with.state.findTask(run.first);
--- a/src/oleanderwick/jobs/state_table.cpp
+++ b/src/oleanderwick/jobs/state_table.cpp
@@ -23,6 +23,12 @@
     return found == m_config.queues.end() ? nullptr : &found->second;
 }
 
+bool StateTable::enforcesCapacity(const std::string &pool) const
+{
+    const auto found = m_config.pools.find(pool);
+    return found == m_config.pools.end() || found->second.workersEnforceCapacity;
+}
+
 bool StateTable::isStandby(const std::string &pool) const
 {
     const auto found = m_config.pools.find(pool);
--- a/src/oleanderwick/jobs/state_table.hpp
+++ b/src/oleanderwick/jobs/state_table.hpp
@@ -50,6 +50,13 @@
      */
     [[nodiscard]] const QueuePolicy *findQueue(const std::string &name) const;
 
+    /**
+     * @brief Checks whether the workers of a pool refuse runs that exceed their free capacity.
+     * @param pool Name of the pool.
+     * @return False if the scheduler alone has to keep the limit; true for an unknown pool.
+     */
+    [[nodiscard]] bool enforcesCapacity(const std::string &pool) const;
+
     /**
      * @brief Checks whether a pool's instances are switched off and free of charge.
      * @param pool Name of the pool.
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -171,6 +171,8 @@
     bool pollInFlight{false}; /**< A poll is in flight. */
     bool unresponsive{false}; /**< The last poll failed. */
     Resources used; /**< Demand of the runs that are or may be on the worker. */
+    Resources unattached; /**< Demand of other runs that the last report listed, such as runs that are being stopped after a copy has been started. */
+    bool hasUnknownRuns{false}; /**< The last report listed runs of jobs that are not known any more. */
     Resources promised; /**< Free room that late work must leave to tasks for which runs were stopped. */
     core::TimePoint lastStartAt; /**< When a run was last commanded to start in this incarnation. */
     std::string lastStartJob; /**< Job of that run. */
@@ -189,6 +191,12 @@
         return entry.draining || (unresponsive ? cordonedWhenSilent : cordoned);
     }
 
+    /** @return Capacity without what is or may be in use; nothing while there are runs of unknown demand. May be negative. */
+    [[nodiscard]] Resources freeRoom() const noexcept
+    {
+        return hasUnknownRuns ? Resources{} - used : entry.capacity - used - unattached;
+    }
+
     /**
      * @brief Reserves the worker for a suspect.
      * @param task Name of the task.
--- a/src/oleanderwick/jobs/worker_chooser.cpp
+++ b/src/oleanderwick/jobs/worker_chooser.cpp
@@ -125,7 +125,7 @@
     bool fitsSomewhere = false;
     choices.m_workers.clear();
     for (Worker *worker : m_index.workersOf(pool)) {
-        if (!fits(demand, worker->entry.capacity - worker->used)) {
+        if (!fits(demand, worker->freeRoom())) {
             continue;
         }
         fitsSomewhere = true;
@@ -238,7 +238,7 @@
 
 bool WorkerChooser::canPlace(const Worker &worker, const Candidate &candidate, core::TimePoint now) const
 {
-    const Resources available = worker.entry.capacity - worker.used - (candidate.isLate() ? worker.promised : Resources{});
+    const Resources available = worker.freeRoom() - (candidate.isLate() ? worker.promised : Resources{});
     return fits(StateTable::demandOf(candidate.definition()), available) && isSuitable(worker, candidate, now);
 }
 
--- a/src/oleanderwick/jobs/worker_index.cpp
+++ b/src/oleanderwick/jobs/worker_index.cpp
@@ -14,7 +14,7 @@
         Worker &worker = item.second;
         if (worker.isSchedulable() && worker.reported && worker.clockMs > 0) {
             m_workers[worker.entry.pool].push_back(&worker);
-            const Resources room = worker.entry.capacity - worker.used;
+            const Resources room = worker.freeRoom();
             Resources &largest = m_room[worker.entry.pool];
             largest = Resources{std::max(largest.cpu, room.cpu), std::max(largest.memory, room.memory), std::max(largest.gpu, room.gpu)};
         }
--- a/src/oleanderwick/jobs/worker_monitor.cpp
+++ b/src/oleanderwick/jobs/worker_monitor.cpp
@@ -106,6 +106,8 @@
         m_with.crashes.recordCrash(worker.entry.id, std::move(suspects), reason, now);
     }
     worker.reported = true;
+    worker.unattached = {};
+    worker.hasUnknownRuns = false;
     worker.leaseExpiresBy = now;
 }
 
--- a/src/oleanderwick/jobs/zone_evacuation.cpp
+++ b/src/oleanderwick/jobs/zone_evacuation.cpp
@@ -182,7 +182,7 @@
         if (worker.entry.pool != pool || !worker.isSchedulable() || !worker.reported || worker.clockMs == 0 || !sound) {
             continue;
         }
-        Resources available = worker.entry.capacity - worker.used;
+        Resources available = worker.freeRoom();
         for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
             const Step *step = m_with.state.findStep(run.first);
             if (besideContinuous && step != nullptr && !step->continuous) {
