Ask for the list of instances at once when a worker with runs falls silent

Tasks of a crashed worker waited up to 400 ms for the next list that shows its end. For half a second after a worker with runs has stopped responding, the list is requested each 100 ms.

--- a/src/oleanderwick/jobnode/owner_term_commands.cpp
+++ b/src/oleanderwick/jobnode/owner_term_commands.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr core::Duration instanceListInterval = std::chrono::milliseconds{400};
+/** Interval while tasks wait to learn whether their worker has crashed. */
+constexpr core::Duration urgentListInterval = std::chrono::milliseconds{100};
 /** Evacuations and maintenance examine each worker and each instance of a wave, so they don't run in each cycle. */
 constexpr core::Duration evacuationInterval = std::chrono::milliseconds{20};
 
@@ -197,7 +199,8 @@
 void OwnerTerm::State::listInstances()
 {
     const core::TimePoint now = executor.now();
-    if (instanceListInFlight || now - lastInstanceListAt < internal::instanceListInterval) {
+    const core::Duration interval = scheduler.awaitsWorkerFate(now) ? internal::urgentListInterval : internal::instanceListInterval;
+    if (instanceListInFlight || now - lastInstanceListAt < interval) {
         return;
     }
     instanceListInFlight = true;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -159,6 +159,11 @@
     m_components->monitor.handleRunningWorkers(running, requestedAt, now);
 }
 
+bool Scheduler::awaitsWorkerFate(core::TimePoint now) const noexcept
+{
+    return m_components->monitor.awaitsWorkerFate(now);
+}
+
 void Scheduler::handleStartReply(const StartCommand &command, StartOutcome outcome, std::int64_t clockMs, core::TimePoint now)
 {
     m_components->runs.handleStartReply(command, outcome, clockMs, now);
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -110,6 +110,13 @@
      */
     void handleRunningWorkers(const std::set<std::string> &running, core::TimePoint requestedAt, core::TimePoint now);
 
+    /**
+     * @brief Checks whether tasks wait for a list of running workers.
+     * @param now Current time of the monotonic clock.
+     * @return True shortly after a worker with runs has stopped responding.
+     */
+    [[nodiscard]] bool awaitsWorkerFate(core::TimePoint now) const noexcept;
+
     /**
      * @brief Handles the reply to a start command.
      * @param command Command that was sent.
--- a/src/oleanderwick/jobs/worker_monitor.cpp
+++ b/src/oleanderwick/jobs/worker_monitor.cpp
@@ -85,6 +85,7 @@
     }
     if (!worker->unresponsive) {
         worker->silentSince = now;
+        m_silentAt = worker->runs.empty() ? m_silentAt : now;
         worker->cordonedWhenSilent = worker->cordoned;
     }
     worker->unresponsive = true;
@@ -152,6 +153,13 @@
     }
 }
 
+bool WorkerMonitor::awaitsWorkerFate(core::TimePoint now) const noexcept
+{
+    // A worker that crashes is missing from the list at once; longer silences have other causes.
+    constexpr core::Duration crashVisibleWithin = std::chrono::milliseconds{500};
+    return now - m_silentAt < crashVisibleWithin;
+}
+
 void WorkerMonitor::advance(core::TimePoint now)
 {
     constexpr core::Duration sweepInterval = std::chrono::milliseconds{50};
--- a/src/oleanderwick/jobs/worker_monitor.hpp
+++ b/src/oleanderwick/jobs/worker_monitor.hpp
@@ -52,6 +52,13 @@
     /** @brief See `Scheduler::handleRunningWorkers`. */
     void handleRunningWorkers(const std::set<std::string> &running, core::TimePoint requestedAt, core::TimePoint now);
 
+    /**
+     * @brief Checks whether tasks wait to learn if their workers have ended.
+     * @param now Current time of the monotonic clock.
+     * @return True shortly after a worker with runs has stopped responding.
+     */
+    [[nodiscard]] bool awaitsWorkerFate(core::TimePoint now) const noexcept;
+
     /**
      * @brief Gives up runs whose lease has expired, and removes workers that have not been heard of for long.
      * @param now Current time of the monotonic clock.
@@ -67,6 +74,7 @@
 
     Collaborators m_with;
     core::TimePoint m_sweptAt;
+    core::TimePoint m_silentAt; /**< Time at which a worker with runs last stopped responding. */
 };
 
 } // namespace oleanderwick::jobs
--- a/test/oleanderwick/jobs/crash_attribution.cpp
+++ b/test/oleanderwick/jobs/crash_attribution.cpp
@@ -345,3 +345,17 @@
     fleet.listInstances();
     CHECK(fleet.scheduler.findJob("a")->occurrences.at(0).steps[0].tasks[0].record.crashedRuns.size() == 1);
 }
+
+TEST_CASE("the fate of a worker that has just stopped responding is asked for at once", "[jobs]")
+{
+    CrashingFleet fleet{2};
+    fleet.scheduler.addJob(JobFleet::makeJob("a", {JobFleet::makeStep(1)}), std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartCommand> starts = fleet.advance();
+    REQUIRE(starts.size() == 1);
+    fleet.accept(starts);
+    CHECK_FALSE(fleet.scheduler.awaitsWorkerFate(fleet.now));
+    fleet.crash(starts[0].worker);
+    CHECK(fleet.scheduler.awaitsWorkerFate(fleet.now));
+    fleet.now += std::chrono::seconds{1};
+    CHECK_FALSE(fleet.scheduler.awaitsWorkerFate(fleet.now));
+}
