--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -153,13 +153,13 @@
     bool cordoned{false}; /**< Gets no new work because of maintenance or a move to another pool. */
     bool maintenancePending{false}; /**< A maintenance wave includes the worker and has not reached it yet. */
     bool zoneClosed{false}; /**< Operators have closed the worker's zone. */
+    bool cordonedWhenSilent{false}; /**< The worker was cordoned at `silentSince`; idle workers are cordoned to be moved, crashed ones included. */
+    bool restartPlanned{false}; /**< The incarnation before it was draining or cordoned. */
     std::int64_t incarnation{0}; /**< Newest known incarnation; 0 while unknown. */
     std::int64_t clockMs{0}; /**< Time of the worker's clock at `clockAt`; 0 while unknown. */
     core::TimePoint clockAt;
     core::TimePoint silentSince; /**< Time of the first of the polls that have failed since the last reply. */
-    bool cordonedWhenSilent{false}; /**< The worker was cordoned at `silentSince`; idle workers are cordoned to be moved, crashed ones included. */
     core::TimePoint restartedAt; /**< Time at which a new incarnation was noticed that has not reported yet; zero if there is none. */
-    bool restartPlanned{false}; /**< The incarnation before it was draining or cordoned. */
     core::TimePoint leaseExpiresBy; /**< Time by which the worker's runs have ended unless its lease is extended. */
     core::TimePoint lastReplyAt; /**< Last reply of the worker. */
     core::TimePoint nextPollAt; /**< Earliest time of the next poll. */
@@ -170,15 +170,15 @@
     std::vector<std::string> provenBy; /**< The last two jobs with a success on the worker in this term; kept only with `attributeFailures`. */
     bool pollInFlight{false}; /**< A poll is in flight. */
     bool unresponsive{false}; /**< The last poll failed. */
+    bool reservedForVerdict{false}; /**< The suspect needs a verdict, so that no other suspects share the worker either. */
+    bool hasUnknownRuns{false}; /**< The last report listed runs of jobs that are not known any more. */
     Resources used; /**< Demand of the runs that are or may be on the worker. */
     Resources unattached; /**< Demand of other runs that the last report listed, such as runs that are being stopped after a copy has been started. */
-    bool hasUnknownRuns{false}; /**< The last report listed runs of jobs that are not known any more. */
     Resources promised; /**< Free room that late work must leave to tasks for which runs were stopped. */
     core::TimePoint lastStartAt; /**< When a run was last commanded to start in this incarnation. */
     std::string lastStartJob; /**< Job of that run. */
     std::optional<TaskName> reservedFor; /**< Suspect that is started here, or will be, with no start of another job at the same time. */
     core::TimePoint reservedUntil; /**< End of the reservation. */
-    bool reservedForVerdict{false}; /**< The suspect needs a verdict, so that no other suspects share the worker either. */
     std::map<TaskName, std::int64_t> runs; /**< Run number by task, for the runs that are or may be on the worker. */
     std::int64_t lastEnd{0}; /**< Highest number of a run end that was processed. */
     std::int64_t storedEnd{0}; /**< Run ends up to this number are stored. */
