Remove the owner's key of a former process at the same address

A node that finds its own address in the key, with the name of another process, knows that this process has ended, since two processes cannot listen at one address. It removes the key under the condition of its revision; the election then goes on as after a resignation, with a higher token. A process at another address still waits for the lease.

--- a/src/oleanderwick/jobnode/ownership.cpp
+++ b/src/oleanderwick/jobnode/ownership.cpp
@@ -171,11 +171,25 @@
         if (token != 0 && item.revision > token) {
             handleLoss("other_owner");
         }
+        const OwnerRecord owner = ownerFromText(item.value);
+        if (!address.empty() && owner.address == address && owner.name != nodeName && item.revision != removedRevision) {
+            removeFormer(item.revision);
+        }
         if (callbacks.onOwner) {
-            callbacks.onOwner(ownerFromText(item.value));
+            callbacks.onOwner(owner);
         }
     }
 
+    /** Removes the key of an owner at this node's own address: it has ended, since two processes can't listen there, so nobody waits for its lease. */
+    void removeFormer(std::int64_t revision)
+    {
+        removedRevision = revision;
+        log.add("former_ownership_removed", telemetry::Event{"former_ownership_removed"}.with("token", revision));
+        store.commit({{{keys::owner, revision}}, {}, {keys::owner}}, [](const jobs::StoreReply &) {
+            // If the call fails, the key expires with its lease.
+        });
+    }
+
     void handleOwnerRemoval()
     {
         keyExists = false;
@@ -198,6 +212,7 @@
     bool resigned{false};
     bool acquirePending{false};
     bool keyExists{false}; /**< The key of some owner is in the store. */
+    std::int64_t removedRevision{0}; /**< Last revision of the key that this node has tried to remove. */
     std::int64_t token{0};
     std::int64_t lease{0};
     core::Duration ttl{};
--- a/test/oleanderwick/jobnode/ownership.cpp
+++ b/test/oleanderwick/jobnode/ownership.cpp
@@ -11,9 +11,14 @@
 /** @brief Candidate for ownership in virtual time, with what it was told of the owner. */
 struct Candidate {
     Candidate(emulator::Timeline &timeline, emulator::StoreModel &model, const std::string &name)
+        : Candidate{timeline, model, name, "address-of-" + name}
+    {
+    }
+
+    Candidate(emulator::Timeline &timeline, emulator::StoreModel &model, const std::string &name, const std::string &address)
         : executor{timeline, 0}
         , store{timeline, model}
-        , ownership{executor, store, name, {}, log, callbacks(), "address-of-" + name}
+        , ownership{executor, store, name, {}, log, callbacks(), address}
     {
     }
 
@@ -71,3 +76,31 @@
     REQUIRE(first.owner.has_value());
     CHECK(first.owner->name == "b");
 }
+
+TEST_CASE("an owner that was killed and restarted does not wait for the lease of its former process", "[ownership]")
+{
+    emulator::Timeline timeline;
+    emulator::StoreModel model;
+    const auto run = [&timeline](int milliseconds) {
+        timeline.runUntil(timeline.now() + std::chrono::milliseconds{milliseconds});
+    };
+    std::int64_t formerToken = 0;
+    {
+        Candidate killed{timeline, model, "a#1", "address-of-a"};
+        run(1000);
+        formerToken = killed.ownership.token();
+        REQUIRE(formerToken != 0);
+    }
+    SECTION("the restarted process takes over, with a higher token")
+    {
+        Candidate restarted{timeline, model, "a#2", "address-of-a"};
+        run(300);
+        CHECK(restarted.ownership.token() > formerToken);
+    }
+    SECTION("a process at another address waits, since the former one may still be acting")
+    {
+        Candidate other{timeline, model, "b#1", "address-of-b"};
+        run(300);
+        CHECK(other.ownership.token() == 0);
+    }
+}
