Order late jobs by the end of their use, and size pools for rising arrivals

Hypothesis 1: jobs that were accepted and missed the last moment at which their answer is of use cost more than all the rest that is late, since late jobs went oldest first behind every timely one. Late jobs now go by the time left until then; those about to lose their use come before timely ones, within half of the pool; those that have lost it come last.

Hypothesis 2: an instance takes 1.5 s to move, so the first seconds of each peak are served late. Pools are sized for where rising arrivals will be when an instance that is ordered now takes work.

--- a/src/oleanderwick/jobs/fair_order.cpp
+++ b/src/oleanderwick/jobs/fair_order.cpp
@@ -37,7 +37,7 @@
 
 FairOrder::FairOrder(const Collaborators &collaborators)
     : m_with{collaborators}
-    , m_slackOrder{collaborators.loads}
+    , m_slackOrder{collaborators.loads, collaborators.estimates}
 {
 }
 
--- a/src/oleanderwick/jobs/job_estimates.cpp
+++ b/src/oleanderwick/jobs/job_estimates.cpp
@@ -5,8 +5,9 @@
 namespace oleanderwick::jobs
 {
 
-JobEstimates::JobEstimates(const StateTable &state)
+JobEstimates::JobEstimates(const StateTable &state, double lateBoundFactor)
     : m_state{state}
+    , m_lateBoundFactor{lateBoundFactor}
 {
 }
 
@@ -52,6 +53,11 @@
     return timeToObjectiveMs(entry, occurrence, wallMs) - criticalPathMs(entry.job, &occurrence);
 }
 
+double JobEstimates::usefulSlackMs(const JobEntry &entry, double slackMs) const
+{
+    return slackMs + std::max(m_lateBoundFactor - 1.0, 0.0) * objectiveMs(entry);
+}
+
 double JobEstimates::runningSlackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, core::TimePoint now) const
 {
     const Job &job = entry.job;
--- a/src/oleanderwick/jobs/job_estimates.hpp
+++ b/src/oleanderwick/jobs/job_estimates.hpp
@@ -12,8 +12,9 @@
     /**
      * @brief Creates the object for one owner's term.
      * @param state State of the scheduler; must outlive this object.
+     * @param lateBoundFactor Multiple of a job's objective after which its answer has no use.
      */
-    explicit JobEstimates(const StateTable &state);
+    JobEstimates(const StateTable &state, double lateBoundFactor);
 
     /**
      * @brief Estimates the duration of the critical path.
@@ -48,6 +49,14 @@
      */
     [[nodiscard]] double slackMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const;
 
+    /**
+     * @brief Estimates the time left to start the remaining steps before the answer loses its use.
+     * @param entry Job.
+     * @param slackMs Its slack in milliseconds, see `slackMs`.
+     * @return Time in milliseconds; negative if nobody will wait for the answer any more.
+     */
+    [[nodiscard]] double usefulSlackMs(const JobEntry &entry, double slackMs) const;
+
     /**
      * @brief Estimates the slack of a job of which tasks are running; unlike for `slackMs`, what these have done no longer counts as remaining.
      * @param entry Job.
@@ -73,6 +82,7 @@
     [[nodiscard]] double timeToObjectiveMs(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs) const;
 
     const StateTable &m_state;
+    double m_lateBoundFactor;
 };
 
 } // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/load_meter.cpp
+++ b/src/oleanderwick/jobs/load_meter.cpp
@@ -11,13 +11,16 @@
 
 /** A pool is overloaded when waiting tasks of jobs that can meet their objective demand more than this multiple of its CPU. */
 constexpr double overloadFactor = 1.2;
+/** Time from the start of a worker until the owner knows it and it gets its first task. */
+constexpr core::Duration registrationTime = std::chrono::milliseconds{100};
 constexpr core::Duration measureInterval = std::chrono::milliseconds{40};
 
 } // namespace internal
 
-LoadMeter::LoadMeter(const StateTable &state, const JobEstimates &estimates)
+LoadMeter::LoadMeter(const StateTable &state, const JobEstimates &estimates, core::Duration moveTime)
     : m_state{state}
     , m_estimates{estimates}
+    , m_moveTime{moveTime}
 {
 }
 
@@ -54,13 +57,28 @@
     return load != m_loads.end() && static_cast<double>(load->second.waitingCpu) > internal::overloadFactor * static_cast<double>(load->second.capacity);
 }
 
+std::int64_t LoadMeter::cpuForLateWork(const std::string &pool, double share) const
+{
+    const auto load = m_loads.find(pool);
+    return load == m_loads.end() ? 0 : static_cast<std::int64_t>(share * static_cast<double>(load->second.capacity)) - load->second.runningLateCpu;
+}
+
+std::int64_t LoadMeter::arrivingCpu(const std::string &pool, core::TimePoint now) const
+{
+    const auto arrivals = m_arrivals.find(pool);
+    if (arrivals == m_arrivals.end()) {
+        return 0;
+    }
+    const std::int64_t required = arrivals->second.requiredCpu(now);
+    return m_moveTime > core::Duration{} ? std::max(required, arrivals->second.forecastCpu(now, m_moveTime + internal::registrationTime)) : required;
+}
+
 std::map<std::string, PoolLoad> LoadMeter::measure(core::TimePoint now, std::int64_t wallMs) const
 {
     std::map<std::string, PoolLoad> loads;
     for (const std::pair<const std::string, PoolPolicy> &pool : m_state.config().pools) {
         if (!pool.second.standby) {
-            const auto arrivals = m_arrivals.find(pool.first);
-            loads[pool.first].arrivingCpu = arrivals == m_arrivals.end() ? 0 : arrivals->second.requiredCpu(now);
+            loads[pool.first].arrivingCpu = arrivingCpu(pool.first, now);
         }
     }
     for (const std::pair<const std::string, Worker> &item : m_state.workers()) {
--- a/src/oleanderwick/jobs/load_meter.hpp
+++ b/src/oleanderwick/jobs/load_meter.hpp
@@ -20,8 +20,9 @@
      * @brief Creates the object for one owner's term.
      * @param state State of the scheduler; must outlive this object.
      * @param estimates Decides which work is late; must outlive this object.
+     * @param moveTime Time from the command to move an instance until it is up in its new pool; 0 if instances aren't moved.
      */
-    LoadMeter(const StateTable &state, const JobEstimates &estimates);
+    LoadMeter(const StateTable &state, const JobEstimates &estimates, core::Duration moveTime);
 
     /**
      * @brief Records the arrival of a job.
@@ -53,6 +54,14 @@
      */
     [[nodiscard]] bool isOverloaded(const std::string &pool) const;
 
+    /**
+     * @brief Computes how much more late work a pool may run.
+     * @param pool Name of the pool.
+     * @param share Part of its CPU that late work may occupy.
+     * @return CPU as last measured, in thousandths of a core; 0 or less if late work occupies that part.
+     */
+    [[nodiscard]] std::int64_t cpuForLateWork(const std::string &pool, double share) const;
+
     /**
      * @brief Computes the present CPU utilization of a pool.
      * @param pool Name of the pool.
@@ -61,11 +70,14 @@
     [[nodiscard]] double cpuUtilization(const std::string &pool) const;
 
 private:
+    /** CPU that the jobs arriving in a pool need, or will need once an instance that is ordered now takes work, if that is more. */
+    [[nodiscard]] std::int64_t arrivingCpu(const std::string &pool, core::TimePoint now) const;
     [[nodiscard]] std::map<std::string, PoolLoad> measure(core::TimePoint now, std::int64_t wallMs) const;
     void addOccurrenceLoad(const JobEntry &entry, const Occurrence &occurrence, std::int64_t wallMs, PoolLoad &load) const;
 
     const StateTable &m_state;
     const JobEstimates &m_estimates;
+    core::Duration m_moveTime;
     std::map<std::string, ArrivalRate> m_arrivals; /**< Recently arrived work by pool. */
     std::map<std::string, std::int64_t> m_stuckTasks;
     std::map<std::string, PoolLoad> m_loads;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -48,7 +48,9 @@
 /** State and decisions, each of which uses only those above it. */
 struct Scheduler::Components {
     Components(const SchedulerLimits &limits, core::TimePoint termStart)
-        : classifier{state, limits, output}
+        : estimates{state, limits.lateBoundFactor}
+        , loads{state, estimates, limits.moveTime}
+        , classifier{state, limits, output}
         , health{state, output, limits.attributeFailures}
         , leases{state, limits, termStart}
         , racks{state, health, index, limits.remoteFactor}
@@ -64,14 +66,14 @@
         if (limits.teamShares) {
             return std::make_unique<FairOrder>(FairOrder::Collaborators{state, loads, estimates, health, index});
         }
-        return std::make_unique<SlackOrder>(loads);
+        return std::make_unique<SlackOrder>(loads, estimates);
     }
 
     StateTable state;
     SchedulerOutput output;
 
-    JobEstimates estimates{state};
-    LoadMeter loads{state, estimates};
+    JobEstimates estimates;
+    LoadMeter loads;
     JobClassifier classifier;
     QueueAges ages{state, estimates, output};
     DemandMeter demand{state, estimates, loads};
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -97,6 +97,7 @@
         {"clearLateWithin", factor(&JobSettings::clearLateWithin)},
         {"needLastsMs", milliseconds(&JobSettings::needLasts)},
         {"parkAfterMs", milliseconds(&JobSettings::parkAfter)},
+        {"moveTimeS", seconds(&JobSettings::moveTime)},
         {"reserveInstances", factor(&JobSettings::reserveInstances)},
         {"notifyOwner", flag(&JobSettings::notifyOwner)},
         {"teamShares", flag(&JobSettings::teamShares)},
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -30,8 +30,9 @@
     double clearWithin{1.0}; /**< Time within which waiting work should start, in task durations; pools are sized for it. */
     double arrivingWeight{1.0}; /**< Fraction of the demand estimated from arriving jobs that pools are sized for before the tasks are ready. */
     double clearLateWithin{5.0}; /**< As `clearWithin`, for work that will miss its objective in any case. */
-    core::Duration needLasts{std::chrono::milliseconds{1000}}; /**< Time for which a pool's need still counts after it has dropped. */
-    core::Duration parkAfter{std::chrono::milliseconds{1800}}; /**< Time for which a pool must have a surplus before one of its instances goes to standby. */
+    core::Duration needLasts{std::chrono::milliseconds{600}}; /**< Time for which a pool's need still counts after it has dropped. */
+    core::Duration parkAfter{std::chrono::milliseconds{600}}; /**< Time for which a pool must have a surplus before one of its instances goes to standby. */
+    core::Duration moveTime{}; /**< Time that the platform takes to move an instance; pools are sized for rising demand that far ahead, not at all if 0. */
     double reserveInstances{1}; /**< Number of instances kept in each pool beyond its need. */
     bool notifyOwner{false}; /**< Notify the owner of stored jobs and cancels, so that it knows of them while the store's watches are silent. */
     bool teamShares{false}; /**< Give room in full pools to teams by their weights, first for jobs within the rate of their team. */
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -47,6 +47,8 @@
     options.balancing.divideScarceInstances = settings.teamShares;
     options.scheduler.attributeFailures = settings.attributeFailures;
     options.scheduler.yieldLateWork = settings.yieldLateWork;
+    options.scheduler.lateBoundFactor = settings.lateBoundFactor;
+    options.scheduler.moveTime = settings.moveTime;
     options.scheduler.remoteFactor = settings.remoteFactor;
     options.notifyOwner = settings.notifyOwner;
     options.noticeAddress = settings.internal;
