Spread the tasks of a continuous step over two workers

At most half of a new step is placed on one worker while the job is within its objective, and workers that share a rack or a worker with the step's other tasks cost more.

--- a/src/oleanderwick/jobs/worker_chooser.cpp
+++ b/src/oleanderwick/jobs/worker_chooser.cpp
@@ -18,6 +18,9 @@
 constexpr double failureCost = 1.0;
 /** Continuous tasks keep their instance from being moved to another pool or to standby, so they are packed on few workers. */
 constexpr double spreadCost = 1.0;
+/** Costs of the tasks of a continuous step that already run on the worker or on its rack and would be lost with it, if all of them do. */
+constexpr double sharedWorkerCost = 0.75;
+constexpr double sharedRackCost = 0.2;
 /** Cost of a worker that can no longer take a task. */
 constexpr double excluded = std::numeric_limits<double>::max();
 
@@ -54,6 +57,7 @@
     {internal::wantsSameRack, &WorkerChooser::addSplitRacks},
     {internal::isContinuous, &WorkerChooser::addMaintenance},
     {internal::isContinuous, &WorkerChooser::addSpread},
+    {internal::isContinuous, &WorkerChooser::addSharedLoss},
     {internal::mayInterfere, &WorkerChooser::addInterference},
     {internal::isAnyStep, &WorkerChooser::addFailures},
 }};
@@ -254,9 +258,22 @@
     if (step.maxPerWorker > 0 && StateTable::countOnWorker(worker, candidate.taskName(0)) >= step.maxPerWorker) {
         return false;
     }
+    if (concentrates(worker, candidate)) {
+        return false;
+    }
     return !candidate.needsTicket || m_tickets.find(candidate.stepName(), worker.entry.id, now) != nullptr;
 }
 
+bool WorkerChooser::concentrates(const Worker &worker, const Candidate &candidate)
+{
+    const Step &step = candidate.definition();
+    // Once the job is late, or after a loss, its tasks no longer wait for a second worker.
+    if (!step.continuous || step.count < 2 || candidate.slackMs <= 0) {
+        return false;
+    }
+    return 2 * (StateTable::countOnWorker(worker, candidate.taskName(0)) + 1) > step.count + 1;
+}
+
 double WorkerChooser::costOf(const Worker &worker, const Candidate &candidate, const Choices &choices) const
 {
     double cost = 0.0;
@@ -302,6 +319,20 @@
     return m_state.runsContinuous(worker) ? cost : cost + internal::spreadCost;
 }
 
+double WorkerChooser::addSharedLoss(double cost, const Worker &worker, const Candidate &candidate) const
+{
+    const std::vector<Task> &tasks = candidate.tasks();
+    double onWorker = 0.0;
+    double onRack = 0.0;
+    for (const Task &task : tasks) {
+        const Worker *other = task.isActive() ? m_state.findWorker(task.worker) : nullptr;
+        onWorker += other == &worker ? 1.0 : 0.0;
+        onRack += other != nullptr && other->entry.rack == worker.entry.rack ? 1.0 : 0.0;
+    }
+    const double count = static_cast<double>(std::max<std::size_t>(tasks.size(), 1));
+    return cost + internal::sharedWorkerCost * onWorker / count + internal::sharedRackCost * onRack / count;
+}
+
 double WorkerChooser::addInterference(double cost, const Worker &worker, const Candidate &candidate) const
 {
     const Step &step = candidate.definition();
--- a/src/oleanderwick/jobs/worker_chooser.hpp
+++ b/src/oleanderwick/jobs/worker_chooser.hpp
@@ -85,7 +85,7 @@
         AddCost add;
     };
 
-    static constexpr std::size_t termCount = 7;
+    static constexpr std::size_t termCount = 8;
 
     struct Choice {
         Worker *worker;
@@ -100,6 +100,8 @@
     /** Returns true if an empty worker would be able to take the task. */
     [[nodiscard]] bool couldPlace(const Worker &worker, const Candidate &candidate, core::TimePoint now) const;
     [[nodiscard]] bool canPlace(const Worker &worker, const Candidate &candidate, core::TimePoint now) const;
+    /** Returns true if one more run on the worker would put more than half of a new continuous step at the risk of a single loss. */
+    [[nodiscard]] static bool concentrates(const Worker &worker, const Candidate &candidate);
     [[nodiscard]] static bool meets(RetryCondition condition, const Worker &worker, const Task &task);
     [[nodiscard]] double costOf(const Worker &worker, const Candidate &candidate, const Choices &choices) const;
 
@@ -108,6 +110,7 @@
     [[nodiscard]] double addSplitRacks(double cost, const Worker &worker, const Candidate &candidate) const;
     [[nodiscard]] double addMaintenance(double cost, const Worker &worker, const Candidate &candidate) const;
     [[nodiscard]] double addSpread(double cost, const Worker &worker, const Candidate &candidate) const;
+    [[nodiscard]] double addSharedLoss(double cost, const Worker &worker, const Candidate &candidate) const;
     [[nodiscard]] double addInterference(double cost, const Worker &worker, const Candidate &candidate) const;
     [[nodiscard]] double addFailures(double cost, const Worker &worker, const Candidate &candidate) const;
 
