Drain the instances of a wave first that take long to empty

An instance that needs more than half of the time left now comes before cheaper ones. The new test fails without the change: the instances without runs were drained first.

--- a/src/oleanderwick/jobs/maintenance_controller.cpp
+++ b/src/oleanderwick/jobs/maintenance_controller.cpp
@@ -15,6 +15,10 @@
 constexpr double maxUnavailableShare = 0.35;
 /** Time from cordoning an instance to its return, as observed on the platform: drain, maintenance and start. */
 constexpr core::Duration expectedMaintenanceTime = std::chrono::milliseconds{4500};
+/** Time from the stop of a continuous task until it is at work elsewhere and the next one of its step may leave. */
+constexpr core::Duration evacuationTurnTime = std::chrono::milliseconds{2500};
+/** Part of the remaining time beyond which an instance's own maintenance may not wait for cheaper ones. */
+constexpr double urgentPart = 0.5;
 /** Share of the remaining time that the plan uses; the rest is a margin for failures and changes of the owner. */
 constexpr double plannedShareOfTime = 0.7;
 /** Delay before a command whose reply was lost is sent again. */
@@ -255,12 +259,20 @@
     });
 }
 
+bool MaintenanceController::isUrgent(const WaveState &state, const InstanceEntry &instance, const Scheduler &scheduler, std::int64_t wallMs)
+{
+    const std::int64_t turns = scheduler.evacuationTurns(instance.worker);
+    const core::Duration needed = internal::expectedMaintenanceTime + turns * internal::evacuationTurnTime;
+    const double leftMs = static_cast<double>(state.progress.deadlineMs - wallMs);
+    return turns > 0 && static_cast<double>(core::milliseconds(needed)) > internal::urgentPart * leftMs;
+}
+
 void MaintenanceController::startDrains(WaveState &state, Scheduler &scheduler, core::TimePoint now, std::int64_t wallMs)
 {
     const std::size_t limit = maxOutOfService(state, wallMs);
     while (countPhase(state, Phase::Draining) + countPhase(state, Phase::CommandSent) + countPhase(state, Phase::Down) < limit) {
         std::string best;
-        double bestCost = 0.0;
+        std::pair<bool, double> bestRank;
         const std::map<std::string, PoolAvailability> pools = measurePools(scheduler);
         for (const std::pair<const std::string, Member> &member : state.members) {
             const InstanceEntry *entry = findInstance(member.first);
@@ -268,9 +280,11 @@
                 continue;
             }
             const double cost = drainCost(*entry, pools.at(entry->pool), scheduler);
-            if (cost >= 0.0 && (best.empty() || cost < bestCost)) {
+            // Instances with many continuous tasks take long to empty, so that the wave is late if they come last.
+            const std::pair rank{!isUrgent(state, *entry, scheduler, wallMs), cost};
+            if (cost >= 0.0 && (best.empty() || rank < bestRank)) {
                 best = member.first;
-                bestCost = cost;
+                bestRank = rank;
             }
         }
         if (best.empty()) {
--- a/src/oleanderwick/jobs/maintenance_controller.hpp
+++ b/src/oleanderwick/jobs/maintenance_controller.hpp
@@ -170,6 +170,8 @@
     [[nodiscard]] std::map<std::string, PoolAvailability> measurePools(const Scheduler &scheduler) const;
     /** Cost of draining an instance now, without unit; negative if too much of its pool would be out of service. */
     [[nodiscard]] static double drainCost(const InstanceEntry &instance, const PoolAvailability &pool, const Scheduler &scheduler);
+    /** Returns true if emptying the instance takes so much of the wave's remaining time that it can't wait for others. */
+    [[nodiscard]] static bool isUrgent(const WaveState &state, const InstanceEntry &instance, const Scheduler &scheduler, std::int64_t wallMs);
     void finishIfComplete(WaveState &state);
 
     const CommandDelay &m_commandDelay;
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -320,6 +320,12 @@
     return m_components->state.runsContinuous(worker);
 }
 
+std::int64_t Scheduler::evacuationTurns(const std::string &worker) const
+{
+    const Worker *known = std::as_const(m_components->state).findWorker(worker);
+    return known == nullptr ? 0 : m_components->state.evacuationTurns(*known);
+}
+
 const std::map<std::string, PoolLoad> &Scheduler::poolLoads() const noexcept
 {
     return m_components->loads.loads();
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -282,6 +282,13 @@
      */
     [[nodiscard]] bool runsContinuous(const Worker &worker) const;
 
+    /**
+     * @brief Counts how many times in a row continuous tasks have to leave a worker until it has none.
+     * @param worker Name of the worker.
+     * @return Number of turns, see `StateTable::evacuationTurns`; 0 for an unknown worker.
+     */
+    [[nodiscard]] std::int64_t evacuationTurns(const std::string &worker) const;
+
     /**
      * @brief Checks whether operators have closed a zone.
      * @param zone Name of the zone; an empty one is never closed.
--- a/src/oleanderwick/jobs/state_table.cpp
+++ b/src/oleanderwick/jobs/state_table.cpp
@@ -139,6 +139,19 @@
     });
 }
 
+std::int64_t StateTable::evacuationTurns(const Worker &worker) const
+{
+    std::int64_t turns = 0;
+    for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
+        const Step *step = findStep(run.first);
+        if (step != nullptr && step->continuous) {
+            const std::int64_t atOnce = step->maxUnavailable > 0 ? step->maxUnavailable : step->count;
+            turns = std::max(turns, (countOnWorker(worker, run.first) + atOnce - 1) / std::max<std::int64_t>(atOnce, 1));
+        }
+    }
+    return turns;
+}
+
 void StateTable::addUsedWorker(const std::string &id, const std::string &pool)
 {
     const auto known = m_usedWorkers.find(id);
--- a/src/oleanderwick/jobs/state_table.hpp
+++ b/src/oleanderwick/jobs/state_table.hpp
@@ -143,6 +143,13 @@
      */
     [[nodiscard]] bool runsContinuous(const Worker &worker) const;
 
+    /**
+     * @brief Counts how many times in a row continuous tasks have to leave a worker until it has none.
+     * @param worker The worker.
+     * @return Number of turns: of a step with an availability budget, only so many tasks leave at once.
+     */
+    [[nodiscard]] std::int64_t evacuationTurns(const Worker &worker) const;
+
     /**
      * @brief Lists a worker among those that may have runs.
      * @param id Name of the worker.
--- a/test/oleanderwick/jobs/maintenance_controller.cpp
+++ b/test/oleanderwick/jobs/maintenance_controller.cpp
@@ -63,6 +63,31 @@
     CHECK(controller.takeCommands().size() == 1);
 }
 
+TEST_CASE("a wave drains the instance first whose continuous tasks take most of its time to leave", "[maintenance]")
+{
+    JobFleet fleet;
+    fleet.addWorker("w1");
+    jobs::Step step = JobFleet::makeStep(4);
+    step.continuous = true;
+    step.maxUnavailable = 1;
+    jobs::Job job = JobFleet::makeJob("a", {step});
+    job.submittedMs = fleet.wallMs() - 60'000;
+    fleet.scheduler.addJob(job, std::nullopt, false, fleet.now);
+    const std::vector<jobs::StartCommand> starts = fleet.advance();
+    REQUIRE(starts.size() == 4);
+    fleet.accept(starts);
+    fleet.addWorker("w2");
+    fleet.addWorker("w3");
+    CHECK(fleet.scheduler.evacuationTurns("w1") == 4);
+    CHECK(fleet.scheduler.evacuationTurns("w2") == 0);
+    const jobs::CommandDelay commandDelay{fleet.now};
+    jobs::MaintenanceController controller{commandDelay};
+    controller.addWave(makeWave({"m1", "m2", "m3"}, 1), std::nullopt, fleet.wallMs());
+    controller.handleInstances({{"m1", makeInstance("m1", "w1")}, {"m2", makeInstance("m2", "w2")}, {"m3", makeInstance("m3", "w3")}}, fleet.now);
+    controller.advance(fleet.scheduler, fleet.now, fleet.wallMs());
+    CHECK(fleet.scheduler.workers().at("w1").cordoned);
+}
+
 TEST_CASE("a wave never takes more instances down at once than its limit", "[maintenance]")
 {
     JobFleet fleet;
