Count on half of a rise of arrivals in the forecast

The forecast sized pools for a straight continuation; demand that rises also levels off, and the surplus cost the larger fleets.

--- a/src/oleanderwick/jobs/arrival_rate.cpp
+++ b/src/oleanderwick/jobs/arrival_rate.cpp
@@ -16,6 +16,8 @@
 constexpr core::Duration trendWindow = std::chrono::milliseconds{1000};
 /** Part of the standard deviation of a number of arrivals that is deducted from it in a trend. */
 constexpr double trendDeduction = 0.5;
+/** Part of a rise that is expected to go on until the time of the forecast: demand that rises also levels off. */
+constexpr double lastingRise = 0.5;
 /** Fewest jobs in a window that count as a trend; one large job does not. */
 constexpr double minJobsForTrend = 3.0;
 
@@ -71,7 +73,7 @@
     const double workPerJob = work / jobs;
     const double windowMs = static_cast<double>(core::milliseconds(internal::trendWindow));
     // The recent window stands for its middle, half a window ago.
-    const double windowsAhead = 0.5 + static_cast<double>(core::milliseconds(lead)) / windowMs;
+    const double windowsAhead = 0.5 + internal::lastingRise * static_cast<double>(core::milliseconds(lead)) / windowMs;
     const double expectedJobs = recentJobs - internal::trendDeduction * std::sqrt(recentJobs) + rise * windowsAhead;
     return static_cast<std::int64_t>(expectedJobs * workPerJob / windowMs);
 }
