--- a/src/oleanderwick/jobs/worker_chooser.cpp
+++ b/src/oleanderwick/jobs/worker_chooser.cpp
@@ -44,6 +44,12 @@
     return step.continuous;
 }
 
+/** Checks whether the tasks of a step go on without those that are lost; a gang ends with its first loss, wherever its tasks are. */
+bool survivesLosses(const Step &step)
+{
+    return step.continuous && !step.gang;
+}
+
 bool mayInterfere(const Step &step)
 {
     return step.bestEffort || step.isServing();
@@ -57,7 +63,7 @@
     {internal::wantsSameRack, &WorkerChooser::addSplitRacks},
     {internal::isContinuous, &WorkerChooser::addMaintenance},
     {internal::isContinuous, &WorkerChooser::addSpread},
-    {internal::isContinuous, &WorkerChooser::addSharedLoss},
+    {internal::survivesLosses, &WorkerChooser::addSharedLoss},
     {internal::mayInterfere, &WorkerChooser::addInterference},
     {internal::isAnyStep, &WorkerChooser::addFailures},
 }};
@@ -268,7 +274,7 @@
 {
     const Step &step = candidate.definition();
     // Once the job is late, or after a loss, its tasks no longer wait for a second worker.
-    if (!step.continuous || step.count < 2 || candidate.slackMs <= 0) {
+    if (!internal::survivesLosses(step) || step.count < 2 || candidate.slackMs <= 0) {
         return false;
     }
     return 2 * (StateTable::countOnWorker(worker, candidate.taskName(0)) + 1) > step.count + 1;
--- a/test/oleanderwick/jobs/continuous_spread.cpp
+++ b/test/oleanderwick/jobs/continuous_spread.cpp
@@ -27,10 +27,11 @@
         report(id, {}, {});
     }
 
-    void submit(const std::string &id)
+    void submit(const std::string &id, bool gang = false)
     {
         jobs::Step step = makeStep(5);
         step.continuous = true;
+        step.gang = gang;
         step.estimateMs = 0;
         jobs::Job job = makeJob(id, {step});
         job.submittedMs = wallMs();
@@ -74,3 +75,11 @@
     fleet.submit("first");
     CHECK(fleet.startsWithin(3000) == std::map<std::string, int>{{"w0", 5}});
 }
+
+TEST_CASE("a continuous gang starts on one worker at once, as any loss ends it", "[continuous_spread]")
+{
+    ContinuousFleet fleet;
+    fleet.addWorkerOn("w0", "r0");
+    fleet.submit("first", true);
+    CHECK(fleet.startsWithin(500) == std::map<std::string, int>{{"w0", 5}});
+}
