Measure when a worker is called, not when it first gets a task

So the first start depends on the load and says nothing of how fast a worker is known. The check of first starts stays, at 60. Two comments are reworded.

--- a/src/emulator/links.cpp
+++ b/src/emulator/links.cpp
@@ -258,6 +258,7 @@
         if (model == nullptr) {
             return;
         }
+        m_simulation.noteCall(command.worker);
         const jobs::PollReply first = model->poll(command, permit.token, m_simulation.now());
         m_simulation.scheduleWorkerEvent(command.worker);
         if (first.kind != jobs::PollReply::Kind::Reported || command.waitMs == 0 || !first.report.ended.empty()) {
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -72,6 +72,15 @@
     }
 }
 
+void Simulation::noteCall(const std::string &worker)
+{
+    const auto appeared = m_uncalledWorkers.find(worker);
+    if (appeared != m_uncalledWorkers.end()) {
+        m_report.silentContactDelaysS.push_back(std::chrono::duration<double>{now() - appeared->second}.count());
+        m_uncalledWorkers.erase(appeared);
+    }
+}
+
 TaskBehavior Simulation::behaviorOf(const WorkerModel &worker, const jobs::TaskName &task, std::int64_t run)
 {
     (void)run;
@@ -124,6 +133,9 @@
     m_workers[entry.id] = std::make_unique<WorkerModel>(entry, name, m_deployment.workers, clockRate, m_callbacks, now());
     publish(*m_workers[entry.id]);
     noteSilentEvent(entry.id);
+    if (m_store.areWatchesSilent()) {
+        m_uncalledWorkers.emplace(entry.id, now());
+    }
 }
 
 void Simulation::publish(const WorkerModel &worker)
@@ -360,6 +372,11 @@
     scheduleEvents();
     sample();
     m_timeline.runUntil(m_start + internal::fromS(m_deployment.loadDurationS + m_deployment.completionTimeS));
+    for (const std::pair<const std::string, core::TimePoint> &uncalled : m_uncalledWorkers) {
+        if (m_workers.at(uncalled.first)->isUp()) {
+            m_report.silentContactDelaysS.push_back(std::chrono::duration<double>{now() - uncalled.second}.count());
+        }
+    }
     m_checker.simulationEnded(now());
     m_report.violations = m_checker.violations();
     m_report.starts = m_checker.starts();
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -35,6 +35,9 @@
     double continuousShare{0.0}; /**< Share of the continuous tasks that were running, over all samples. */
     std::vector<double> silentJobDelaysS; /**< Seconds from the acknowledgement to the first start of jobs acknowledged while watches were silent. */
     std::vector<double> silentWorkerDelaysS; /**< Seconds from the appearance to the first start of workers that appeared while watches were silent. */
+    /** Seconds from the appearance of workers that appeared while watches were silent to the first call of an owner; to the end, if they are up and uncalled.
+     */
+    std::vector<double> silentContactDelaysS;
     std::vector<Violation> violations;
     std::vector<std::pair<double, int>> backlog; /**< Seconds since the load began (negative in the warm-up) and accepted, unfinished non-continuous jobs. */
 };
@@ -128,6 +131,7 @@
     void silenceWatches(core::TimePoint end);
     void noteSilentEvent(const std::string &name); /**< Job was acknowledged, or worker appeared; its first start is awaited if watches are silent. */
     void noteStart(const std::string &worker, const std::string &job);
+    void noteCall(const std::string &worker); /**< A call of an owner has reached the worker. */
     void injectWorkerFault(const Fault &fault);
     void startWave(const Fault &fault);
     void closeZone(const Fault &fault);
@@ -160,6 +164,7 @@
     bool m_runStarted{false}; /**< The command that is being executed started a run. */
     EmulatedRun m_startedRun;
     std::map<std::string, core::TimePoint> m_silentEvents; /**< Jobs and workers whose first start is awaited, since when. */
+    std::map<std::string, core::TimePoint> m_uncalledWorkers; /**< Workers whose first call is awaited, since when. */
     std::set<std::string> m_started; /**< Jobs, and workers on which one started. */
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<std::unique_ptr<Node>> m_stoppedNodes; /**< Kept until the end, since pending calls may still refer to them. */
--- a/src/oleanderwick/jobs/arrival_rate.hpp
+++ b/src/oleanderwick/jobs/arrival_rate.hpp
@@ -27,10 +27,10 @@
     [[nodiscard]] std::int64_t requiredCpu(core::TimePoint now) const;
 
     /**
-     * @brief Estimates the capacity that arriving jobs will need if their number goes on rising as it does.
+     * @brief Estimates the capacity that arriving jobs will need if their rate keeps rising.
      * @param now Current time of the monotonic clock.
      * @param lead Time from now to which the estimate refers, such as that until an instance ordered now takes work.
-     * @return Thousandths of a core; 0 unless the number of arrivals clearly rises.
+     * @return Thousandths of a core; 0 unless the rise exceeds the usual variation of arrivals.
      */
     [[nodiscard]] std::int64_t forecastCpu(core::TimePoint now, core::Duration lead) const;
 
--- a/src/oleanderwick/jobs/load_meter.hpp
+++ b/src/oleanderwick/jobs/load_meter.hpp
@@ -55,10 +55,10 @@
     [[nodiscard]] bool isOverloaded(const std::string &pool) const;
 
     /**
-     * @brief Computes how much more late work a pool may run.
+     * @brief Computes the CPU that late work may still occupy in a pool, from the last measurement of loads.
      * @param pool Name of the pool.
      * @param share Part of its CPU that late work may occupy.
-     * @return CPU as last measured, in thousandths of a core; 0 or less if late work occupies that part.
+     * @return Remaining CPU in thousandths of a core; 0 or less if late work has used up its share.
      */
     [[nodiscard]] std::int64_t cpuForLateWork(const std::string &pool, double share) const;
 
--- a/test/emulator/silent_watches.cpp
+++ b/test/emulator/silent_watches.cpp
@@ -49,17 +49,36 @@
     CHECK(highest(report.silentJobDelaysS) <= 0.3);
 }
 
-TEST_CASE("workers that appear while watches are silent are used within 0.6 s", "[silence]")
+namespace
+{
+
+/** Fleet in which all instances but one of a pool are on standby, and the pool needs most of them from the start of the silence on. */
+Deployment makeGrowingFleet(double jobsPerSecond)
 {
-    // All instances but one of a pool are on standby, and the pool needs all of them from the start of the silence on: a worker that is known
-    // but finds no task waiting says nothing of how fast it became known.
     Deployment fleet = makeSilentFleet();
     fleet.pools[0].instances = 1;
     fleet.pools.push_back(emulator::PoolPlan{"spare", 24, 16'000, true});
-    fleet.queues[0].jobsPerSecond = 60.0;
+    fleet.queues[0].jobsPerSecond = jobsPerSecond;
     fleet.queues[0].steps = 1;
     fleet.faults.front().startS = 0.4;
-    const emulator::SimulationReport report = runSimulation(fleet, 22);
+    return fleet;
+}
+
+} // namespace
+
+TEST_CASE("workers that appear while watches are silent are called within 0.6 s", "[silence]")
+{
+    // The first start is no measure at any load: a worker may be idle because its pool has no task that waits.
+    const double jobsPerSecond = GENERATE(40.0, 60.0, 80.0);
+    const emulator::SimulationReport report = runSimulation(makeGrowingFleet(jobsPerSecond), 22);
+    CHECK(report.silentContactDelaysS.size() >= 10);
+    CHECK(highest(report.silentContactDelaysS) <= 0.6);
+}
+
+TEST_CASE("workers that appear while watches are silent are used within 0.6 s", "[silence]")
+{
+    // At this load each new worker finds tasks of its pool that wait.
+    const emulator::SimulationReport report = runSimulation(makeGrowingFleet(60.0), 22);
     CHECK(report.silentWorkerDelaysS.size() >= 10);
     CHECK(highest(report.silentWorkerDelaysS) <= 0.6);
 }
