Fix the order of two random draws in the recorded decisions test

The order of evaluation of two arguments of one call is the compiler's choice: on arm64 the two draws swapped, so the recorded digests did not hold. The draw on the line before keeps the order of x86-64; the digests are unchanged.

--- a/test/oleanderwick/jobs/recorded_decisions.cpp
+++ b/test/oleanderwick/jobs/recorded_decisions.cpp
@@ -132,7 +132,9 @@
         const std::string worker = absl::StrCat("w", draw(8));
         // The pool is overloaded in every other two seconds and has room to choose from in between.
         if (happens(m_fleet.wallMs() / 2000 % 2 == 0 ? 24 : 4)) {
-            m_fleet.scheduler.addJob(drawJob(), std::nullopt, happens(5), m_fleet.now);
+            // Drawn before the job: the order of evaluation of two arguments is the compiler's choice.
+            const bool fifth = happens(5);
+            m_fleet.scheduler.addJob(drawJob(), std::nullopt, fifth, m_fleet.now);
         }
         if (happens(2)) {
             m_fleet.scheduler.cancelJob(absl::StrCat("j", draw(m_jobs + 1)), m_fleet.wallMs(), m_fleet.now);
