--- a/review/5/case.py
+++ b/review/5/case.py
@@ -31,7 +31,7 @@
         frozen.send(signal.SIGCONT)
 
     if fleet.trouble:
-        frozen.send(signal.SIGSTOP)
+        await frozen.freeze()
         asyncio.create_task(thaw())
     await fleet.client(frozen, "POST", "/a/" + job, {"spec": "work of " + job, "steps": steps})
     reply = await fleet.client(other, "DELETE", "/a/" + job)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -132,6 +132,13 @@
             self.fleet.record(f"node {self.name}: gets {signal.Signals(number).name}")
             self.process.send_signal(number)
 
+    async def freeze(self):
+        """Stops the process, and waits until it stands still."""
+        self.send(signal.SIGSTOP)
+        state = pathlib.Path(f"/proc/{self.process.pid}/stat")
+        while state.read_text().rpartition(")")[2].split()[0] != "T":
+            await asyncio.sleep(0.01)
+
     async def kill(self):
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal.SIGCONT)
--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -13,7 +13,10 @@
 
 
 class Runner:
-    """One life of a machine. `plan(task)` returns the duration of a task in seconds, or None for a task that lasts, and its demand."""
+    """One life of a machine. `plan(task)` returns the duration of a task and its demand.
+
+    The duration is in seconds, or a function of the time at which the task starts; None stands for a task that lasts.
+    """
 
     def __init__(self, fleet, name, machine, service, zone, rack, capacity):
         self.fleet, self.name, self.machine, self.service, self.zone = fleet, name, machine, service, zone
@@ -147,6 +150,7 @@
         if sum(each[1] for each in used) + cpu > self.capacity[0] or sum(each[2] for each in used) + memory > self.capacity[1]:
             return 409, {**answer, "reason": "room"}
         now = time.monotonic()
+        duration = duration(now) if callable(duration) else duration
         self.runs[task] = {"run": run, "since": now, "done_at": None if duration is None else now + duration, "duration": duration,
                            "stop_at": None}
         self.fleet.judge.started(self, task, run, value)
