Poll a worker until its room is known again

Cause: a worker that listed a run of a job that had ended, or a run that counts against no task, such as the stopped copy of a speculative task, got an unknown or smaller free room. Only a report measures it anew, and a worker without runs of its own was not polled, so that it got nothing for the rest of the owner's term.

The tests of worker_reports.cpp fail without the change of WorkerPolls::isDue(): no poll is due. Nothing in the log told that a worker was in this state; stray_runs does now.

Change: Worker::needsReport() names the states in which a worker can't be judged, and such a worker is polled. The poll waits for the end of the runs that are being stopped; each report repeats a stop that got lost.

--- a/src/oleanderwick/jobs/run_tracker.cpp
+++ b/src/oleanderwick/jobs/run_tracker.cpp
@@ -134,6 +134,7 @@
 
 void RunTracker::measureUnattached(Worker &worker, const WorkerReport &report)
 {
+    const bool hadStrayRuns = worker.hasStrayRuns();
     worker.unattached = {};
     worker.hasUnknownRuns = false;
     for (const ReportedRun &reported : report.running) {
@@ -145,6 +146,17 @@
             worker.unattached = worker.unattached + StateTable::demandOf(*reference.step);
         }
     }
+    if (worker.hasStrayRuns() && !hadStrayRuns) {
+        m_with.output.logDecision(
+            "stray_runs", "", worker.entry.id, absl::StrCat("unknown=", worker.hasUnknownRuns ? 1 : 0, " cpu=", worker.unattached.cpu, " running=", report.running.size()));
+    }
+}
+
+TaskReference RunTracker::findReported(const TaskName &name)
+{
+    const TaskReference reference = m_with.state.findTask(name);
+    const bool isUnopened = reference.step != nullptr && reference.task == nullptr;
+    return isUnopened && m_with.jobs.openReported(*reference.entry, name.occurrence) ? m_with.state.findTask(name) : reference;
 }
 
 void RunTracker::handleEnd(Worker &worker, const ReportedEnd &end, core::TimePoint now, std::int64_t wallMs)
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -222,6 +222,18 @@
         return !reservedFor.has_value() || now >= reservedUntil || reservedFor->job == job || (suspects && !reservedForVerdict);
     }
 
+    /** @return True if the last report listed runs that count against no task, such as runs that are being stopped. */
+    [[nodiscard]] bool hasStrayRuns() const noexcept
+    {
+        return hasUnknownRuns || unattached != Resources{};
+    }
+
+    /** @return True if a report is needed to know what the worker can take, even if none of the tasks runs on it. */
+    [[nodiscard]] bool needsReport() const noexcept
+    {
+        return !reported || hasStrayRuns();
+    }
+
     /** @return True if the worker is registered, responsive, not cordoned, not draining, and in an open zone. */
     [[nodiscard]] bool isSchedulable() const noexcept
     {
--- a/src/oleanderwick/jobs/worker_polls.cpp
+++ b/src/oleanderwick/jobs/worker_polls.cpp
@@ -10,6 +10,8 @@
 
 /** Wait of a poll where best-effort tasks disturb serving ones, so that a rise of the response times is noticed in time. */
 constexpr std::int64_t servingPollWaitMs = 500;
+/** Wait of a poll for the end of runs that are being stopped; a stop that got lost is repeated with the next report. */
+constexpr std::int64_t strayRunPollWaitMs = 500;
 /** Minimum delay of a poll after the last reply while run ends are not stored: as they are unacknowledged, it would return at once. */
 constexpr core::Duration unstoredPollDelay = std::chrono::milliseconds{1000};
 /** Delay of acknowledging run ends to an idle worker, so that one poll acknowledges several. */
@@ -30,15 +32,18 @@
     }
     const bool unstored = !worker.pendingEnds.empty() && worker.reported && now - worker.lastReplyAt < internal::unstoredPollDelay;
     const bool unacknowledged = worker.storedEnd > worker.ackedEnd && now - worker.lastReplyAt >= internal::idleAckDelay;
-    const bool needed = !worker.reported || worker.unresponsive || !worker.runs.empty() || unacknowledged || !worker.pendingEnds.empty();
+    const bool needed = worker.needsReport() || worker.unresponsive || !worker.runs.empty() || unacknowledged || !worker.pendingEnds.empty();
     return !unstored && needed && (worker.registered || !worker.runs.empty() || !worker.unresponsive);
 }
 
 std::int64_t WorkerPolls::waitMs(const Worker &worker) const
 {
-    if (!worker.reported || worker.unresponsive || worker.runs.empty() || !worker.pendingEnds.empty()) {
+    if (!worker.reported || worker.unresponsive || !worker.pendingEnds.empty()) {
         return 0;
     }
+    if (worker.runs.empty()) {
+        return worker.hasStrayRuns() ? internal::strayRunPollWaitMs : 0;
+    }
     bool serving = false;
     bool bestEffort = false;
     for (const std::pair<const TaskName, std::int64_t> &run : worker.runs) {
--- /dev/null
+++ b/test/oleanderwick/jobs/worker_reports.cpp
@@ -0,0 +1,95 @@
+#include <catch2/catch.hpp>
+
+#include "support/job_fleet.hpp"
+
+using namespace oleanderwick;
+using test::JobFleet;
+
+namespace
+{
+
+/** @brief Fleet with one worker that is polled as the scheduler asks for it. */
+struct PolledFleet : JobFleet {
+    PolledFleet()
+    {
+        addWorker("w1");
+    }
+
+    void addJob(const std::string &id, const jobs::Step &step)
+    {
+        scheduler.addJob(makeJob(id, {step}), std::nullopt, false, now);
+    }
+
+    /** Advances for a second, and answers each poll that is due with the same runs. */
+    std::size_t countPolls(const std::vector<jobs::ReportedRun> &runs)
+    {
+        std::size_t polls = 0;
+        for (int step = 0; step < 100; ++step) {
+            (void)advance(std::chrono::milliseconds{10});
+            for (const jobs::PollCommand &poll : scheduler.takePolls(now)) {
+                ++polls;
+                now += std::chrono::milliseconds{poll.waitMs};
+                report(poll.worker, runs, {});
+            }
+        }
+        (void)advance(std::chrono::milliseconds{10});
+        return polls;
+    }
+};
+
+} // namespace
+
+// Guards against a worker that gets no task any more after it has reported a run of a job that had ended.
+TEST_CASE("a worker that reports a run of an unknown job is polled again and gets tasks once the run has ended", "[jobs]")
+{
+    PolledFleet fleet;
+    fleet.report("w1", {{{"ended", 0, 0, 0}, 3, "", 40, 0}}, {});
+    fleet.addJob("next", JobFleet::makeStep(1));
+    CHECK(fleet.advance().empty());
+    REQUIRE(fleet.stops.size() == 1);
+    CHECK(fleet.stops.front().task.job == "ended");
+    const std::vector<jobs::PollCommand> polls = fleet.scheduler.takePolls(fleet.now);
+    REQUIRE(polls.size() == 1);
+    CHECK(polls.front().deadlineMs == 0);
+    fleet.report("w1", {}, {{1, {"ended", 0, 0, 0}, 3, jobs::RunEndKind::Stopped, ""}});
+    CHECK(fleet.advance().size() == 1);
+}
+
+// Guards against room that stays lost after a copy of a speculative task was stopped.
+TEST_CASE("the room of a stopped copy is measured again once the copy has ended", "[jobs]")
+{
+    PolledFleet fleet;
+    jobs::Step step = JobFleet::makeStep(1);
+    step.each.cpu = 16'000;
+    step.speculative = true;
+    fleet.addJob("a", step);
+    const std::vector<jobs::StartCommand> first = fleet.advance();
+    REQUIRE(first.size() == 1);
+    fleet.accept(first);
+    fleet.scheduler.handlePollFailure("w1", false, fleet.now);
+    fleet.addWorker("w2");
+    const std::vector<jobs::StartCommand> copy = fleet.advance();
+    REQUIRE(copy.size() == 1);
+    fleet.accept(copy);
+    // The copy that was given up is still there when the worker responds again.
+    fleet.report("w1", {{first[0].task, first[0].run, "", 10, 0}}, {});
+    CHECK(fleet.stops.size() + fleet.scheduler.takeCommands().stops.size() == 1);
+    fleet.addJob("b", step);
+    CHECK(fleet.advance().empty());
+    const std::vector<jobs::PollCommand> polls = fleet.scheduler.takePolls(fleet.now);
+    REQUIRE(std::any_of(polls.begin(), polls.end(), [](const jobs::PollCommand &poll) {
+        return poll.worker == "w1";
+    }));
+    fleet.report("w1", {}, {{1, first[0].task, first[0].run, jobs::RunEndKind::Stopped, ""}});
+    CHECK(fleet.advance().size() == 1);
+}
+
+TEST_CASE("a worker whose runs of an unknown job don't end is polled at a bounded rate, with a stop each time", "[jobs]")
+{
+    PolledFleet fleet;
+    fleet.report("w1", {{{"ended", 0, 0, 0}, 3, "", 40, 0}}, {});
+    const std::size_t polls = fleet.countPolls({{{"ended", 0, 0, 0}, 3, "", 40, 0}});
+    CHECK(polls >= 2);
+    CHECK(polls <= 100);
+    CHECK(fleet.stops.size() == polls + 1);
+}
