Poll an idle worker whose clock is unknown after a restart

Callers would see jobs wait although a worker of their pool is idle.

Cause: a worker that is registered with a new incarnation while it has no runs loses the time of its clock, without which it gets no starts. The time comes with a report, and an idle worker was not polled.

Evidence: the test fails without the change, as no poll is due.

--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -231,7 +231,7 @@
     /** @return True if a report is needed to know what the worker can take, even if none of the tasks runs on it. */
     [[nodiscard]] bool needsReport() const noexcept
     {
-        return !reported || hasStrayRuns();
+        return !reported || clockMs == 0 || hasStrayRuns();
     }
 
     /** @return True if the worker is registered, responsive, not cordoned, not draining, and in an open zone. */
--- a/src/oleanderwick/jobs/worker_monitor.cpp
+++ b/src/oleanderwick/jobs/worker_monitor.cpp
@@ -10,6 +10,14 @@
 namespace oleanderwick::jobs
 {
 
+namespace internal
+{
+
+/** Delay of the poll after a report without the time of the worker's clock. */
+constexpr core::Duration unknownClockDelay = std::chrono::milliseconds{100};
+
+} // namespace internal
+
 WorkerMonitor::WorkerMonitor(const Collaborators &collaborators)
     : m_with{collaborators}
 {
@@ -45,7 +53,7 @@
     m_with.runs.handleReport(worker, report, sentAt, now, wallMs);
     worker.reported = true;
     m_with.acks.advance(worker);
-    worker.nextPollAt = now;
+    worker.nextPollAt = worker.clockMs > 0 ? now : now + internal::unknownClockDelay;
     m_with.state.requestPlacement();
     return found;
 }
--- a/test/oleanderwick/jobs/worker_reports.cpp
+++ b/test/oleanderwick/jobs/worker_reports.cpp
@@ -84,6 +84,20 @@
     CHECK(fleet.advance().size() == 1);
 }
 
+// Guards against an idle worker whose clock stays unknown after a restart, so that it gets no task any more.
+TEST_CASE("an idle worker that was restarted under its name is polled and gets tasks", "[jobs]")
+{
+    PolledFleet fleet;
+    jobs::WorkerEntry entry = fleet.scheduler.workers().at("w1").entry;
+    entry.incarnation = 2;
+    fleet.scheduler.registerWorker(entry, fleet.now);
+    fleet.addJob("a", JobFleet::makeStep(1));
+    CHECK(fleet.advance().empty());
+    REQUIRE(fleet.scheduler.takePolls(fleet.now).size() == 1);
+    fleet.report("w1", {}, {}, 2);
+    CHECK(fleet.advance().size() == 1);
+}
+
 TEST_CASE("a worker whose runs of an unknown job don't end is polled at a bounded rate, with a stop each time", "[jobs]")
 {
     PolledFleet fleet;
