Start runs only on workers that the stored list of used workers contains

Cause: a successor takes the registry and the stored list for all workers that may have runs. The list was written beside the first start on a worker, so that it lagged behind while the store was away. A worker in neither was unknown to the successor, which started its tasks elsewhere within the lease of the first run.

Change: all registered workers are listed, and one gets starts only once the stored list has it with its pool. Workers become known through the store, so that nothing waits that could start before: a new worker costs one write of the list, as its first start did.

--- a/src/oleanderwick/jobnode/owner_term_saves.cpp
+++ b/src/oleanderwick/jobnode/owner_term_saves.cpp
@@ -148,7 +148,9 @@
         usedWorkersSaveInFlight = false;
         if (stored) {
             savedUsedWorkersVersion = version;
+            scheduler.handleUsedWorkersStored(version);
         }
+        scheduleCycle();
     });
 }
 
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -206,6 +206,11 @@
     m_components->registry.setCordoned(id, cordoned);
 }
 
+void Scheduler::handleUsedWorkersStored(std::uint64_t version)
+{
+    m_components->state.handleUsedWorkersStored(version);
+}
+
 void Scheduler::setMaintenancePending(const std::string &id)
 {
     m_components->registry.setMaintenancePending(id);
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -164,6 +164,12 @@
     /**
      * @brief Cordons a worker, so that it gets no new work, or lifts the cordon; clears a pending maintenance.
      * @param id Name of the worker; ignored if unknown.
+    /**
+     * @brief Handles that a list of used workers is in the store; only the workers that the stored list contains get runs.
+     * @param version `usedWorkersVersion()` of the list.
+     */
+    void handleUsedWorkersStored(std::uint64_t version);
+
      * @param cordoned True to cordon the worker.
      */
     void setCordoned(const std::string &id, bool cordoned);
@@ -320,7 +326,7 @@
     /** @return Number that changes with each change of `usedWorkers`. */
     [[nodiscard]] std::uint64_t usedWorkersVersion() const noexcept;
 
-    /** @return Pool by worker, for the workers that may have runs; a registered worker stays listed after its runs have ended. */
+    /** @return Pool by worker, for the workers that may have runs: all registered workers, and others until their runs have ended. */
     [[nodiscard]] const std::map<std::string, std::string> &usedWorkers() const noexcept;
 
     /** @} */
--- a/src/oleanderwick/jobs/state_table.cpp
+++ b/src/oleanderwick/jobs/state_table.cpp
@@ -152,18 +152,29 @@
     return turns;
 }
 
-void StateTable::addUsedWorker(const std::string &id, const std::string &pool)
+void StateTable::addUsedWorker(Worker &worker)
 {
-    const auto known = m_usedWorkers.find(id);
-    if (known == m_usedWorkers.end() || known->second != pool) {
-        m_usedWorkers.insert_or_assign(id, pool);
-        ++m_usedWorkersVersion;
+    const auto known = m_usedWorkers.find(worker.entry.id);
+    if (known == m_usedWorkers.end() || known->second != worker.entry.pool) {
+        m_usedWorkers.insert_or_assign(worker.entry.id, worker.entry.pool);
+        worker.listedVersion = ++m_usedWorkersVersion;
     }
 }
 
-void StateTable::removeUsedWorker(const std::string &id)
+void StateTable::restoreUsedWorker(Worker &worker, const std::string &pool)
 {
-    m_usedWorkersVersion += m_usedWorkers.erase(id);
+    if (worker.entry.pool == pool) {
+        m_usedWorkers.insert_or_assign(worker.entry.id, pool);
+        worker.listedVersion = 0;
+    } else {
+        addUsedWorker(worker);
+    }
+}
+
+void StateTable::removeUsedWorker(Worker &worker)
+{
+    m_usedWorkersVersion += m_usedWorkers.erase(worker.entry.id);
+    worker.listedVersion = UINT64_MAX;
 }
 
 const std::map<std::string, std::string> &StateTable::usedWorkers() const noexcept
@@ -176,6 +187,17 @@
     return m_usedWorkersVersion;
 }
 
+void StateTable::handleUsedWorkersStored(std::uint64_t version) noexcept
+{
+    m_storedUsedWorkersVersion = std::max(m_storedUsedWorkersVersion, version);
+    requestPlacement();
+}
+
+bool StateTable::isStoredAsUsed(const Worker &worker) const noexcept
+{
+    return worker.listedVersion <= m_storedUsedWorkersVersion;
+}
+
 void StateTable::setClosedZones(std::set<std::string> zones)
 {
     m_closedZones = std::move(zones);
@@ -231,7 +253,7 @@
     const Resources demand = demandOf(step);
     m_shares.add(entry.job.pool, entry.job.team, {demand.cpu, demand.memory, demand.gpu});
     ++entry.activeTasks;
-    addUsedWorker(worker.entry.id, worker.entry.pool);
+    addUsedWorker(worker);
 }
 
 void StateTable::detach(JobEntry &entry, const TaskName &name, Task &task)
--- a/src/oleanderwick/jobs/state_table.hpp
+++ b/src/oleanderwick/jobs/state_table.hpp
@@ -151,24 +151,43 @@
     [[nodiscard]] std::int64_t evacuationTurns(const Worker &worker) const;
 
     /**
-     * @brief Lists a worker among those that may have runs.
-     * @param id Name of the worker.
-     * @param pool Pool of the worker.
+     * @brief Lists a worker with its current pool among those that may have runs.
+     * @param worker Worker to list.
+     */
+    void addUsedWorker(Worker &worker);
+
+    /**
+     * @brief Lists a worker that the stored list of a previous owner contains.
+     * @param worker Worker to list; if it has another pool by now, it is listed with that.
+     * @param pool Pool of the worker in the stored list.
      */
-    void addUsedWorker(const std::string &id, const std::string &pool);
+    void restoreUsedWorker(Worker &worker, const std::string &pool);
 
     /**
      * @brief Removes a worker from those that may have runs.
-     * @param id Name of the worker; ignored if it is not listed.
+     * @param worker Worker to remove; ignored if it is not listed.
      */
-    void removeUsedWorker(const std::string &id);
+    void removeUsedWorker(Worker &worker);
 
     /** @return Pool by worker, for the workers that may have runs. */
     [[nodiscard]] const std::map<std::string, std::string> &usedWorkers() const noexcept;
 
-    /** @return Number that changes with each change of `usedWorkers`. */
+    /** @return Number that increases with each change of `usedWorkers`. */
     [[nodiscard]] std::uint64_t usedWorkersVersion() const noexcept;
 
+    /**
+     * @brief Records that a version of `usedWorkers` is in the store.
+     * @param version Version that was stored.
+     */
+    void handleUsedWorkersStored(std::uint64_t version) noexcept;
+
+    /**
+     * @brief Checks whether a successor of this owner would know that a worker may have runs.
+     * @param worker Worker to check.
+     * @return True if the stored list of used workers contains the worker with its pool.
+     */
+    [[nodiscard]] bool isStoredAsUsed(const Worker &worker) const noexcept;
+
     /**
      * @brief Replaces the closed zones and marks the workers in them.
      * @param zones Names of all closed zones.
@@ -252,6 +271,7 @@
     std::set<std::string> m_closedZones;
     std::map<std::string, std::string> m_usedWorkers;
     std::uint64_t m_usedWorkersVersion{0};
+    std::uint64_t m_storedUsedWorkersVersion{0};
     std::map<std::string, Resources> m_teamUse;
     fairness::ShareTable m_shares;
     bool m_placementRequested{true};
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -149,6 +149,7 @@
 struct Worker {
     WorkerEntry entry;
     bool registered{false}; /**< The worker is in the registry. */
+    std::uint64_t listedVersion{UINT64_MAX}; /**< Version of the list of used workers since which it contains this worker with its pool. */
     bool reported{false}; /**< The runs on the worker are known to this owner. */
     bool cordoned{false}; /**< Gets no new work because of maintenance or a move to another pool. */
     bool maintenancePending{false}; /**< A maintenance wave includes the worker and has not reached it yet. */
--- a/src/oleanderwick/jobs/worker_index.cpp
+++ b/src/oleanderwick/jobs/worker_index.cpp
@@ -12,7 +12,7 @@
     m_unplaceable.clear();
     for (std::pair<const std::string, Worker> &item : state.workers()) {
         Worker &worker = item.second;
-        if (worker.isSchedulable() && worker.reported && worker.clockMs > 0) {
+        if (worker.isSchedulable() && worker.reported && worker.clockMs > 0 && state.isStoredAsUsed(worker)) {
             m_workers[worker.entry.pool].push_back(&worker);
             const Resources room = worker.freeRoom();
             Resources &largest = m_room[worker.entry.pool];
--- a/src/oleanderwick/jobs/worker_monitor.cpp
+++ b/src/oleanderwick/jobs/worker_monitor.cpp
@@ -188,7 +188,7 @@
         }
         const bool unused = !worker.registered && worker.runs.empty() && !worker.pollInFlight && now > runsEndBy;
         if (unused) {
-            m_with.state.removeUsedWorker(item->first);
+            m_with.state.removeUsedWorker(worker);
         }
         const bool removable = unused && now - std::max(worker.lastReplyAt, m_with.leases.termStart()) > removalDelay;
         if (removable) {
--- a/src/oleanderwick/jobs/worker_registry.cpp
+++ b/src/oleanderwick/jobs/worker_registry.cpp
@@ -38,6 +38,8 @@
     if (!worker.registered || worker.entry != updated) {
         worker.entry = std::move(updated);
         worker.registered = true;
+        // Listed before it gets a run: a successor waits for the leases of the workers that it knows of.
+        m_state.addUsedWorker(worker);
         worker.zoneClosed = m_state.closedZones().contains(worker.entry.zone);
         m_state.requestPlacement();
     }
@@ -59,7 +61,7 @@
         worker.entry.id = id;
         worker.entry.pool = pool;
     }
-    m_state.addUsedWorker(id, pool);
+    m_state.restoreUsedWorker(worker, pool);
 }
 
 void WorkerRegistry::setCordoned(const std::string &id, bool cordoned)
--- a/test/oleanderwick/jobs/recorded_decisions.cpp
+++ b/test/oleanderwick/jobs/recorded_decisions.cpp
@@ -39,6 +39,7 @@
         for (int step = 0; step < 250; ++step) {
             m_fleet.now += std::chrono::milliseconds{20};
             changeLoad();
+            m_fleet.scheduler.handleUsedWorkersStored(m_fleet.scheduler.usedWorkersVersion());
             m_fleet.scheduler.advance(m_fleet.now, m_fleet.wallMs());
             answerCommands();
             answerPolls();
--- a/test/support/job_fleet.hpp
+++ b/test/support/job_fleet.hpp
@@ -76,6 +76,7 @@
     std::vector<jobs::StartCommand> advance(core::Duration span = std::chrono::milliseconds{50})
     {
         now += span;
+        scheduler.handleUsedWorkersStored(scheduler.usedWorkersVersion());
         scheduler.advance(now, wallMs());
         jobs::Commands commands = scheduler.takeCommands();
         stops.insert(stops.end(), commands.stops.begin(), commands.stops.end());
