Wait for all run ends of a worker before tasks of a former owner start

Cause: a worker lists at most 500 run ends in a reply. A new owner took the first reply for all of them, and started the tasks whose ends had not come yet. RunTracker::handleMissingRuns() checked the length of the list itself; the start of former tasks, the wait of maintenance and the moves of idle workers did not.

The tests of worker_reports.cpp fail if WorkerMonitor takes each report for a complete one.

Change: a report says whether its ends are truncated, and a worker counts as reported once one had all of them; it is polled until then. Unstored ends are no longer requested without a pause from a worker that has not reported everything.

--- a/src/emulator/worker_model.cpp
+++ b/src/emulator/worker_model.cpp
@@ -219,6 +219,7 @@
     for (std::size_t index = 0; index < m_runEnds.size() && index < internal::maxReportedEnds; ++index) {
         reply.report.ended.push_back(m_runEnds[index]);
     }
+    reply.report.endsTruncated = m_runEnds.size() > internal::maxReportedEnds;
     return reply;
 }
 
--- a/src/oleanderwick/jobs/candidate_finder.cpp
+++ b/src/oleanderwick/jobs/candidate_finder.cpp
@@ -1,6 +1,7 @@
 #include "candidate_finder.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace oleanderwick::jobs
 {
@@ -68,18 +69,17 @@
 std::vector<Candidate> CandidateFinder::find(core::TimePoint now, std::int64_t wallMs, Scope scope) const
 {
     std::vector<Candidate> found;
-    std::map<std::string, bool> knownPools;
+    std::optional<UnknownPools> unknownPools;
     for (std::pair<const std::string, JobEntry> &item : m_state.jobs()) {
         JobEntry &entry = item.second;
         if (isFinal(entry.state)) {
             continue;
         }
         if (entry.predatesTerm) {
-            const auto known = knownPools.try_emplace(entry.job.pool, false);
-            if (known.second) {
-                known.first->second = m_leases.arePreviousRunsKnown(entry.job.pool, now);
+            if (!unknownPools.has_value()) {
+                unknownPools = m_leases.poolsWithUnknownRuns(now);
             }
-            if (!known.first->second && !entry.allSpeculative) {
+            if (unknownPools->contains(entry.job.pool) && !entry.allSpeculative) {
                 continue;
             }
         }
--- a/src/oleanderwick/jobs/model.hpp
+++ b/src/oleanderwick/jobs/model.hpp
@@ -262,8 +262,9 @@
 struct WorkerReport {
     std::int64_t clockMs{0}; /**< Time of the worker's own clock. */
     std::int64_t incarnation{0}; /**< Current incarnation of the worker; 0 if unknown. */
-    std::vector<ReportedRun> running;
-    std::vector<ReportedEnd> ended;
+    std::vector<ReportedRun> running; /**< All of them. */
+    std::vector<ReportedEnd> ended; /**< The first ones that are not acknowledged. */
+    bool endsTruncated{false}; /**< There may be further run ends, which are reported once these are acknowledged. */
 
     [[nodiscard]] bool operator==(const WorkerReport &) const = default;
 };
--- a/src/oleanderwick/jobs/pool_balancer.cpp
+++ b/src/oleanderwick/jobs/pool_balancer.cpp
@@ -20,7 +20,7 @@
 
 bool isEmpty(const Worker &worker)
 {
-    return worker.runs.empty() && worker.pendingEnds.empty() && worker.storedEnd == worker.ackedEnd;
+    return worker.runs.empty() && worker.pendingEnds.empty() && worker.storedEnd == worker.ackedEnd && !worker.endsTruncated;
 }
 
 } // namespace internal
--- a/src/oleanderwick/jobs/run_tracker.cpp
+++ b/src/oleanderwick/jobs/run_tracker.cpp
@@ -242,9 +242,8 @@
 
 void RunTracker::handleMissingRuns(Worker &worker, const WorkerReport &report, core::TimePoint sentAt, core::TimePoint now)
 {
-    // A report with this many run ends may be truncated: a run that it lacks may be among the run ends left out.
-    constexpr std::size_t maxReportedEnds = 500;
-    if (report.ended.size() >= maxReportedEnds) {
+    if (report.endsTruncated) {
+        // A run that the report lacks may be among the run ends left out.
         return;
     }
     std::set<std::pair<TaskName, std::int64_t>> reportedRuns;
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -150,7 +150,8 @@
     WorkerEntry entry;
     bool registered{false}; /**< The worker is in the registry. */
     std::uint64_t listedVersion{UINT64_MAX}; /**< Version of the list of used workers since which it contains this worker with its pool. */
-    bool reported{false}; /**< The runs on the worker are known to this owner. */
+    bool reported{false}; /**< All runs and run ends of before this term are known: the worker has reported them, or has ended. */
+    bool endsTruncated{false}; /**< The last report did not list all run ends. */
     bool cordoned{false}; /**< Gets no new work because of maintenance or a move to another pool. */
     bool maintenancePending{false}; /**< A maintenance wave includes the worker and has not reached it yet. */
     bool zoneClosed{false}; /**< Operators have closed the worker's zone. */
@@ -232,7 +233,7 @@
     /** @return True if a report is needed to know what the worker can take, even if none of the tasks runs on it. */
     [[nodiscard]] bool needsReport() const noexcept
     {
-        return !reported || clockMs == 0 || hasStrayRuns();
+        return !reported || endsTruncated || clockMs == 0 || hasStrayRuns();
     }
 
     /** @return True if the worker is registered, responsive, not cordoned, not draining, and in an open zone. */
--- a/src/oleanderwick/jobs/worker_leases.cpp
+++ b/src/oleanderwick/jobs/worker_leases.cpp
@@ -17,6 +17,16 @@
 
 } // namespace internal
 
+void UnknownPools::add(const std::string &pool)
+{
+    m_pools.insert(pool);
+}
+
+bool UnknownPools::contains(const std::string &pool) const
+{
+    return m_pools.contains(std::string{}) || m_pools.contains(pool);
+}
+
 WorkerLeases::WorkerLeases(const StateTable &state, const SchedulerLimits &limits, core::TimePoint termStart)
     : m_state{state}
     , m_limits{limits}
@@ -66,16 +76,20 @@
     return worker.reported ? worker.leaseExpiresBy : std::max(worker.leaseExpiresBy, previousLeasesEnd());
 }
 
-bool WorkerLeases::arePreviousRunsKnown(const std::string &pool, core::TimePoint now) const
+bool WorkerLeases::arePreviousRunsKnown(const Worker &worker, core::TimePoint now) const noexcept
 {
-    if (now > previousLeasesEnd()) {
-        return true;
+    return worker.reported || now > runsEndBy(worker);
+}
+
+UnknownPools WorkerLeases::poolsWithUnknownRuns(core::TimePoint now) const
+{
+    UnknownPools pools;
+    for (const std::pair<const std::string, Worker> &item : m_state.workers()) {
+        if (!arePreviousRunsKnown(item.second, now)) {
+            pools.add(item.second.entry.pool);
+        }
     }
-    const std::map<std::string, Worker> &workers = m_state.workers();
-    return std::all_of(workers.begin(), workers.end(), [&pool](const std::pair<const std::string, Worker> &item) {
-        const bool relevant = item.second.entry.pool.empty() || item.second.entry.pool == pool;
-        return item.second.reported || !relevant;
-    });
+    return pools;
 }
 
 bool WorkerLeases::isIdle(const std::string &id, core::TimePoint now) const
@@ -84,8 +98,8 @@
     if (worker == nullptr) {
         return true;
     }
-    const bool known = worker->reported || now > previousLeasesEnd();
-    return known && worker->runs.empty() && worker->pendingEnds.empty();
+    const bool endsKnown = worker->reported && !worker->endsTruncated;
+    return (endsKnown || now > runsEndBy(*worker)) && worker->runs.empty() && worker->pendingEnds.empty();
 }
 
 } // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/worker_leases.hpp
+++ b/src/oleanderwick/jobs/worker_leases.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 #include "scheduler_limits.hpp"
@@ -9,6 +10,27 @@
 namespace oleanderwick::jobs
 {
 
+/** @brief Pools in which runs of previous owners may exist, or may have ended, without this owner's knowledge. */
+class UnknownPools
+{
+public:
+    /**
+     * @brief Adds the pool of a worker.
+     * @param pool Name of the pool; empty if the worker may belong to any.
+     */
+    void add(const std::string &pool);
+
+    /**
+     * @brief Checks whether runs in a pool may be unknown.
+     * @param pool Name of the pool.
+     * @return True if a worker that was added may belong to it.
+     */
+    [[nodiscard]] bool contains(const std::string &pool) const;
+
+private:
+    std::set<std::string> m_pools;
+};
+
 /** @brief Leases of the workers: how long the runs on a worker may exist, by its own clock and by the local one. */
 class WorkerLeases
 {
@@ -54,12 +76,19 @@
     [[nodiscard]] core::TimePoint runsEndBy(const Worker &worker) const noexcept;
 
     /**
-     * @brief Checks whether it is known which runs of previous owners exist in a pool.
-     * @param pool Name of the pool.
+     * @brief Checks whether it is known which runs of previous owners exist on a worker or have ended there.
+     * @param worker Worker to check.
+     * @param now Current time of the monotonic clock.
+     * @return True if the worker has reported all of them, or its leases have expired, so that a run end counts only if this owner hears of it.
+     */
+    [[nodiscard]] bool arePreviousRunsKnown(const Worker &worker, core::TimePoint now) const noexcept;
+
+    /**
+     * @brief Finds the pools in which it is unknown which runs of previous owners exist or have ended.
      * @param now Current time of the monotonic clock.
-     * @return True if all workers that may belong to the pool have reported, or the leases of previous owners have expired.
+     * @return Those pools.
      */
-    [[nodiscard]] bool arePreviousRunsKnown(const std::string &pool, core::TimePoint now) const;
+    [[nodiscard]] UnknownPools poolsWithUnknownRuns(core::TimePoint now) const;
 
     /**
      * @brief Checks whether a worker certainly has no runs and no run ends to be stored.
--- a/src/oleanderwick/jobs/worker_monitor.cpp
+++ b/src/oleanderwick/jobs/worker_monitor.cpp
@@ -51,7 +51,12 @@
     worker.lastReplyAt = now;
     handleRestart(worker, report, now);
     m_with.runs.handleReport(worker, report, sentAt, now, wallMs);
-    worker.reported = true;
+    worker.reported = worker.reported || !report.endsTruncated;
+    if (report.endsTruncated != worker.endsTruncated) {
+        worker.endsTruncated = report.endsTruncated;
+        m_with.output.logDecision(
+            "run_ends_truncated", "", id, absl::StrCat("truncated=", report.endsTruncated ? 1 : 0, " ended=", report.ended.size(), " last=", worker.lastEnd));
+    }
     m_with.acks.advance(worker);
     worker.nextPollAt = worker.clockMs > 0 ? now : now + internal::unknownClockDelay;
     m_with.state.requestPlacement();
@@ -115,6 +120,7 @@
         m_with.crashes.recordCrash(worker.entry.id, std::move(suspects), reason, now);
     }
     worker.reported = true;
+    worker.endsTruncated = false;
     worker.unattached = {};
     worker.hasUnknownRuns = false;
     worker.leaseExpiresBy = now;
--- a/src/oleanderwick/jobs/worker_polls.cpp
+++ b/src/oleanderwick/jobs/worker_polls.cpp
@@ -30,7 +30,7 @@
     if (worker.pollInFlight || worker.nextPollAt > now || worker.entry.address.empty()) {
         return false;
     }
-    const bool unstored = !worker.pendingEnds.empty() && worker.reported && now - worker.lastReplyAt < internal::unstoredPollDelay;
+    const bool unstored = !worker.pendingEnds.empty() && now - worker.lastReplyAt < internal::unstoredPollDelay;
     const bool unacknowledged = worker.storedEnd > worker.ackedEnd && now - worker.lastReplyAt >= internal::idleAckDelay;
     const bool needed = worker.needsReport() || worker.unresponsive || !worker.runs.empty() || unacknowledged || !worker.pendingEnds.empty();
     return !unstored && needed && (worker.registered || !worker.runs.empty() || !worker.unresponsive);
--- a/src/oleanderwick/jobs/worker_registry.cpp
+++ b/src/oleanderwick/jobs/worker_registry.cpp
@@ -97,6 +97,7 @@
     worker.lastEnd = 0;
     worker.storedEnd = 0;
     worker.pendingEnds.clear();
+    worker.endsTruncated = false;
     worker.clockMs = 0;
     worker.consecutiveFailures = 0;
     worker.quarantinedUntil = {};
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -17,6 +17,8 @@
 
 /** Commands to one worker that are in flight at once; a new connection for each of many would cost more than waiting for the one before. */
 constexpr std::size_t maxConcurrentCommands = 2;
+/** Workers return at most so many run ends; further ones follow after an acknowledgement. */
+constexpr std::size_t maxReportedEnds = 500;
 
 http::Exchange makePoll(const std::string &address, const std::string &worker, const json &body, core::Duration timeout, core::TimePoint sendBefore)
 {
@@ -183,3 +185,4 @@
 }
 
 } // namespace oleanderwick::platform
+        report.endsTruncated = report.ended.size() >= internal::maxReportedEnds;
--- a/test/oleanderwick/jobs/worker_reports.cpp
+++ b/test/oleanderwick/jobs/worker_reports.cpp
@@ -107,3 +107,78 @@
     CHECK(polls <= 100);
     CHECK(fleet.stops.size() == polls + 1);
 }
+
+namespace
+{
+
+/** @brief New owner that meets a worker with more unacknowledged run ends of a job of its predecessor than one report lists. */
+struct NewOwner : JobFleet {
+    static constexpr std::int64_t taskCount = 1200;
+    static constexpr std::int64_t endsPerReport = 500;
+
+    NewOwner()
+    {
+        jobs::JobRecord record;
+        record.state = jobs::JobState::Running;
+        record.nextOccurrence = 1;
+        record.occurrences[0] = {std::vector<jobs::TaskRecord>(taskCount)};
+        jobs::Step step = makeStep(taskCount);
+        step.each = {10, 10, 0};
+        scheduler.addJob(makeJob("a", {step}), record, true, now);
+        jobs::WorkerEntry entry;
+        entry.id = "w1";
+        entry.pool = "pool";
+        entry.address = "127.0.0.1:1";
+        entry.capacity = {16'000, 64'000, 0};
+        entry.incarnation = 1;
+        scheduler.registerWorker(entry, now);
+    }
+
+    /** Answers the polls that are due with the first unacknowledged ends. */
+    void answerPolls()
+    {
+        for (const jobs::PollCommand &poll : scheduler.takePolls(now)) {
+            jobs::WorkerReport list;
+            list.clockMs = clockMs();
+            list.incarnation = 1;
+            for (std::int64_t number = poll.ackedEnd + 1; number <= std::min(taskCount, poll.ackedEnd + endsPerReport); ++number) {
+                list.ended.push_back({number, {"a", 0, 0, static_cast<std::size_t>(number - 1)}, 1, jobs::RunEndKind::Done, ""});
+            }
+            list.endsTruncated = poll.ackedEnd + endsPerReport < taskCount;
+            scheduler.handleReport(poll.worker, list, now, now, wallMs());
+        }
+    }
+};
+
+} // namespace
+
+// Guards against tasks that run again because the first part of a worker's run ends was taken for all of them.
+TEST_CASE("a new owner starts no task of its predecessor before a worker has listed all of its run ends", "[jobs]")
+{
+    NewOwner fleet;
+    for (int step = 0; step < 100; ++step) {
+        REQUIRE(fleet.advance(std::chrono::milliseconds{20}).empty());
+        fleet.answerPolls();
+        (void)fleet.save();
+    }
+    CHECK(fleet.scheduler.findJob("a") == nullptr);
+}
+
+// Guards against the same after the leases of the predecessor, while the store takes no states and thus no run end is acknowledged.
+TEST_CASE("a worker that has listed a part of its run ends keeps its pool waiting until its leases have expired", "[jobs]")
+{
+    NewOwner fleet;
+    (void)fleet.advance();
+    fleet.answerPolls();
+    CHECK(fleet.advance(std::chrono::milliseconds{6000}).empty());
+    CHECK_FALSE(fleet.scheduler.isIdle("w1", fleet.now));
+}
+
+TEST_CASE("run ends that are not stored are not requested again at once", "[jobs]")
+{
+    NewOwner fleet;
+    (void)fleet.advance();
+    fleet.answerPolls();
+    (void)fleet.advance(std::chrono::milliseconds{100});
+    CHECK(fleet.scheduler.takePolls(fleet.now).empty());
+}
