Don't take a list of used workers that can't be read for an empty one

A successor whose predecessor's list is malformed, or has entries that are, started former tasks as if no other worker had runs. Such tasks now wait until the leases of former owners have expired.

The test fails without the change of WorkerLeases::poolsWithUnknownRuns().

--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -130,6 +130,11 @@
     m_components->registry.restore(id, pool);
 }
 
+void Scheduler::setPreviousWorkersUnknown()
+{
+    m_components->leases.setPreviousWorkersUnknown();
+}
+
 void Scheduler::addJob(Job job, const std::optional<JobRecord> &record, bool predatesTerm, core::TimePoint now)
 {
     if (!record.has_value() && !predatesTerm) {
@@ -201,14 +206,14 @@
     m_components->acks.advanceAll();
 }
 
-void Scheduler::setCordoned(const std::string &id, bool cordoned)
+void Scheduler::handleUsedWorkersStored(std::uint64_t version)
 {
-    m_components->registry.setCordoned(id, cordoned);
+    m_components->state.handleUsedWorkersStored(version);
 }
 
-void Scheduler::handleUsedWorkersStored(std::uint64_t version)
+void Scheduler::setCordoned(const std::string &id, bool cordoned)
 {
-    m_components->state.handleUsedWorkersStored(version);
+    m_components->registry.setCordoned(id, cordoned);
 }
 
 void Scheduler::setMaintenancePending(const std::string &id)
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -65,6 +65,9 @@
      */
     void restoreWorker(const std::string &id, const std::string &pool);
 
+    /** @brief Records that the workers of previous owners are not all known, so that their jobs wait until all of their leases have expired. */
+    void setPreviousWorkersUnknown();
+
     /**
      * @brief Adds a job; a job that is known already or whose stored state is final is ignored.
      * @param job Accepted job.
@@ -161,15 +164,15 @@
      */
     void handleSaved(const std::vector<SaveRequest> &saves, bool stored);
 
-    /**
-     * @brief Cordons a worker, so that it gets no new work, or lifts the cordon; clears a pending maintenance.
-     * @param id Name of the worker; ignored if unknown.
     /**
      * @brief Handles that a list of used workers is in the store; only the workers that the stored list contains get runs.
      * @param version `usedWorkersVersion()` of the list.
      */
     void handleUsedWorkersStored(std::uint64_t version);
 
+    /**
+     * @brief Cordons a worker, so that it gets no new work, or lifts the cordon; clears a pending maintenance.
+     * @param id Name of the worker; ignored if unknown.
      * @param cordoned True to cordon the worker.
      */
     void setCordoned(const std::string &id, bool cordoned);
--- a/src/oleanderwick/jobs/worker_leases.cpp
+++ b/src/oleanderwick/jobs/worker_leases.cpp
@@ -81,9 +81,17 @@
     return worker.reported || now > runsEndBy(worker);
 }
 
+void WorkerLeases::setPreviousWorkersUnknown() noexcept
+{
+    m_previousWorkersUnknown = true;
+}
+
 UnknownPools WorkerLeases::poolsWithUnknownRuns(core::TimePoint now) const
 {
     UnknownPools pools;
+    if (m_previousWorkersUnknown && now <= previousLeasesEnd()) {
+        pools.add({});
+    }
     for (const std::pair<const std::string, Worker> &item : m_state.workers()) {
         if (!arePreviousRunsKnown(item.second, now)) {
             pools.add(item.second.entry.pool);
--- a/src/oleanderwick/jobs/worker_leases.hpp
+++ b/src/oleanderwick/jobs/worker_leases.hpp
@@ -83,6 +83,9 @@
      */
     [[nodiscard]] bool arePreviousRunsKnown(const Worker &worker, core::TimePoint now) const noexcept;
 
+    /** @brief Records that previous owners may have used workers of which this owner doesn't know. */
+    void setPreviousWorkersUnknown() noexcept;
+
     /**
      * @brief Finds the pools in which it is unknown which runs of previous owners exist or have ended.
      * @param now Current time of the monotonic clock.
@@ -102,6 +105,7 @@
     const StateTable &m_state;
     SchedulerLimits m_limits;
     core::TimePoint m_termStart;
+    bool m_previousWorkersUnknown{false};
 };
 
 } // namespace oleanderwick::jobs
--- a/test/oleanderwick/jobs/used_workers.cpp
+++ b/test/oleanderwick/jobs/used_workers.cpp
@@ -85,3 +85,15 @@
     fleet.storeUsedWorkers();
     CHECK(fleet.place().size() == 1);
 }
+
+// Guards against a list that can't be read being taken for an empty one.
+TEST_CASE("jobs of a predecessor whose list of used workers can't be read wait until its leases have expired", "[jobs]")
+{
+    JobFleet fleet;
+    fleet.scheduler.setPreviousWorkersUnknown();
+    fleet.addWorker("w1");
+    fleet.scheduler.addJob(JobFleet::makeJob("old", {JobFleet::makeStep(1)}), std::nullopt, true, fleet.now);
+    CHECK(fleet.advance().empty());
+    CHECK(fleet.advance(std::chrono::milliseconds{5900}).empty());
+    CHECK(fleet.advance(std::chrono::milliseconds{500}).size() == 1);
+}
