Count runs of occurrences that are not due by a new owner's clock

A repeated job's occurrence is opened by the owner's clock, and this is stored with the next change of the job. A successor whose clock is behind didn't know the occurrence: it stopped its runs, and acknowledged their ends without counting them, so that tasks that were done ran again.

A report of such a run now opens the occurrence. Both tests fail without it: the end is dropped, and the run is stopped.

--- a/src/oleanderwick/jobs/job_progress.cpp
+++ b/src/oleanderwick/jobs/job_progress.cpp
@@ -148,6 +148,21 @@
     }
 }
 
+bool JobProgress::openReported(JobEntry &entry, std::int64_t occurrence)
+{
+    if (isFinal(entry.state) || occurrence < entry.nextOccurrence || occurrence >= internal::occurrenceCount(entry.job)) {
+        return false;
+    }
+    m_with.output.logDecision("occurrence_reported", entry.job.id, "", absl::StrCat("occurrence=", occurrence, " next=", entry.nextOccurrence));
+    while (entry.nextOccurrence <= occurrence) {
+        openOccurrence(entry, entry.nextOccurrence, nullptr);
+        ++entry.nextOccurrence;
+    }
+    m_with.saves.markChanged(entry);
+    m_with.state.requestPlacement();
+    return true;
+}
+
 void JobProgress::openOccurrences(std::int64_t wallMs)
 {
     for (auto id = m_unopened.begin(); id != m_unopened.end();) {
--- a/src/oleanderwick/jobs/job_progress.hpp
+++ b/src/oleanderwick/jobs/job_progress.hpp
@@ -50,6 +50,14 @@
      */
     void advance(core::TimePoint now, std::int64_t wallMs);
 
+    /**
+     * @brief Opens the occurrences up to one of which a worker has reported a run: a previous owner has opened it, by a clock that may be ahead of this one.
+     * @param entry Job of the run.
+     * @param occurrence Number of the occurrence; ignored if the job has no such occurrence or has ended.
+     * @return True if occurrences were opened.
+     */
+    bool openReported(JobEntry &entry, std::int64_t occurrence);
+
     /**
      * @brief Leaves the queued state; to be called for a run that a worker has confirmed, as a start that was sent may be refused.
      * @param entry Job of the run.
--- a/src/oleanderwick/jobs/run_tracker.cpp
+++ b/src/oleanderwick/jobs/run_tracker.cpp
@@ -161,7 +161,7 @@
 
 void RunTracker::handleEnd(Worker &worker, const ReportedEnd &end, core::TimePoint now, std::int64_t wallMs)
 {
-    const TaskReference reference = m_with.state.findTask(end.task);
+    const TaskReference reference = findReported(end.task);
     if (reference.task == nullptr) {
         m_with.acks.add(worker, PendingEnd{end.number, {}, 0});
         return;
@@ -199,7 +199,7 @@
 
 void RunTracker::handleRun(Worker &worker, const ReportedRun &reported, core::TimePoint now)
 {
-    const TaskReference reference = m_with.state.findTask(reported.task);
+    const TaskReference reference = findReported(reported.task);
     Task *task = reference.task;
     if (task == nullptr || isFinal(reference.entry->state) || task->record.done) {
         const bool stopPending = task != nullptr && task->phase == TaskPhase::Stopping && !TaskStopper::isRetryDue(*task, now);
--- a/test/oleanderwick/jobs/worker_reports.cpp
+++ b/test/oleanderwick/jobs/worker_reports.cpp
@@ -182,3 +182,45 @@
     (void)fleet.advance(std::chrono::milliseconds{100});
     CHECK(fleet.scheduler.takePolls(fleet.now).empty());
 }
+
+namespace
+{
+
+/** @brief New owner whose clock is behind that of its predecessor, which has opened an occurrence that is not due here yet. */
+struct OwnerWithSlowClock : JobFleet {
+    OwnerWithSlowClock()
+    {
+        jobs::Job job = makeJob("a", {makeStep(1)});
+        job.repeatCount = 3;
+        job.firstRunMs = wallMs() + 300;
+        job.intervalMs = 60'000;
+        scheduler.addJob(job, std::nullopt, true, now);
+        addWorker("w1");
+        (void)advance();
+    }
+};
+
+} // namespace
+
+// Guards against a run end that is acknowledged without being counted, so that the task runs again.
+TEST_CASE("the end of a run of an occurrence that is not due by this owner's clock counts", "[jobs]")
+{
+    OwnerWithSlowClock fleet;
+    fleet.report("w1", {}, {{1, {"a", 0, 0, 0}, 1, jobs::RunEndKind::Done, ""}});
+    for (int step = 0; step < 20; ++step) {
+        CHECK(fleet.advance().empty());
+    }
+    CHECK(fleet.scheduler.findJob("a")->occurrences.at(0).remainingSteps == 0);
+}
+
+// Guards against a run that is stopped since its occurrence is not known.
+TEST_CASE("a run of an occurrence that is not due by this owner's clock is adopted", "[jobs]")
+{
+    OwnerWithSlowClock fleet;
+    fleet.report("w1", {{{"a", 0, 0, 0}, 1, "", 40, 0}}, {});
+    for (int step = 0; step < 20; ++step) {
+        CHECK(fleet.advance().empty());
+    }
+    CHECK(fleet.stops.empty());
+    CHECK(fleet.scheduler.workers().at("w1").runs.size() == 1);
+}
