Record the cancellation of an unknown job before it is answered

Cause: "not in the store" was taken for "will not be stored". A paused node, or a write that the store carries out late, stored the job after the cancellation was answered, as a submission depended on nothing that a cancellation changes.

Change: the cancellation of an unknown job writes a record under a lease, on the condition that the job is not stored, and a submission depends on the absence of that record. A submission of such an id is answered 503 with the reason and the time after which the id can be used. The records are bounded in time (120 to 150 s) and in number (by team and node). The cancellation of a known job depends on the job's record, so that a delayed write leaves no marker behind that nothing removes.

The test of the conditions of a submission now asks for exactly three instead of two, since the third one is the fix. The replies of the scripted store to conflicts have items now, as the platform's store gives them: an item shows what the conflict is about, where before any conflict was taken for an existing job.

--- a/src/emulator/world_load.cpp
+++ b/src/emulator/world_load.cpp
@@ -214,7 +214,7 @@
     // The cancellation may take effect even if its reply is lost.
     m_checker.cancelRequested(client->job.id);
     node->executor.after(internal::clientLatency, [this, client, node] {
-        node->node.jobService().cancel(client->job.id, now() + internal::clientTimeout, [this, client](const jobnode::JobReply &answer) {
+        node->node.jobService().cancel(client->job.id, client->job.team, now() + internal::clientTimeout, [this, client](const jobnode::JobReply &answer) {
             if (answer.outcome == jobnode::JobCallOutcome::Done) {
                 client->cancelled = true;
                 m_checker.cancelled(client->job.id, now());
--- a/src/oleanderwick/jobnode/fwd.hpp
+++ b/src/oleanderwick/jobnode/fwd.hpp
@@ -7,7 +7,7 @@
 class Ownership;
 class JobService;
 class JobGate;
-class RefusalLease;
+class RecordLease;
 struct RefusalRecord;
 class OwnerTerm;
 class JobNode;
--- a/src/oleanderwick/jobnode/job_service.cpp
+++ b/src/oleanderwick/jobnode/job_service.cpp
@@ -1,6 +1,9 @@
 #include "job_service.hpp"
 
 #include <algorithm>
+#include <charconv>
+
+#include <absl/strings/str_cat.h>
 
 #include "keys.hpp"
 
@@ -19,6 +22,26 @@
 /** Conflicts with records of refusals after which a submission waits before it is repeated, or a refusal is given up. */
 constexpr int maxImmediateRepeats = 3;
 
+/** A write takes effect at most about 6 s late; the minimum is twice this for attempts that were sent shortly before the refusal, and a margin for clocks. */
+constexpr RecordLease::Lifetime refusalLifetime{std::chrono::seconds{60}, std::chrono::seconds{15}, std::chrono::seconds{15}};
+/** A submission that its client has given up may be on its way for as long as a process is paused or a write is delayed. */
+constexpr RecordLease::Lifetime withdrawalLifetime{std::chrono::seconds{120}, std::chrono::seconds{30}, std::chrono::seconds{90}};
+constexpr WithdrawalQuota::Limits withdrawalLimits{std::chrono::seconds{30}, 300, 600};
+
+std::int64_t toSeconds(core::Duration duration)
+{
+    return std::chrono::ceil<std::chrono::seconds>(duration).count();
+}
+
+/** Time in seconds until the record of a withdrawal expires, by the clock of the node that wrote it; at least 1. */
+std::int64_t secondsUntilExpiry(const jobs::StoreItem &withdrawal, std::int64_t wallMs)
+{
+    std::int64_t expiresMs = 0;
+    (void)std::from_chars(withdrawal.value.data(), withdrawal.value.data() + withdrawal.value.size(), expiresMs);
+    const std::int64_t remainingMs = std::clamp<std::int64_t>(expiresMs - wallMs, 0, core::milliseconds(withdrawalLifetime.record + withdrawalLifetime.use));
+    return std::max<std::int64_t>(1, toSeconds(std::chrono::milliseconds{remainingMs}));
+}
+
 /** Returns the item of a key, or null if the reply has none. */
 const jobs::StoreItem *findItem(const jobs::StoreReply &reply, const std::string &key)
 {
@@ -40,7 +63,9 @@
     core::Duration retryDelay{internal::minRetryDelay};
     bool outcomeUnknown{false}; /**< A write got no usable reply, or a read failed; the call is then not reported as NotStored. */
     int attempts{0};
-    std::optional<jobs::Job> job; /**< Job of a submission that heeds refusals. */
+    std::optional<jobs::Job> job; /**< Job of a submission. */
+    std::string team; /**< Team of the caller of a cancellation. */
+    bool isWithdrawalCounted{false}; /**< The cancellation of an unknown job has been taken from the quota. */
     RefusalRecord refusal; /**< Record of an earlier refusal on which the change depends. */
     OnReply onReply;
 };
@@ -50,7 +75,9 @@
     , m_store{store}
     , m_log{log}
     , m_heedsRefusals{heedsRefusals}
-    , m_refusalLease{executor, store}
+    , m_refusalLease{executor, store, internal::refusalLifetime}
+    , m_withdrawalLease{executor, store, internal::withdrawalLifetime}
+    , m_withdrawals{internal::withdrawalLimits}
 {
 }
 
@@ -68,18 +95,9 @@
 void JobService::submit(const jobs::Job &job, core::TimePoint deadline, OnReply onReply, const RefusalRecord &refusal)
 {
     const std::shared_ptr<Call> call = makeCall("submit", job.id, deadline, std::move(onReply));
-    if (m_heedsRefusals) {
-        call->job = job;
-        call->refusal = refusal;
-        prepareSubmission(*call);
-        commit(call);
-        return;
-    }
-    const std::string key = keys::jobPrefix + job.id;
-    const std::string marker = keys::queuedPrefixOf(job.queue) + job.id;
-    // The condition for the marker lets the store's client repeat the change, as it then only creates keys.
-    call->change.conditions = {{key, 0}, {marker, 0}};
-    call->change.writes = {{key, jobs::toRecord(job), 0}, {marker, "1", 0}};
+    call->job = job;
+    call->refusal = refusal;
+    prepareSubmission(*call);
     commit(call);
 }
 
@@ -87,13 +105,16 @@
 {
     ++call->attempts;
     m_store.commit(call->change, [this, call](const jobs::StoreReply &reply) {
-        if (reply.outcome == jobs::StoreOutcome::Conflict && call->job.has_value()) {
-            handleSubmitConflict(call, reply);
+        if (reply.outcome == jobs::StoreOutcome::Conflict) {
+            if (call->job.has_value()) {
+                handleSubmitConflict(call, reply);
+            } else {
+                handleCancelConflict(call, reply);
+            }
             return;
         }
-        if (reply.outcome == jobs::StoreOutcome::Done || reply.outcome == jobs::StoreOutcome::Conflict) {
+        if (reply.outcome == jobs::StoreOutcome::Done) {
             call->revision = reply.revision;
-            // A conflict means that the record exists already, from an earlier attempt or from the same call on another node.
             finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
             return;
         }
@@ -104,7 +125,7 @@
     });
 }
 
-void JobService::prepareSubmission(Call &call)
+void JobService::prepareSubmission(Call &call) const
 {
     jobs::Job job = *call.job;
     if (call.refusal.firstMs > 0) {
@@ -112,12 +133,15 @@
     }
     const std::string key = keys::jobPrefix + job.id;
     const std::string marker = keys::queuedPrefixOf(job.queue) + job.id;
-    const std::string refusalKey = keys::refusalPrefix + job.id;
     call.change = {};
-    call.change.conditions = {{key, 0}, {marker, 0}, {refusalKey, call.refusal.revision}};
+    // The condition for the marker lets the store's client repeat the change, as it then only creates keys.
+    call.change.conditions = {{key, 0}, {marker, 0}, {keys::withdrawnPrefix + job.id, 0}};
     call.change.writes = {{key, jobs::toRecord(job), 0}, {marker, "1", 0}};
-    if (call.refusal.revision != 0) {
-        call.change.removals = {refusalKey};
+    if (m_heedsRefusals) {
+        call.change.conditions.push_back({keys::refusalPrefix + job.id, call.refusal.revision});
+    }
+    if (m_heedsRefusals && call.refusal.revision != 0) {
+        call.change.removals = {keys::refusalPrefix + job.id};
     }
 }
 
@@ -127,14 +151,17 @@
     const bool isRefusalNew = refusal != nullptr && refusal->revision != call->refusal.revision;
     const bool hasJob = internal::findItem(reply, keys::jobPrefix + call->id) != nullptr;
     const bool hasMarker = internal::findItem(reply, keys::queuedPrefixOf(call->job->queue) + call->id) != nullptr;
-    // If only the marker of the job exists, this is answered as without refusals.
-    if (hasJob || (hasMarker && !isRefusalNew)) {
+    const jobs::StoreItem *withdrawal = internal::findItem(reply, keys::withdrawnPrefix + call->id);
+    if (hasJob || (hasMarker && !isRefusalNew && withdrawal == nullptr)) {
+        // The record exists already, from an earlier attempt or from the same call on another node.
         call->revision = reply.revision;
         finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
+    } else if (withdrawal != nullptr) {
+        finish(*call, JobReply{JobCallOutcome::Withdrawn, {}, 0, internal::secondsUntilExpiry(*withdrawal, m_executor.wallMs())});
     } else if (isRefusalNew) {
         repeatSubmission(call, refusalFromItem(*refusal));
     } else {
-        // The record of the refusal has expired or was removed, or the reply came without its items.
+        // The record of the refusal or withdrawal has expired or was removed, or the reply came without its items.
         lookUpConflict(call);
     }
 }
@@ -147,13 +174,29 @@
             finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
             return;
         }
-        read(call, keys::refusalPrefix + call->id, [this, call](const jobs::StoreReply &refusal) {
-            const bool isFound = refusal.outcome == jobs::StoreOutcome::Done && !refusal.items.empty();
-            repeatSubmission(call, isFound ? refusalFromItem(refusal.items.front()) : RefusalRecord{call->refusal.firstMs, 0});
+        read(call, keys::withdrawnPrefix + call->id, [this, call](const jobs::StoreReply &withdrawal) {
+            if (!withdrawal.items.empty()) {
+                const std::int64_t seconds = internal::secondsUntilExpiry(withdrawal.items.front(), m_executor.wallMs());
+                finish(*call, JobReply{JobCallOutcome::Withdrawn, {}, 0, seconds});
+                return;
+            }
+            lookUpRefusal(call);
         });
     });
 }
 
+void JobService::lookUpRefusal(const std::shared_ptr<Call> &call)
+{
+    if (!m_heedsRefusals) {
+        repeatSubmission(call, call->refusal);
+        return;
+    }
+    read(call, keys::refusalPrefix + call->id, [this, call](const jobs::StoreReply &refusal) {
+        const bool isFound = refusal.outcome == jobs::StoreOutcome::Done && !refusal.items.empty();
+        repeatSubmission(call, isFound ? refusalFromItem(refusal.items.front()) : RefusalRecord{call->refusal.firstMs, 0});
+    });
+}
+
 void JobService::repeatSubmission(const std::shared_ptr<Call> &call, const RefusalRecord &refusal)
 {
     call->refusal = refusal;
@@ -179,8 +222,8 @@
 {
     const std::shared_ptr<Call> call = makeCall("refuse", id, deadline, std::move(onReply));
     call->refusal = refusal;
-    m_refusalLease.obtain([this, call](const std::optional<RefusalLease::Grant> &grant) {
-        if (!m_heedsRefusals || !grant.has_value() || !RefusalLease::outlivesDelayedWrites(*grant, m_executor.now())) {
+    m_refusalLease.obtain([this, call](const std::optional<RecordLease::Grant> &grant) {
+        if (!m_heedsRefusals || !grant.has_value() || !m_refusalLease.lastsLongEnough(*grant, m_executor.now())) {
             finish(*call, JobReply{JobCallOutcome::NotRefused, {}, 0});
             return;
         }
@@ -188,7 +231,7 @@
     });
 }
 
-void JobService::writeRefusal(const std::shared_ptr<Call> &call, const RefusalLease::Grant &grant)
+void JobService::writeRefusal(const std::shared_ptr<Call> &call, const RecordLease::Grant &grant)
 {
     ++call->attempts;
     const std::string key = keys::refusalPrefix + call->id;
@@ -202,14 +245,14 @@
     });
 }
 
-void JobService::handleRefusalReply(const std::shared_ptr<Call> &call, const RefusalLease::Grant &grant, const jobs::StoreReply &reply)
+void JobService::handleRefusalReply(const std::shared_ptr<Call> &call, const RecordLease::Grant &grant, const jobs::StoreReply &reply)
 {
     const core::TimePoint now = m_executor.now();
     JobCallOutcome outcome = JobCallOutcome::NotRefused;
     if (reply.outcome == jobs::StoreOutcome::Done) {
         // A process that was frozen must not report a refusal after its submitter may have submitted the job again elsewhere.
         const bool isLate = now >= call->deadline;
-        const bool isHeld = RefusalLease::outlivesDelayedWrites(grant, now);
+        const bool isHeld = m_refusalLease.lastsLongEnough(grant, now);
         outcome = isLate ? JobCallOutcome::Unknown : isHeld ? JobCallOutcome::Refused : JobCallOutcome::NotRefused;
     } else if (reply.outcome == jobs::StoreOutcome::Conflict) {
         const jobs::StoreItem *refusal = internal::findItem(reply, keys::refusalPrefix + call->id);
@@ -281,17 +324,105 @@
     });
 }
 
-void JobService::cancel(const std::string &id, core::TimePoint deadline, OnReply onReply)
+void JobService::cancel(const std::string &id, const std::string &team, core::TimePoint deadline, OnReply onReply)
 {
     const std::shared_ptr<Call> call = makeCall("cancel", id, deadline, std::move(onReply));
-    read(call, keys::jobPrefix + id, [this, call](const jobs::StoreReply &reply) {
-        if (reply.outcome == jobs::StoreOutcome::NotFound) {
-            finish(*call, JobReply{JobCallOutcome::NotFound, {}, 0});
+    call->team = team;
+    lookUpJob(call);
+}
+
+void JobService::lookUpJob(const std::shared_ptr<Call> &call)
+{
+    read(call, keys::jobPrefix + call->id, [this, call](const jobs::StoreReply &reply) {
+        if (reply.items.empty()) {
+            withdraw(call, 0);
+        } else {
+            cancelKnown(call, reply.items.front().revision);
+        }
+    });
+}
+
+void JobService::cancelKnown(const std::shared_ptr<Call> &call, std::int64_t jobRevision)
+{
+    const std::string key = keys::cancelPrefix + call->id;
+    call->change = {};
+    // With the condition for the job, a delayed write leaves no record behind once the job's records are removed.
+    call->change.conditions = {{key, 0}, {keys::jobPrefix + call->id, jobRevision}};
+    call->change.writes = {{key, "1", 0}};
+    commit(call);
+}
+
+void JobService::handleCancelConflict(const std::shared_ptr<Call> &call, const jobs::StoreReply &reply)
+{
+    if (internal::findItem(reply, keys::cancelPrefix + call->id) != nullptr) {
+        call->revision = reply.revision;
+        finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
+        return;
+    }
+    // The job's records were removed meanwhile, or the reply came without its items.
+    retry(call, [this](const std::shared_ptr<Call> &retried) {
+        lookUpJob(retried);
+    });
+}
+
+void JobService::withdraw(const std::shared_ptr<Call> &call, std::int64_t withdrawnRevision)
+{
+    const core::TimePoint now = m_executor.now();
+    if (!call->isWithdrawalCounted && !m_withdrawals.take(call->team, now)) {
+        finish(*call, JobReply{JobCallOutcome::NotStored, {}, 0, internal::toSeconds(m_withdrawals.untilNextPeriod(now))});
+        return;
+    }
+    call->isWithdrawalCounted = true;
+    m_withdrawalLease.obtain([this, call, withdrawnRevision](const std::optional<RecordLease::Grant> &grant) {
+        if (grant.has_value() && m_withdrawalLease.lastsLongEnough(*grant, m_executor.now())) {
+            writeWithdrawal(call, withdrawnRevision, *grant);
             return;
         }
-        call->change.conditions.push_back({keys::cancelPrefix + call->id, 0});
-        call->change.writes.push_back({keys::cancelPrefix + call->id, "1", 0});
-        commit(call);
+        retry(call, [this](const std::shared_ptr<Call> &retried) {
+            lookUpJob(retried);
+        });
+    });
+}
+
+void JobService::writeWithdrawal(const std::shared_ptr<Call> &call, std::int64_t withdrawnRevision, const RecordLease::Grant &grant)
+{
+    ++call->attempts;
+    const std::string key = keys::withdrawnPrefix + call->id;
+    const std::int64_t expiresMs = m_executor.wallMs() + core::milliseconds(grant.validUntil - m_executor.now());
+    call->change = {};
+    call->change.conditions = {{keys::jobPrefix + call->id, 0}, {key, withdrawnRevision}};
+    call->change.writes = {{key, absl::StrCat(expiresMs), grant.lease}};
+    m_store.commit(call->change, [this, call, grant](const jobs::StoreReply &reply) {
+        handleWithdrawalReply(call, grant, reply);
+    });
+}
+
+void JobService::handleWithdrawalReply(const std::shared_ptr<Call> &call, const RecordLease::Grant &grant, const jobs::StoreReply &reply)
+{
+    if (reply.outcome == jobs::StoreOutcome::Done) {
+        // A process that was paused must not say that the job doesn't exist on the strength of a record that is about to expire.
+        const bool isHeld = m_withdrawalLease.lastsLongEnough(grant, m_executor.now());
+        finish(*call, JobReply{isHeld ? JobCallOutcome::NotFound : JobCallOutcome::Unknown, {}, 0});
+        return;
+    }
+    if (reply.outcome == jobs::StoreOutcome::Conflict) {
+        const jobs::StoreItem *job = internal::findItem(reply, keys::jobPrefix + call->id);
+        const jobs::StoreItem *withdrawal = internal::findItem(reply, keys::withdrawnPrefix + call->id);
+        if (job != nullptr) {
+            cancelKnown(call, job->revision);
+            return;
+        }
+        if (withdrawal != nullptr && call->attempts <= internal::maxImmediateRepeats) {
+            // An earlier cancellation: its record is replaced, so that it lasts for long enough after this one too.
+            writeWithdrawal(call, withdrawal->revision, grant);
+            return;
+        }
+    } else if (reply.outcome == jobs::StoreOutcome::NotFound) {
+        m_withdrawalLease.discard(grant.lease);
+    }
+    call->outcomeUnknown = call->outcomeUnknown || reply.outcome == jobs::StoreOutcome::Unknown;
+    retry(call, [this](const std::shared_ptr<Call> &retried) {
+        lookUpJob(retried);
     });
 }
 
--- a/src/oleanderwick/jobnode/job_service.hpp
+++ b/src/oleanderwick/jobnode/job_service.hpp
@@ -12,8 +12,9 @@
 #include "../jobs/ports.hpp"
 #include "log_sink.hpp"
 #include "owner_notice.hpp"
-#include "refusal_lease.hpp"
+#include "record_lease.hpp"
 #include "refusal_record.hpp"
+#include "withdrawal_quota.hpp"
 
 namespace oleanderwick::jobnode
 {
@@ -26,6 +27,7 @@
     Unknown, /**< The change may have been stored, or a read did not succeed in time. */
     Refused, /**< The job is not stored, and no earlier attempt to store it can take effect any more. */
     NotRefused, /**< The refusal could not be recorded, so the submitter must not be told of one. */
+    Withdrawn, /**< The job was cancelled before it was stored; it is not stored, and no earlier attempt to store it can take effect any more. */
 };
 
 /** @brief Reply to a submitter. */
@@ -33,7 +35,7 @@
     JobCallOutcome outcome{JobCallOutcome::Unknown};
     jobs::JobState state{jobs::JobState::Queued}; /**< Only set by status(). */
     std::int64_t pending{0}; /**< Number of waiting jobs; only set by pending(). */
-    std::int64_t retryAfterS{0}; /**< Time until the submitter should return, in seconds; only set for a refusal. */
+    std::int64_t retryAfterS{0}; /**< Time until the submitter should return, in seconds; 0 if unknown. */
     std::string reason{}; /**< Why the job has failed; only set by status(), empty if unknown. */
     bool beyondRate{false}; /**< Reason of a refusal: the team is beyond its rate; otherwise even a job within it would be too late. */
 };
@@ -94,11 +96,15 @@
 
     /**
      * @brief Cancels a job.
+     *
+     * The reply is `NotFound` if the job does not exist; this is recorded for a time in which delayed submissions of the job may still arrive, so that none of
+     * them is stored. It is `NotStored` if the team has cancelled too many unknown jobs.
      * @param id Id of the job.
+     * @param team Team of the caller; empty on queues that are open to all.
      * @param deadline Time at which the submitter gives up.
      * @param onReply Called once with the reply.
      */
-    void cancel(const std::string &id, core::TimePoint deadline, OnReply onReply);
+    void cancel(const std::string &id, const std::string &team, core::TimePoint deadline, OnReply onReply);
 
     /**
      * @brief Reads the state of a job.
@@ -125,12 +131,19 @@
     void commit(const std::shared_ptr<Call> &call);
     void read(const std::shared_ptr<Call> &call, const std::string &key, std::function<void(const jobs::StoreReply &)> onFound);
     void countQueued(const std::shared_ptr<Call> &call, const std::string &after, std::int64_t counted);
-    static void prepareSubmission(Call &call);
+    void prepareSubmission(Call &call) const;
     void handleSubmitConflict(const std::shared_ptr<Call> &call, const jobs::StoreReply &reply);
     void lookUpConflict(const std::shared_ptr<Call> &call);
     void repeatSubmission(const std::shared_ptr<Call> &call, const RefusalRecord &refusal);
-    void writeRefusal(const std::shared_ptr<Call> &call, const RefusalLease::Grant &grant);
-    void handleRefusalReply(const std::shared_ptr<Call> &call, const RefusalLease::Grant &grant, const jobs::StoreReply &reply);
+    void writeRefusal(const std::shared_ptr<Call> &call, const RecordLease::Grant &grant);
+    void handleRefusalReply(const std::shared_ptr<Call> &call, const RecordLease::Grant &grant, const jobs::StoreReply &reply);
+    void lookUpRefusal(const std::shared_ptr<Call> &call);
+    void handleCancelConflict(const std::shared_ptr<Call> &call, const jobs::StoreReply &reply);
+    void handleWithdrawalReply(const std::shared_ptr<Call> &call, const RecordLease::Grant &grant, const jobs::StoreReply &reply);
+    void cancelKnown(const std::shared_ptr<Call> &call, std::int64_t jobRevision);
+    void withdraw(const std::shared_ptr<Call> &call, std::int64_t withdrawnRevision);
+    void writeWithdrawal(const std::shared_ptr<Call> &call, std::int64_t withdrawnRevision, const RecordLease::Grant &grant);
+    void lookUpJob(const std::shared_ptr<Call> &call);
     void finish(Call &call, const JobReply &reply);
     void retry(const std::shared_ptr<Call> &call, std::function<void(const std::shared_ptr<Call> &)> attempt);
 
@@ -138,7 +151,9 @@
     jobs::CoordinationStore &m_store;
     LogSink &m_log;
     bool m_heedsRefusals;
-    RefusalLease m_refusalLease;
+    RecordLease m_refusalLease;
+    RecordLease m_withdrawalLease;
+    WithdrawalQuota m_withdrawals;
     std::function<void(const OwnerNotice &)> m_onStored;
 };
 
--- a/src/oleanderwick/jobnode/record_lease.cpp
+++ b/src/oleanderwick/jobnode/record_lease.cpp
@@ -1,31 +1,21 @@
-#include "refusal_lease.hpp"
+#include "record_lease.hpp"
 
 #include <utility>
 
 namespace oleanderwick::jobnode
 {
 
-namespace internal
-{
-
-/** Sum of the time for which a record lasts at least, 60 s, and the time for which a lease is used for new records. */
-constexpr core::Duration refusalLeaseTtl = std::chrono::seconds{75};
-constexpr core::Duration refusalLeaseUse = std::chrono::seconds{15};
-/** A write takes effect at most about 6 s late; twice this for attempts that were sent shortly before the refusal, and a margin for clocks. */
-constexpr core::Duration minRecordLife = std::chrono::seconds{15};
-
-} // namespace internal
-
-RefusalLease::RefusalLease(const core::Executor &executor, jobs::CoordinationStore &store)
+RecordLease::RecordLease(const core::Executor &executor, jobs::CoordinationStore &store, const Lifetime &lifetime)
     : m_executor{executor}
     , m_store{store}
+    , m_lifetime{lifetime}
 {
 }
 
-void RefusalLease::obtain(OnGrant onGrant)
+void RecordLease::obtain(OnGrant onGrant)
 {
     const core::TimePoint now = m_executor.now();
-    if (m_grant.has_value() && now < m_replaceAt && outlivesDelayedWrites(*m_grant, now)) {
+    if (m_grant.has_value() && now < m_replaceAt && lastsLongEnough(*m_grant, now)) {
         onGrant(m_grant);
         return;
     }
@@ -33,18 +23,18 @@
     if (m_waiting.size() > 1) {
         return;
     }
-    m_store.grant(internal::refusalLeaseTtl, [this, now](const jobs::StoreReply &reply) {
+    m_store.grant(m_lifetime.record + m_lifetime.use, [this, now](const jobs::StoreReply &reply) {
         handleReply(reply, now);
     });
 }
 
-void RefusalLease::handleReply(const jobs::StoreReply &reply, core::TimePoint sentAt)
+void RecordLease::handleReply(const jobs::StoreReply &reply, core::TimePoint sentAt)
 {
     m_grant.reset();
     const bool isGranted = reply.outcome == jobs::StoreOutcome::Done && reply.lease != 0;
     if (isGranted) {
         m_grant = Grant{reply.lease, sentAt + reply.ttl};
-        m_replaceAt = sentAt + internal::refusalLeaseUse;
+        m_replaceAt = sentAt + m_lifetime.use;
     }
     const std::optional<Grant> grant = m_grant;
     const std::vector<OnGrant> waiting = std::exchange(m_waiting, {});
@@ -53,16 +43,16 @@
     }
 }
 
-void RefusalLease::discard(std::int64_t lease)
+void RecordLease::discard(std::int64_t lease)
 {
     if (m_grant.has_value() && m_grant->lease == lease) {
         m_grant.reset();
     }
 }
 
-bool RefusalLease::outlivesDelayedWrites(const Grant &grant, core::TimePoint now) noexcept
+bool RecordLease::lastsLongEnough(const Grant &grant, core::TimePoint now) const noexcept
 {
-    return grant.validUntil - now >= internal::minRecordLife;
+    return grant.validUntil - now >= m_lifetime.minimum;
 }
 
 } // namespace oleanderwick::jobnode
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -26,11 +26,11 @@
     return http::Response{status, {{"Content-Type", "application/json"}}, body.is_null() ? std::string{} : body.dump()};
 }
 
-http::Response unavailableResponse(int status)
+http::Response unavailableResponse(int status, std::int64_t retryAfterS = 1)
 {
     http::Response response = jsonResponse(status, json{{"error", status == 504 ? "unknown" : "not run"}});
     if (status != 504) {
-        response.headers.push_back({"Retry-After", "1"});
+        response.headers.push_back({"Retry-After", absl::StrCat(std::max<std::int64_t>(retryAfterS, 1))});
     }
     return response;
 }
@@ -51,7 +51,12 @@
     case jobnode::JobCallOutcome::NotFound:
         return jsonResponse(410, {});
     case jobnode::JobCallOutcome::NotStored:
-        return unavailableResponse(503);
+        return unavailableResponse(503, result.retryAfterS);
+    case jobnode::JobCallOutcome::Withdrawn: {
+        http::Response response = jsonResponse(503, json{{"error", "cancelled"}});
+        response.headers.push_back({"Retry-After", absl::StrCat(result.retryAfterS)});
+        return response;
+    }
     case jobnode::JobCallOutcome::Refused:
         return refusalResponse(result);
     case jobnode::JobCallOutcome::NotRefused:
@@ -192,7 +197,7 @@
     } else if (request.method == "GET") {
         status(id, deadline, respond);
     } else if (request.method == "DELETE") {
-        cancel(id, deadline, respond);
+        cancel(id, team == nullptr ? std::string{} : *team, deadline, respond);
     } else {
         reject(request, 405, "method", respond);
     }
@@ -234,9 +239,9 @@
     });
 }
 
-void Ingress::cancel(const std::string &id, core::TimePoint deadline, const http::Responder &respond)
+void Ingress::cancel(const std::string &id, const std::string &team, core::TimePoint deadline, const http::Responder &respond)
 {
-    m_node.jobService().cancel(id, deadline, [respond](const jobnode::JobReply &result) {
+    m_node.jobService().cancel(id, team, deadline, [respond](const jobnode::JobReply &result) {
         respond(internal::toResponse(result, json::object()));
     });
 }
--- a/test/oleanderwick/jobnode/job_refusals.cpp
+++ b/test/oleanderwick/jobnode/job_refusals.cpp
@@ -8,111 +8,18 @@
 #include "emulator/timeline.hpp"
 #include "oleanderwick/jobnode/job_service.hpp"
 #include "oleanderwick/jobnode/keys.hpp"
+#include "support/faulty_store.hpp"
 #include "support/model_store.hpp"
 
 using namespace oleanderwick;
 using jobnode::JobCallOutcome;
+using test::Fault;
+using test::FaultyStore;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-/** @brief What happens to a commit. */
-struct Fault {
-    enum class Kind : std::uint8_t {
-        None,
-        NotSent, /**< Refused without effect. */
-        LostReply, /**< Takes effect after the delay, without a reply. */
-        LostCall, /**< No effect and no reply. */
-        LostItems, /**< Works, but the reply has no items. */
-    };
-    Kind kind{Kind::None};
-    core::Duration delay{2ms};
-};
-
-/** @brief Connection to a `StoreModel` whose commits are lost, delayed and reordered as scripted; calls that are not scripted work. */
-class FaultyStore final : public jobs::CoordinationStore
-{
-public:
-    FaultyStore(emulator::Timeline &timeline, emulator::StoreModel &model)
-        : m_timeline{timeline}
-        , m_model{model}
-    {
-    }
-
-    void read(const std::string &key, OnReply onReply) override
-    {
-        run(Fault{}, std::move(onReply), [this, key] {
-            return m_model.read(key);
-        });
-    }
-    void list(const std::string &, const std::string &, OnReply) override
-    {
-    }
-    void watch(const std::string &, std::int64_t, core::Duration, OnReply) override
-    {
-    }
-    void commit(const jobs::StoreChange &change, OnReply onReply) override
-    {
-        changes.push_back(change);
-        Fault fault;
-        if (!faults.empty()) {
-            fault = faults.front();
-            faults.pop_front();
-        }
-        run(fault, std::move(onReply), [this, change] {
-            return m_model.commit(change);
-        });
-    }
-    void grant(core::Duration ttl, OnReply onReply) override
-    {
-        ++grants;
-        const core::Duration granted = std::min(ttl, maxTtl);
-        run(Fault{grantsFail ? Fault::Kind::NotSent : Fault::Kind::None, 2ms}, std::move(onReply), [this, granted] {
-            return m_model.grant(granted, m_timeline.now());
-        });
-    }
-    void renew(std::int64_t, OnReply) override
-    {
-    }
-
-    std::deque<Fault> faults;
-    std::vector<jobs::StoreChange> changes;
-    core::Duration maxTtl{1h};
-    bool grantsFail{false};
-    int grants{0};
-
-private:
-    void run(const Fault &fault, OnReply onReply, std::function<jobs::StoreReply()> work)
-    {
-        const bool isSent = fault.kind != Fault::Kind::NotSent && fault.kind != Fault::Kind::LostCall;
-        if (fault.kind == Fault::Kind::LostCall || fault.kind == Fault::Kind::LostReply) {
-            m_timeline.after(1500ms, [onReply] {
-                onReply(jobs::StoreReply{});
-            });
-        }
-        m_timeline.after(fault.delay, [this, fault, isSent, onReply, call = std::move(work)] {
-            jobs::StoreReply reply;
-            reply.outcome = jobs::StoreOutcome::Refused;
-            if (isSent) {
-                m_model.expire(m_timeline.now());
-                reply = call();
-            }
-            if (fault.kind == Fault::Kind::LostItems) {
-                reply.items.clear();
-            }
-            if (fault.kind != Fault::Kind::LostCall && fault.kind != Fault::Kind::LostReply) {
-                m_timeline.after(2ms, [onReply, reply] {
-                    onReply(reply);
-                });
-            }
-        });
-    }
-
-    emulator::Timeline &m_timeline;
-    emulator::StoreModel &m_model;
-};
-
 /** @brief Two nodes at one store, in virtual time. */
 struct RefusalFixture {
     struct Node {
@@ -196,7 +103,7 @@
 
 } // namespace
 
-TEST_CASE("without refusals the change of a submission has no further condition", "[jobnode]")
+TEST_CASE("without refusals the change of a submission depends on the job, its marker and a withdrawal, and on nothing else", "[jobnode]")
 {
     RefusalFixture fixture;
     jobnode::JobService service{fixture.first.executor, fixture.first.store, fixture.first.log};
@@ -207,9 +114,10 @@
     });
     fixture.run(1s);
     const jobs::StoreChange &change = fixture.first.store.changes.at(0);
-    REQUIRE(change.conditions.size() == 2);
+    REQUIRE(change.conditions.size() == 3);
     CHECK(change.conditions[0].key == "q/j/a");
     CHECK(change.conditions[1].key == "w/q/a");
+    CHECK(change.conditions[2].key == "q/w/a");
     CHECK(change.writes.size() == 2);
     CHECK(change.removals.empty());
 }
--- a/test/oleanderwick/jobnode/job_service.cpp
+++ b/test/oleanderwick/jobnode/job_service.cpp
@@ -64,7 +64,9 @@
 TEST_CASE("a submission whose first write got no reply succeeds once its record is found in the store", "[jobnode]")
 {
     JobServiceFixture fixture;
-    fixture.store.replies = {replyWith(jobs::StoreOutcome::Unknown), replyWith(jobs::StoreOutcome::Conflict)};
+    jobs::StoreReply stored = replyWith(jobs::StoreOutcome::Conflict);
+    stored.items = {{"q/j/a", "", 12}, {"w//a", "1", 12}};
+    fixture.store.replies = {replyWith(jobs::StoreOutcome::Unknown), stored};
     CHECK(fixture.submit().outcome == jobnode::JobCallOutcome::Done);
 }
 
@@ -114,9 +116,13 @@
     });
     CHECK(answeredFirst);
     CHECK(answeredFirst);
-    fixture.store.replies = {replyWith(jobs::StoreOutcome::Done), replyWith(jobs::StoreOutcome::Conflict)};
+    jobs::StoreReply found = replyWith(jobs::StoreOutcome::Done);
+    found.items = {{"q/j/a", "", 12}};
+    jobs::StoreReply cancelled = replyWith(jobs::StoreOutcome::Conflict);
+    cancelled.items = {{"q/j/a", "", 12}, {"q/c/a", "1", 13}};
+    fixture.store.replies = {found, cancelled};
     fixture.call([&fixture](core::TimePoint deadline, jobnode::JobService::OnReply onReply) {
-        fixture.service.cancel("a", deadline, std::move(onReply));
+        fixture.service.cancel("a", "", deadline, std::move(onReply));
     });
     CHECK(notices == std::vector<jobnode::OwnerNotice>{{jobnode::OwnerNotice::Kind::Job, "a", 12, 0}, {jobnode::OwnerNotice::Kind::Cancel, "a", 0, 0}});
     JobServiceFixture refused;
