Bound the depth and the numbers of JSON from outside

Callers saw (operators' report): with one very deeply nested entry among those of the workers, all nodes ended again and again, and no job was accepted; a submission with such a body ended the node that read it.

Cause: parseObject() returned a copy of the parsed value, and copying recurses a level at a time, so that the stack was exhausted. Nothing bounded the depth or the range of numbers at any of the places that parse text.

Deep nesting and numbers out of range in the fuzz targets found negative sequence numbers that were read as large ones, in messages between nodes and in the ledger; they are refused now.

Change: core::parseJson() is the one place where text becomes a value. FieldReader names the field that is malformed; an odd entry of a worker is left out, logged once and counted, and a submission is answered 400 with the reason. A listing without its list is a failed call, not an empty one.

StoreTranslator::parseWorker() returns the reason now; its tests ask for the same entries as before.

--- a/fuzz/replay.cpp
+++ b/fuzz/replay.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -17,6 +18,11 @@
 constexpr std::uint64_t seed = 20261203;
 constexpr int mutatedInputs = 3000;
 constexpr int maxMutations = 8;
+/** Deep enough to exhaust the stack of a reader that recurses once a level. */
+constexpr std::size_t maxNesting = 200'000;
+constexpr std::size_t usualNesting = 500;
+constexpr std::array<const char *, 8> oddNumbers{
+    "1e300", "-1e300", "1e999", "9223372036854775807", "-9223372036854775808", "18446744073709551615", "9007199254740993", "-1"};
 
 std::vector<std::string> readCorpus(const std::string &folder)
 {
@@ -45,7 +51,7 @@
     std::string input = corpus[random() % corpus.size()];
     for (std::uint64_t left = 1 + random() % maxMutations; left > 0 && !input.empty(); --left) {
         const std::size_t at = random() % input.size();
-        switch (random() % 5) {
+        switch (random() % 7) {
         case 0:
             input[at] = static_cast<char>(random());
             break;
@@ -58,6 +64,12 @@
         case 3:
             input.insert(at, std::string(random() % 200, "[{\"0"[random() % 4]));
             break;
+        case 4:
+            input.insert(at, std::string(1 + random() % (random() % 50 == 0 ? maxNesting : usualNesting), "[{"[random() % 2]));
+            break;
+        case 5:
+            input.insert(at, oddNumbers[random() % oddNumbers.size()]);
+            break;
         default:
             input = input.substr(0, at) + corpus[random() % corpus.size()].substr(0, random() % 400);
             break;
--- a/src/emulator/world_state.hpp
+++ b/src/emulator/world_state.hpp
@@ -108,10 +108,10 @@
         return update;
     }
 
-    std::optional<jobs::WorkerEntry> parseWorker(const jobs::StoreItem &item) const override
+    absl::StatusOr<jobs::WorkerEntry> parseWorker(const jobs::StoreItem &item) const override
     {
         const auto entry = m_entries.find(item.value);
-        return entry == m_entries.end() ? std::nullopt : std::optional<jobs::WorkerEntry>{entry->second};
+        return entry == m_entries.end() ? absl::StatusOr<jobs::WorkerEntry>{absl::InvalidArgumentError("no entry")} : entry->second;
     }
 
     std::pair<std::string, std::string> waveStatus(std::int64_t number, const jobs::WaveProgress &progress) const override
--- a/src/oleanderwick/admission/load_figures.cpp
+++ b/src/oleanderwick/admission/load_figures.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
+
 namespace oleanderwick::admission
 {
 
@@ -72,7 +74,7 @@
 std::optional<LoadFigures> figuresFromText(std::string_view text)
 {
     try {
-        const internal::json value = internal::json::parse(text);
+        const internal::json value = core::parseJsonOrDiscard(text);
         LoadFigures figures;
         value.at("version").get_to(figures.version);
         value.at("wall").get_to(figures.wallMs);
--- a/src/oleanderwick/allotment/ledger.cpp
+++ b/src/oleanderwick/allotment/ledger.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
+
 namespace oleanderwick::allotment
 {
 
@@ -123,11 +125,12 @@
 
 absl::StatusOr<Ledger> Ledger::fromText(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = core::parseJsonOrDiscard(text);
     Ledger ledger;
     try {
-        ledger.m_sequence = json.at("s").get<std::uint64_t>();
-        ledger.m_version = json.at("v").get<config::Version>();
+        // A reference refuses negative numbers, which a conversion would turn into large ones.
+        ledger.m_sequence = json.at("s").get_ref<const std::uint64_t &>();
+        ledger.m_version = json.at("v").get_ref<const std::uint64_t &>();
         for (const auto &account : json.at("a").items()) {
             for (const auto &entry : account.value().items()) {
                 ledger.m_accounts[core::NodeId{account.key()}][internal::limitFromText(entry.key())] = entry.value().get<std::uint32_t>();
--- a/src/oleanderwick/config/codec.cpp
+++ b/src/oleanderwick/config/codec.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_join.h>
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
 #include "internal/fields.hpp"
 #include "validation.hpp"
 
@@ -229,7 +230,7 @@
 
 absl::StatusOr<Record> recordFromText(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = core::parseJsonOrDiscard(text);
     if (!json.is_object() || !json.contains("document") || !json.contains("history") || !json["history"].is_array()) {
         return absl::InvalidArgumentError("not a configuration record");
     }
--- a/src/oleanderwick/config/command/patch.cpp
+++ b/src/oleanderwick/config/command/patch.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include "../../core/json_reading.hpp"
 #include "../codec.hpp"
 
 namespace oleanderwick::config
@@ -44,7 +45,7 @@
     if (isTooDeep(patch.body)) {
         return absl::InvalidArgumentError("/: the patch is nested too deeply");
     }
-    const nlohmann::json body = nlohmann::json::parse(patch.body, nullptr, false);
+    const nlohmann::json body = core::parseJsonOrDiscard(patch.body);
     if (body.is_discarded()) {
         return absl::InvalidArgumentError("/: the patch is not JSON");
     }
--- a/src/oleanderwick/jobnode/commanded_instances.cpp
+++ b/src/oleanderwick/jobnode/commanded_instances.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
+
 namespace oleanderwick::jobnode
 {
 
@@ -33,7 +35,7 @@
 
 std::optional<CommandedInstances::EndTimes> CommandedInstances::restore(const std::string &record, core::TimePoint startedAt)
 {
-    const nlohmann::json value = nlohmann::json::parse(record, nullptr, false);
+    const nlohmann::json value = core::parseJsonOrDiscard(record);
     // Earlier versions wrote an array of names, without time spans.
     const bool isArray = value.is_array();
     if (!isArray && !value.is_object()) {
--- a/src/oleanderwick/jobnode/owner_notice.cpp
+++ b/src/oleanderwick/jobnode/owner_notice.cpp
@@ -7,6 +7,8 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
+
 namespace oleanderwick::jobnode
 {
 
@@ -44,7 +46,7 @@
     if (text.size() > internal::maxMessageBytes) {
         return absl::InvalidArgumentError("the message is too long");
     }
-    const nlohmann::json rows = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json rows = core::parseJsonOrDiscard(text);
     if (!rows.is_array() || rows.size() > maxNoticesPerMessage) {
         return absl::InvalidArgumentError("a message is an array with a bounded number of notices");
     }
--- a/src/oleanderwick/jobnode/owner_term.cpp
+++ b/src/oleanderwick/jobnode/owner_term.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "../core/json_reading.hpp"
 #include "keys.hpp"
 
 namespace oleanderwick::jobnode
@@ -124,20 +125,6 @@
     commandDelay.limitTo(*std::move(endTimes));
 }
 
-void OwnerTerm::State::restoreUsedWorkers(const std::string &text)
-{
-    const nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
-    if (!value.is_object()) {
-        log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("key", keys::usedWorkers));
-        return;
-    }
-    for (auto item = value.begin(); item != value.end(); ++item) {
-        if (item.value().is_string()) {
-            scheduler.restoreWorker(item.key(), item.value().get<std::string>());
-        }
-    }
-}
-
 void OwnerTerm::State::loadAll(const std::string &prefix, const std::string &after, const OnItem &onItem, const std::function<void()> &onComplete)
 {
     ports.store.list(prefix, after, [self = shared_from_this(), prefix, after, onItem, onComplete](const jobs::StoreReply &reply) {
@@ -180,7 +167,7 @@
 
 void OwnerTerm::State::handleWaveItem(const jobs::StoreItem &item)
 {
-    const nlohmann::json value = nlohmann::json::parse(item.value, nullptr, false);
+    const nlohmann::json value = core::parseJsonOrDiscard(item.value);
     const std::int64_t number = std::strtoll(item.key.c_str() + keys::wavePrefix.size(), nullptr, 10);
     if (value.is_object()) {
         jobs::WaveProgress &progress = storedWaves[number];
@@ -392,22 +379,6 @@
     }
 }
 
-void OwnerTerm::State::handleWorkerItem(const jobs::StoreItem &item)
-{
-    const std::optional<jobs::WorkerEntry> entry = ports.translator.parseWorker(item);
-    if (!entry.has_value()) {
-        log.add("worker_unreadable", telemetry::Event{"worker_unreadable"}.with("key", item.key));
-        return;
-    }
-    scheduler.registerWorker(*entry, executor.now());
-    scheduleCycle();
-}
-
-void OwnerTerm::State::handleWorkerRemoval(const std::string &key)
-{
-    scheduler.unregisterWorker(key.substr(ports.translator.workerPrefix().size()));
-}
-
 void OwnerTerm::State::scheduleCycle()
 {
     if (cycleScheduled || !ready || stopped) {
--- a/src/oleanderwick/jobnode/owner_term_state.hpp
+++ b/src/oleanderwick/jobnode/owner_term_state.hpp
@@ -50,6 +50,8 @@
     void cancelJob(const std::string &id);
     [[nodiscard]] bool isJobKnown(const std::string &id) const;
     void handleWorkerItem(const jobs::StoreItem &item);
+    void handleUnreadableWorker(const std::string &key, const std::string &reason);
+    void forgetUnreadableWorker(const std::string &key);
     void handleWorkerRemoval(const std::string &key);
     /** @} */
 
@@ -149,6 +151,7 @@
     std::vector<jobs::AdviceRequest> adviceRequests;
     bool adviceInFlight{false};
 
+    std::map<std::string, std::string> unreadableWorkers; /**< Why the entries of some workers can't be read, by key. */
     JobIntake intake; /**< Submitted jobs that the scheduler does not know yet. */
     std::unique_ptr<Watcher> cancelWatcher;
     std::unique_ptr<Watcher> jobWatcher;
--- a/src/oleanderwick/jobnode/refusal_record.cpp
+++ b/src/oleanderwick/jobnode/refusal_record.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
+
 namespace oleanderwick::jobnode
 {
 
@@ -16,7 +18,7 @@
 {
     RefusalRecord record;
     record.revision = item.revision;
-    const nlohmann::json value = nlohmann::json::parse(item.value, nullptr, false);
+    const nlohmann::json value = core::parseJsonOrDiscard(item.value);
     if (value.is_object() && value.contains("first") && value["first"].is_number_integer()) {
         record.firstMs = std::max<std::int64_t>(0, value["first"].get<std::int64_t>());
     }
--- a/src/oleanderwick/jobnode/translator.hpp
+++ b/src/oleanderwick/jobnode/translator.hpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <utility>
 
+#include <absl/status/statusor.h>
+
 #include "../jobs/jobs.hpp"
 #include "../jobs/ports.hpp"
 #include "fwd.hpp"
@@ -44,9 +46,9 @@
     /**
      * @brief Parses the entry of a worker.
      * @param item Item of the store.
-     * @return The entry; std::nullopt if it does not describe a usable worker.
+     * @return The entry; `InvalidArgument` with a printable reason if it does not describe a usable worker.
      */
-    [[nodiscard]] virtual std::optional<jobs::WorkerEntry> parseWorker(const jobs::StoreItem &item) const = 0;
+    [[nodiscard]] virtual absl::StatusOr<jobs::WorkerEntry> parseWorker(const jobs::StoreItem &item) const = 0;
 
     /**
      * @brief Formats the status of a wave for operators.
--- a/src/oleanderwick/jobs/codec.cpp
+++ b/src/oleanderwick/jobs/codec.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
+
 namespace oleanderwick::jobs
 {
 
@@ -124,8 +126,12 @@
 
 absl::StatusOr<Job> jobFromRecord(const std::string &text)
 {
+    const absl::StatusOr<json> parsed = core::parseJson(text);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
     try {
-        const json value = json::parse(text);
+        const json &value = *parsed;
         Job job;
         value.at("id").get_to(job.id);
         value.at("queue").get_to(job.queue);
@@ -172,8 +178,12 @@
 
 absl::StatusOr<JobRecord> progressFromRecord(const std::string &text)
 {
+    const absl::StatusOr<json> parsed = core::parseJson(text);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
     try {
-        const json value = json::parse(text);
+        const json &value = *parsed;
         JobRecord record;
         const int state = value.at("state").get<int>();
         if (state < 0 || state > static_cast<int>(JobState::Cancelled)) {
--- a/src/oleanderwick/maintenance/platform.cpp
+++ b/src/oleanderwick/maintenance/platform.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
+
 namespace oleanderwick::maintenance
 {
 
@@ -23,7 +25,7 @@
 
 absl::StatusOr<PlatformList> parsePlatformList(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = core::parseJsonOrDiscard(text);
     if (!json.is_object()) {
         return absl::InvalidArgumentError("the list of instances is not a JSON object");
     }
--- a/src/oleanderwick/maintenance/wave.cpp
+++ b/src/oleanderwick/maintenance/wave.cpp
@@ -7,6 +7,8 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
+
 namespace oleanderwick::maintenance
 {
 
@@ -133,7 +135,7 @@
 
 absl::StatusOr<WaveList> parseWaveList(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = core::parseJsonOrDiscard(text);
     if (!json.is_array()) {
         return absl::InvalidArgumentError("the stored waves are not a JSON array");
     }
--- a/src/oleanderwick/node/keyed_record.cpp
+++ b/src/oleanderwick/node/keyed_record.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "../config/config.hpp"
+#include "../core/json_reading.hpp"
 #include "../store/base64.hpp"
 #include "problem.hpp"
 
@@ -62,7 +63,7 @@
 
 absl::StatusOr<IdempotencyRecord> idempotencyRecordFromText(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = core::parseJsonOrDiscard(text);
     IdempotencyRecord record;
     try {
         record.owner = json.at("owner").get<std::string>();
--- a/src/oleanderwick/node/operator_api.cpp
+++ b/src/oleanderwick/node/operator_api.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
+#include "../core/json_reading.hpp"
 #include "problem.hpp"
 
 namespace oleanderwick::node
@@ -289,7 +290,7 @@
 
 void OperatorApi::startWave(const http::Request &request, const http::Responder &respond, const std::string &)
 {
-    const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+    const nlohmann::json body = core::parseJsonOrDiscard(request.body);
     const nlohmann::json pool = body.is_object() ? body.value("pool", nlohmann::json()) : nlohmann::json();
     const nlohmann::json suppliedId = body.is_object() ? body.value("id", nlohmann::json()) : nlohmann::json();
     if (!pool.is_string() || !m_keeper.current()->document().pools.contains(core::PoolId{pool.get<std::string>()})) {
--- a/src/oleanderwick/peer/codec.cpp
+++ b/src/oleanderwick/peer/codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
+
 namespace oleanderwick::peer
 {
 
@@ -44,8 +46,9 @@
 {
     membership::Digest digest;
     digest.node = core::NodeId{json.at("node").get<std::string>()};
-    digest.sequence = json.at("seq").get<std::uint64_t>();
-    digest.version = json.at("version").get<config::Version>();
+    // A reference refuses negative numbers, which a conversion would turn into large ones.
+    digest.sequence = json.at("seq").get_ref<const std::uint64_t &>();
+    digest.version = json.at("version").get_ref<const std::uint64_t &>();
     digest.leaving = json.at("leaving").get<bool>();
     digest.storeAgeMs = json.at("storeAge").get<std::int64_t>();
     for (const nlohmann::json &node : json.at("alive")) {
@@ -57,7 +60,9 @@
     for (const nlohmann::json &request : json.at("wants")) {
         digest.permitRequests.push_back(permitRequestFromJson(request));
     }
-    digest.ledgerSequences = json.at("ledger").get<std::vector<std::uint64_t>>();
+    for (const nlohmann::json &sequence : json.at("ledger")) {
+        digest.ledgerSequences.push_back(sequence.get_ref<const std::uint64_t &>());
+    }
     return digest;
 }
 
@@ -92,7 +97,7 @@
 
 absl::StatusOr<membership::Digest> digestFromText(const std::string &text)
 {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = core::parseJsonOrDiscard(text);
     try {
         if (json.at("v").get<int>() != messageVersion) {
             return absl::InvalidArgumentError("unsupported message version");
--- a/src/oleanderwick/peer/peer.cpp
+++ b/src/oleanderwick/peer/peer.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
+
 namespace oleanderwick::peer
 {
 
@@ -72,7 +74,7 @@
     if (!reply.ok()) {
         return reply.status();
     }
-    const nlohmann::json json = nlohmann::json::parse(*reply, nullptr, false);
+    const nlohmann::json json = core::parseJsonOrDiscard(*reply);
     if (!json.is_object() || !json.contains(internal::recordField) || !json[internal::recordField].is_string()) {
         return absl::InvalidArgumentError("the peer's reply contains no record");
     }
--- a/src/oleanderwick/store/platform_store.cpp
+++ b/src/oleanderwick/store/platform_store.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include "../core/json_reading.hpp"
 #include "base64.hpp"
 
 namespace oleanderwick::store
@@ -94,7 +95,7 @@
 /** Handles one line of a watch; returns false to end the watch. */
 bool handleWatchLine(const std::string &line, const Store::OnChange &onChange)
 {
-    const nlohmann::json json = nlohmann::json::parse(line, nullptr, false);
+    const nlohmann::json json = core::parseJsonOrDiscard(line);
     if (!json.is_object() || !json.contains("result") || !json["result"].is_object()) {
         return false;
     }
@@ -148,7 +149,7 @@
         useNextEndpoint();
         return response.status();
     }
-    nlohmann::json json = nlohmann::json::parse(response->body, nullptr, false);
+    nlohmann::json json = core::parseJsonOrDiscard(response->body);
     if (response->status == internal::statusOk && json.is_object()) {
         return json;
     }
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "field_reader.hpp"
 #include "wire.hpp"
 
 namespace oleanderwick::platform
@@ -83,32 +84,49 @@
            });
 }
 
-jobs::Step readStep(const json &row, std::size_t position)
+/** Reads the numbers of the steps on which a step depends; `position` is its own number. */
+std::vector<std::size_t> readDependencies(FieldReader &fields, std::size_t position)
 {
-    jobs::Step step;
-    step.count = readInteger(row, "count", 1);
-    step.each = readResources(row);
-    step.estimateMs = readInteger(row, "estimate_ms");
-    step.savesProgress = readBool(row, "saves_progress");
-    step.gang = readBool(row, "gang");
-    step.sameRack = readBool(row, "same_rack");
-    step.speculative = readBool(row, "speculative");
-    step.continuous = readBool(row, "long_running");
-    step.bestEffort = readBool(row, "fills");
-    step.requiredLabel = readString(row, "requires");
-    step.affinityRack = readString(row, "affinity");
-    step.maxPerWorker = readInteger(row, "max_per_server");
-    step.image = readString(row, "image");
-    step.targetMs = readInteger(row, "target_ms");
-    step.maxUnavailable = readInteger(row, "max_unavailable");
-    if (row.contains("after")) {
-        row["after"].get_to(step.after);
+    std::vector<std::size_t> dependencies;
+    const json *rows = fields.find("after", json::value_t::array);
+    if (rows == nullptr) {
+        return dependencies;
     }
-    const bool invalidDependency = std::any_of(step.after.begin(), step.after.end(), [position](std::size_t dependency) {
-        return dependency >= position;
-    });
-    if (invalidDependency || step.count < 1 || step.count > maxTasksPerJob || step.each.cpu < 0 || step.each.memory < 0 || step.each.gpu < 0) {
-        throw std::out_of_range("step");
+    for (const json &row : *rows) {
+        if (!row.is_number_unsigned() || row.get<std::size_t>() >= position) {
+            fields.fail("after", "names a step that is not an earlier one");
+            return {};
+        }
+        dependencies.push_back(row.get<std::size_t>());
+    }
+    return dependencies;
+}
+
+absl::StatusOr<jobs::Step> readStep(const json &row, std::size_t position)
+{
+    if (!row.is_object()) {
+        return absl::InvalidArgumentError("not a JSON object");
+    }
+    FieldReader fields{row};
+    jobs::Step step;
+    step.count = fields.integer("count", {1, maxTasksPerJob}, 1);
+    step.each = fields.resources();
+    step.estimateMs = fields.integer("estimate_ms", durationRange);
+    step.after = readDependencies(fields, position);
+    step.savesProgress = fields.boolean("saves_progress");
+    step.gang = fields.boolean("gang");
+    step.sameRack = fields.boolean("same_rack");
+    step.speculative = fields.boolean("speculative");
+    step.continuous = fields.boolean("long_running");
+    step.bestEffort = fields.boolean("fills");
+    step.requiredLabel = fields.string("requires");
+    step.affinityRack = fields.string("affinity");
+    step.maxPerWorker = fields.integer("max_per_server", counterRange);
+    step.image = fields.string("image");
+    step.targetMs = fields.integer("target_ms", durationRange);
+    step.maxUnavailable = fields.integer("max_unavailable", counterRange);
+    if (!fields.error().empty()) {
+        return absl::InvalidArgumentError(fields.error());
     }
     return step;
 }
@@ -117,31 +135,37 @@
 
 absl::StatusOr<jobs::Job> parseSubmission(const std::string &text)
 {
-    const json body = parseObject(text);
-    if (!body.is_object() || !body.contains("spec") || !body["spec"].is_string() || !body.contains("steps") || !body["steps"].is_array()) {
-        return absl::InvalidArgumentError("a job has a spec and steps");
+    const absl::StatusOr<json> body = readObject(text);
+    if (!body.ok()) {
+        return body.status();
     }
+    FieldReader fields{*body};
+    const json *spec = fields.find("spec", json::value_t::string);
+    const json *steps = fields.find("steps", json::value_t::array);
     jobs::Job job;
-    job.spec = readString(body, "spec");
-    job.repeatCount = readInteger(body, "repeat_count");
-    job.firstRunMs = readInteger(body, "first_run_ms");
-    job.intervalMs = readInteger(body, "interval_ms");
-    if (job.spec.size() > internal::maxSpecBytes || body["steps"].empty() || body["steps"].size() > internal::maxSteps) {
-        return absl::InvalidArgumentError("the spec is too long, or the number of steps is out of bounds");
+    job.repeatCount = fields.integer("repeat_count", {0, internal::maxTasksPerJob});
+    job.firstRunMs = fields.integer("first_run_ms", unixTimeRange);
+    job.intervalMs = fields.integer("interval_ms", durationRange);
+    if (!fields.error().empty()) {
+        return absl::InvalidArgumentError(fields.error());
     }
-    try {
-        for (const json &row : body["steps"]) {
-            job.steps.push_back(internal::readStep(row, job.steps.size()));
-        }
-    } catch (const std::exception &error) {
-        return absl::InvalidArgumentError(absl::StrCat("step ", job.steps.size(), ": ", error.what()));
+    if (spec == nullptr || steps == nullptr) {
+        return absl::InvalidArgumentError("a job has a spec and steps");
+    }
+    job.spec = spec->get<std::string>();
+    if (job.spec.size() > internal::maxSpecBytes || steps->empty() || steps->size() > internal::maxSteps) {
+        return absl::InvalidArgumentError("the spec is too long, or the number of steps is out of bounds");
     }
     std::int64_t tasks = 0;
-    for (const jobs::Step &step : job.steps) {
-        tasks += step.count;
+    for (const json &row : *steps) {
+        absl::StatusOr<jobs::Step> step = internal::readStep(row, job.steps.size());
+        if (!step.ok()) {
+            return absl::InvalidArgumentError(absl::StrCat("step ", job.steps.size(), ": ", step.status().message()));
+        }
+        tasks += step->count;
+        job.steps.push_back(*std::move(step));
     }
-    if (job.repeatCount < 0 || job.intervalMs < 0 || tasks > internal::maxTasksPerJob
-        || std::max<std::int64_t>(job.repeatCount, 1) > internal::maxTasksPerJob / tasks) {
+    if (tasks > internal::maxTasksPerJob || std::max<std::int64_t>(job.repeatCount, 1) > internal::maxTasksPerJob / tasks) {
         return absl::InvalidArgumentError(absl::StrCat("all occurrences together have more than ", internal::maxTasksPerJob, " tasks"));
     }
     return job;
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -91,25 +91,28 @@
     }
 }
 
-jobs::StoreReply toReply(const http::ExchangeResult &result)
+} // namespace internal
+
+jobs::StoreReply readStoreReply(const http::ExchangeResult &result, const char *list)
 {
     jobs::StoreReply reply;
     if (result.outcome != routing::ExchangeOutcome::Complete) {
         reply.outcome = certainlyNotSent(result.outcome) ? jobs::StoreOutcome::Refused : jobs::StoreOutcome::Unknown;
         return reply;
     }
-    reply.outcome = outcomeOf(result.response.status);
+    reply.outcome = internal::outcomeOf(result.response.status);
     const json body = parseObject(result.response.body);
-    if (!body.is_object()) {
-        // A reply that cannot be parsed does not confirm the call.
+    const bool hasList = list == nullptr || (body.contains(list) && body[list].is_array() && !(body[list].empty() && readBool(body, "has_more")));
+    if (!body.is_object() || (reply.outcome == jobs::StoreOutcome::Done && !hasList)) {
+        // A reply that cannot be parsed does not confirm the call, and one without its list does not say that there is nothing.
         reply.outcome = reply.outcome == jobs::StoreOutcome::Done ? jobs::StoreOutcome::Unknown : reply.outcome;
         return reply;
     }
     if (body.contains("value")) {
-        reply.items.push_back(toItem(body));
+        reply.items.push_back(internal::toItem(body));
     }
-    readChanges(body, "items", reply);
-    readChanges(body, "events", reply);
+    internal::readChanges(body, "items", reply);
+    internal::readChanges(body, "events", reply);
     reply.revision = readInteger(body, "as_of", readInteger(body, "revision"));
     reply.more = readBool(body, "has_more");
     reply.lease = readInteger(body, "lease");
@@ -117,8 +120,6 @@
     return reply;
 }
 
-} // namespace internal
-
 StoreClient::StoreClient(http::UpstreamConnections &connections, std::string address, std::string pathPrefix)
     : m_connections{connections}
     , m_address{std::move(address)}
@@ -126,11 +127,11 @@
 {
 }
 
-void StoreClient::call(http::Exchange exchange, OnReply onReply)
+void StoreClient::call(http::Exchange exchange, OnReply onReply, const char *list)
 {
     exchange.request.target.insert(0, m_pathPrefix);
-    m_connections.start(std::move(exchange), [reply = std::move(onReply)](const http::ExchangeResult &result) {
-        reply(internal::toReply(result));
+    m_connections.start(std::move(exchange), [reply = std::move(onReply), list](const http::ExchangeResult &result) {
+        reply(readStoreReply(result, list));
     });
 }
 
@@ -145,7 +146,7 @@
     if (!after.empty()) {
         absl::StrAppend(&target, "&after=", internal::escape(after));
     }
-    call(makeExchange(m_address, "GET", std::move(target), {}, internal::listTimeout), std::move(onReply));
+    call(makeExchange(m_address, "GET", std::move(target), {}, internal::listTimeout), std::move(onReply), "items");
 }
 
 void StoreClient::watch(const std::string &prefix, std::int64_t after, core::Duration wait, OnReply onReply)
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -8,6 +8,14 @@
 namespace oleanderwick::platform
 {
 
+/**
+ * @brief Reads a reply of the platform's key-value service.
+ * @param result Result of the exchange.
+ * @param list Name of the list that a reply of success has to contain; null for none.
+ * @return The reply; `Unknown` if a reply of success can't be read, lacks its list, or announces more items than none.
+ */
+[[nodiscard]] jobs::StoreReply readStoreReply(const http::ExchangeResult &result, const char *list = nullptr);
+
 /** @brief Client that uses the platform's key-value service as coordination store. */
 class StoreClient final : public jobs::CoordinationStore
 {
@@ -28,7 +36,7 @@
     void renew(std::int64_t lease, OnReply onReply) override;
 
 private:
-    void call(http::Exchange exchange, OnReply onReply);
+    void call(http::Exchange exchange, OnReply onReply, const char *list = nullptr);
 
     http::UpstreamConnections &m_connections;
     std::string m_address;
--- a/src/platform/store_translator.cpp
+++ b/src/platform/store_translator.cpp
@@ -1,7 +1,9 @@
 #include "store_translator.hpp"
 
 #include <absl/strings/str_cat.h>
+#include <boost/asio/ip/address.hpp>
 
+#include "field_reader.hpp"
 #include "wire.hpp"
 
 namespace oleanderwick::platform
@@ -12,18 +14,28 @@
 
 constexpr const char *configKey = "op/config";
 constexpr const char *wavePrefix = "op/wave/";
+/** Ten years. */
+constexpr std::int64_t maxWaveSeconds = 315'360'000;
 
-std::optional<jobs::MaintenanceWave> readWave(const std::string &text)
+absl::StatusOr<jobs::MaintenanceWave> readWave(const std::string &text)
 {
-    const json body = parseObject(text);
-    if (!body.is_object() || !body.contains("machines") || !body["machines"].is_array()) {
-        return std::nullopt;
+    const absl::StatusOr<json> body = readObject(text);
+    if (!body.ok()) {
+        return body.status();
     }
+    FieldReader fields{*body};
+    const json *machines = fields.find("machines", json::value_t::array);
     jobs::MaintenanceWave wave;
-    wave.number = readInteger(body, "wave");
-    wave.maxInstancesDown = readInteger(body, "cap", 1);
-    wave.duration = std::chrono::seconds{readInteger(body, "duration_s")};
-    for (const json &machine : body["machines"]) {
+    wave.number = fields.integer("wave", counterRange);
+    wave.maxInstancesDown = fields.integer("cap", counterRange, 1);
+    wave.duration = std::chrono::seconds{fields.integer("duration_s", {0, maxWaveSeconds})};
+    if (machines == nullptr) {
+        fields.fail("machines", "is missing");
+    }
+    if (!fields.error().empty()) {
+        return absl::InvalidArgumentError(fields.error());
+    }
+    for (const json &machine : *machines) {
         if (machine.is_string()) {
             wave.instances.push_back(machine.get<std::string>());
         }
@@ -31,6 +43,30 @@
     return wave;
 }
 
+std::vector<std::string> readLabels(FieldReader &fields)
+{
+    std::vector<std::string> labels;
+    const json *rows = fields.find("labels", json::value_t::array);
+    if (rows == nullptr) {
+        return labels;
+    }
+    for (const json &row : *rows) {
+        if (!row.is_string()) {
+            fields.fail("labels", "has an entry that is not a string");
+            return {};
+        }
+        labels.push_back(row.get<std::string>());
+    }
+    return labels;
+}
+
+bool isReachable(const std::string &address)
+{
+    const absl::StatusOr<http::Endpoint> endpoint = http::parseEndpoint(address);
+    boost::system::error_code error;
+    return endpoint.ok() && endpoint->port != 0 && (boost::asio::ip::make_address(endpoint->host, error), !error);
+}
+
 } // namespace internal
 
 StoreTranslator::StoreTranslator(jobnode::LogSink &log)
@@ -68,39 +104,53 @@
             m_routes = std::move(parsed->first);
         }
     } else if (item.key.starts_with(internal::wavePrefix)) {
-        update.wave = internal::readWave(item.value);
+        absl::StatusOr<jobs::MaintenanceWave> wave = internal::readWave(item.value);
+        if (wave.ok()) {
+            update.wave = *std::move(wave);
+        } else {
+            m_log.add("wave_unreadable", telemetry::Event{"wave_unreadable"}.with("key", item.key).with("error", std::string{wave.status().message()}));
+        }
     }
     return update;
 }
 
-std::optional<jobs::WorkerEntry> StoreTranslator::parseWorker(const jobs::StoreItem &item) const
+absl::StatusOr<jobs::WorkerEntry> StoreTranslator::parseWorker(const jobs::StoreItem &item) const
 {
-    const json body = parseObject(item.value);
-    const std::string state = body.is_object() ? readString(body, "state") : std::string{};
-    if (state != "ready" && state != "draining") {
-        return std::nullopt;
+    const absl::StatusOr<json> body = readObject(item.value);
+    if (!body.ok()) {
+        return body.status();
     }
+    FieldReader fields{*body};
+    const std::string state = fields.string("state");
     jobs::WorkerEntry entry;
     entry.id = item.key.substr(workerPrefix().size());
-    entry.pool = readString(body, "service");
-    entry.address = readString(body, "address");
-    entry.zone = readString(body, "zone");
+    entry.pool = fields.string("service");
+    entry.address = fields.string("address");
+    entry.zone = fields.string("zone");
     entry.draining = state == "draining";
-    entry.incarnation = readInteger(body, "born");
-    if (body.contains("capacity") && body["capacity"].is_object()) {
-        entry.capacity = readResources(body["capacity"]);
-    }
-    if (body.contains("labels") && body["labels"].is_array()) {
-        for (const json &label : body["labels"]) {
-            if (label.is_string()) {
-                entry.labels.push_back(label.get<std::string>());
-            }
+    entry.incarnation = fields.integer("born", unixTimeRange);
+    const json *capacity = fields.find("capacity", json::value_t::object);
+    if (capacity != nullptr) {
+        FieldReader amounts{*capacity};
+        entry.capacity = amounts.resources();
+        if (!amounts.error().empty()) {
+            fields.fail("capacity", amounts.error());
         }
     }
+    entry.labels = internal::readLabels(fields);
     // The first label of the platform is the kind, the second one the rack.
     entry.rack = entry.labels.size() > 1 ? entry.labels[1] : std::string{};
-    if (!http::parseEndpoint(entry.address).ok() || entry.pool.empty()) {
-        return std::nullopt;
+    if (state != "ready" && state != "draining") {
+        fields.fail("state", "is not a known one");
+    }
+    if (entry.pool.empty()) {
+        fields.fail("service", "is missing");
+    }
+    if (!internal::isReachable(entry.address)) {
+        fields.fail("address", "is not an IP address and a port");
+    }
+    if (!fields.error().empty()) {
+        return absl::InvalidArgumentError(fields.error());
     }
     return entry;
 }
--- a/src/platform/store_translator.hpp
+++ b/src/platform/store_translator.hpp
@@ -24,7 +24,7 @@
     [[nodiscard]] std::string workerPrefix() const override;
     [[nodiscard]] std::string zoneClosurePrefix() const override;
     [[nodiscard]] jobnode::OperatorUpdate parseOperatorItem(const jobs::StoreItem &item) override;
-    [[nodiscard]] std::optional<jobs::WorkerEntry> parseWorker(const jobs::StoreItem &item) const override;
+    [[nodiscard]] absl::StatusOr<jobs::WorkerEntry> parseWorker(const jobs::StoreItem &item) const override;
     [[nodiscard]] std::pair<std::string, std::string> waveStatus(std::int64_t number, const jobs::WaveProgress &progress) const override;
 
     /** @return Routes of the configuration with the highest version so far; empty before the first one. */
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -2,13 +2,24 @@
 
 #include <cmath>
 
+#include "oleanderwick/core/json_reading.hpp"
+
 namespace oleanderwick::platform
 {
 
 json parseObject(std::string_view text)
 {
-    json value = json::parse(text, nullptr, false);
-    return value.is_object() ? value : json{};
+    json value = core::parseJsonOrDiscard(text);
+    return value.is_object() ? std::move(value) : json{};
+}
+
+absl::StatusOr<json> readObject(std::string_view text)
+{
+    absl::StatusOr<json> value = core::parseJson(text);
+    if (value.ok() && !value->is_object()) {
+        return absl::InvalidArgumentError("not a JSON object");
+    }
+    return value;
 }
 
 std::int64_t readInteger(const json &object, const char *name, std::int64_t fallback)
--- a/src/platform/wire.hpp
+++ b/src/platform/wire.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
 
 #include "oleanderwick/http/message.hpp"
@@ -33,6 +34,13 @@
  */
 [[nodiscard]] json parseObject(std::string_view text);
 
+/**
+ * @brief Parses a JSON object.
+ * @param text Text to parse.
+ * @return The object; `InvalidArgument` with a printable reason if the text can't be parsed or is another type of value.
+ */
+[[nodiscard]] absl::StatusOr<json> readObject(std::string_view text);
+
 /**
  * @brief Reads an integer field; rounds a floating-point number to the nearest integer.
  * @param object Object to read from; JSON null reads as empty.
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -1,7 +1,10 @@
 #include "worker_client.hpp"
 
 #include <map>
+#include <stdexcept>
 
+#include "oleanderwick/core/json_reading.hpp"
+#include "field_reader.hpp"
 #include "wire.hpp"
 
 namespace oleanderwick::platform
@@ -14,11 +17,11 @@
 /** Added to the wait of a poll for the transfer of the reply. */
 constexpr core::Duration pollMargin = std::chrono::milliseconds{800};
 constexpr int otherIncarnationStatus = 421;
+/** Workers return at most so many run ends; further ones follow after an acknowledgement. */
+constexpr std::size_t maxReportedEnds = 500;
 
 /** Commands to one worker that are in flight at once; a new connection for each of many would cost more than waiting for the one before. */
 constexpr std::size_t maxConcurrentCommands = 2;
-/** Workers return at most so many run ends; further ones follow after an acknowledgement. */
-constexpr std::size_t maxReportedEnds = 500;
 
 http::Exchange makePoll(const std::string &address, const std::string &worker, const json &body, core::Duration timeout, core::TimePoint sendBefore)
 {
@@ -82,6 +85,16 @@
     }
 }
 
+/** Returns a number of a row; throws if it is no counter. */
+std::int64_t readCounter(const json &row, std::size_t column)
+{
+    const std::int64_t value = row.at(column).get<std::int64_t>();
+    if (value < counterRange.least || value > counterRange.most) {
+        throw std::out_of_range("a number is out of range");
+    }
+    return value;
+}
+
 std::optional<jobs::TaskName> readTaskName(const json &row, std::size_t column)
 {
     return row.at(column).is_string() ? jobs::parseTaskName(row.at(column).get_ref<const std::string &>()) : std::nullopt;
@@ -157,7 +170,7 @@
 std::optional<jobs::WorkerReport> parseReport(std::string_view text)
 {
     try {
-        const json body = json::parse(text);
+        const json body = core::parseJsonOrDiscard(text);
         jobs::WorkerReport report;
         report.clockMs = body.at("clock_ms").get<std::int64_t>();
         report.incarnation = readInteger(body, "born");
@@ -168,7 +181,7 @@
             }
             const std::int64_t measurement = row.size() > 4 ? static_cast<std::int64_t>(row.at(4).get<double>()) : 0;
             const std::int64_t percent = static_cast<std::int64_t>(row.at(3).get<double>());
-            report.running.push_back({*task, row.at(1).get<std::int64_t>(), row.at(2).get<std::string>(), percent, measurement});
+            report.running.push_back({*task, internal::readCounter(row, 1), row.at(2).get<std::string>(), percent, measurement});
         }
         for (const json &row : body.value("ended", json::array())) {
             const std::optional<jobs::TaskName> task = internal::readTaskName(row, 1);
@@ -176,13 +189,13 @@
             if (!task.has_value() || !kind.has_value()) {
                 return std::nullopt;
             }
-            report.ended.push_back({row.at(0).get<std::int64_t>(), *task, row.at(2).get<std::int64_t>(), *kind, row.at(4).get<std::string>()});
+            report.ended.push_back({internal::readCounter(row, 0), *task, internal::readCounter(row, 2), *kind, row.at(4).get<std::string>()});
         }
+        report.endsTruncated = report.ended.size() >= internal::maxReportedEnds;
         return report;
-    } catch (const json::exception &) {
+    } catch (const std::exception &) {
         return std::nullopt;
     }
 }
 
 } // namespace oleanderwick::platform
-        report.endsTruncated = report.ended.size() >= internal::maxReportedEnds;
--- a/test/platform/translation.cpp
+++ b/test/platform/translation.cpp
@@ -64,17 +64,17 @@
     const auto parse = [&translator](const std::string &value) {
         return translator.parseWorker(jobs::StoreItem{"servers/w1", value, 1});
     };
-    const std::optional<jobs::WorkerEntry> good =
+    const absl::StatusOr<jobs::WorkerEntry> good =
         parse(R"({"service":"s1","address":"10.0.0.1:80","state":"draining","capacity":{"cpu":16000,"mem_mb":5},"labels":["a","r1"],"born":9})");
-    REQUIRE(good.has_value());
+    REQUIRE(good.ok());
     CHECK(good->id == "w1");
     CHECK(good->rack == "r1");
     CHECK(good->draining);
     CHECK(good->incarnation == 9);
-    CHECK_FALSE(parse("\xff\xfe").has_value());
-    CHECK_FALSE(parse(R"({"service":"s1","address":"10.0.0.1:80","state":"odd"})").has_value());
-    CHECK_FALSE(parse(R"({"service":4,"address":"10.0.0.1:80","state":"ready"})").has_value());
-    CHECK_FALSE(parse(R"({"service":"s1","address":"nowhere","state":"ready"})").has_value());
+    CHECK_FALSE(parse("\xff\xfe").ok());
+    CHECK_FALSE(parse(R"({"service":"s1","address":"10.0.0.1:80","state":"odd"})").ok());
+    CHECK_FALSE(parse(R"({"service":4,"address":"10.0.0.1:80","state":"ready"})").ok());
+    CHECK_FALSE(parse(R"({"service":"s1","address":"nowhere","state":"ready"})").ok());
 }
 
 TEST_CASE("parseReport parses a worker's report and rejects a malformed one", "[platform]")
--- a/test/support/node_fixture.hpp
+++ b/test/support/node_fixture.hpp
@@ -172,7 +172,7 @@
         }
         return update;
     }
-    std::optional<jobs::WorkerEntry> parseWorker(const jobs::StoreItem &item) const override
+    absl::StatusOr<jobs::WorkerEntry> parseWorker(const jobs::StoreItem &item) const override
     {
         jobs::WorkerEntry entry;
         entry.id = item.key.substr(workerPrefix().size());
