--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -155,7 +155,7 @@
     bool cordoned{false}; /**< Gets no new work because of maintenance or a move to another pool. */
     bool maintenancePending{false}; /**< A maintenance wave includes the worker and has not reached it yet. */
     bool zoneClosed{false}; /**< Operators have closed the worker's zone. */
-    bool cordonedWhenSilent{false}; /**< The worker was cordoned at `silentSince`; idle workers are cordoned to be moved, crashed ones included. */
+    bool vacatedWhenSilent{false}; /**< See `isVacated`, at `silentSince`; crashed workers are cordoned as well, once they have no runs. */
     bool restartPlanned{false}; /**< The incarnation before it was draining or cordoned. */
     std::int64_t incarnation{0}; /**< Newest known incarnation; 0 while unknown. */
     std::int64_t clockMs{0}; /**< Time of the worker's clock at `clockAt`; 0 while unknown. */
@@ -187,10 +187,16 @@
     std::int64_t ackedEnd{0}; /**< Run ends up to this number were acknowledged in a poll of the worker. */
     std::deque<PendingEnd> pendingEnds; /**< Processed run ends that are not stored yet, in the order of their numbers. */
 
+    /** @return True if the worker is about to be moved or maintained; one that still has runs is not. */
+    [[nodiscard]] bool isVacated() const noexcept
+    {
+        return cordoned && runs.empty();
+    }
+
     /** @return True if an end of the worker would be no surprise: it is leaving, or was about to be moved or maintained when it was last alive. */
     [[nodiscard]] bool mayEndAsPlanned() const noexcept
     {
-        return entry.draining || (unresponsive ? cordonedWhenSilent : cordoned);
+        return entry.draining || (unresponsive ? vacatedWhenSilent : isVacated());
     }
 
     /** @return Capacity without what is or may be in use; nothing while there are runs of unknown demand. May be negative. */
--- a/src/oleanderwick/jobs/worker_monitor.cpp
+++ b/src/oleanderwick/jobs/worker_monitor.cpp
@@ -99,7 +99,7 @@
     if (!worker->unresponsive) {
         worker->silentSince = now;
         m_silentAt = worker->runs.empty() ? m_silentAt : now;
-        worker->cordonedWhenSilent = worker->cordoned;
+        worker->vacatedWhenSilent = worker->isVacated();
     }
     worker->unresponsive = true;
     if (gone) {
