Tell bystanders of crashes from their cause

Cause: a task that stood beside a crash was treated like its cause. Each start of such a task reserved its whole worker, so that a pool had hardly any worker left; two crashes soon after a start failed a job, however often workers crashed without it.

Logs of the storm of crashes show verdicts on tasks that had been hit by chance, with ages of 0.1 to 5 s.

Change: a verdict needs evidence that is no coincidence by the rate at which workers of the pool crash without the task (CrashHistory); only the tasks that were among the last to begin are isolated; at most a third of a pool is reserved; a run that lasts clears its task of prompt crashes.

--- a/fuzz/replay.cpp
+++ b/fuzz/replay.cpp
@@ -21,8 +21,8 @@
 /** Deep enough to exhaust the stack of a reader that recurses once a level. */
 constexpr std::size_t maxNesting = 200'000;
 constexpr std::size_t usualNesting = 500;
-constexpr std::array<const char *, 8> oddNumbers{
-    "1e300", "-1e300", "1e999", "9223372036854775807", "-9223372036854775808", "18446744073709551615", "9007199254740993", "-1"};
+constexpr std::array<const char *, 8>
+    oddNumbers{"1e300", "-1e300", "1e999", "9223372036854775807", "-9223372036854775808", "18446744073709551615", "9007199254740993", "-1"};
 
 std::vector<std::string> readCorpus(const std::string &folder)
 {
--- a/fuzz/targets/platform.cpp
+++ b/fuzz/targets/platform.cpp
@@ -2,8 +2,8 @@
 
 #include <string>
 
-#include "oleanderwick/jobs/codec.hpp"
 #include "oleanderwick/jobnode/log_sink.hpp"
+#include "oleanderwick/jobs/codec.hpp"
 #include "platform/ingress.hpp"
 #include "platform/routes.hpp"
 #include "platform/store_client.hpp"
--- a/src/oleanderwick/jobnode/keys.hpp
+++ b/src/oleanderwick/jobnode/keys.hpp
@@ -10,7 +10,8 @@
 inline const std::string jobPrefix = "q/j/"; /**< Submitted job, by id. */
 inline const std::string cancelPrefix = "q/c/"; /**< Cancellation markers, by job id; watched on their own, so that they never wait behind jobs. */
 inline const std::string refusalPrefix = "q/r/"; /**< Refused jobs, by id; bound to a lease, which outlives delayed writes of submissions. */
-inline const std::string withdrawnPrefix = "q/w/"; /**< Jobs that were cancelled without being stored, by id; bound to a lease, which outlives delayed submissions. */
+inline const std::string withdrawnPrefix =
+    "q/w/"; /**< Jobs that were cancelled without being stored, by id; bound to a lease, which outlives delayed submissions. */
 inline const std::string statePrefix = "s/"; /**< Progress of a job, by id; written by the owner only. */
 inline const std::string wavePrefix = "m/"; /**< Progress of a maintenance wave, by number; written by the owner only. */
 inline const std::string owner = "own/scheduler"; /**< Name, lease and address of the owner; the key is bound to this lease. */
--- a/src/oleanderwick/jobs/crash_attribution.cpp
+++ b/src/oleanderwick/jobs/crash_attribution.cpp
@@ -1,6 +1,7 @@
 #include "crash_attribution.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
@@ -23,13 +24,21 @@
 constexpr std::int64_t gangCrashesForVerdict = 3;
 /** A task that crashes its workers only after a while is found on trial, where it is alone; until then others are blamed. */
 constexpr std::int64_t crashesForVerdictAlone = 4;
+/** A task is taken for the cause only if it would be on the crashed workers by coincidence with at most this probability. */
+const double maxLogCoincidence = std::log(1e-6);
+/** A task that was often on crashed workers, though never among the last to begin, is tried alone at this probability. */
+const double maxLogCoincidenceForTrial = std::log(1e-3);
+constexpr std::int64_t unlikelyCrashesForTrial = 3;
+/** Assumed age of a run at a crash that a previous owner has recorded. */
+constexpr core::Duration recordedAge = std::chrono::milliseconds{50};
 /** Silence of a listed worker after which it counts as unreachable rather than as crashed and restarted. */
 constexpr core::Duration unreachableAfter = std::chrono::seconds{1};
 
 } // namespace internal
 
-CrashAttribution::CrashAttribution(const Collaborators &collaborators)
+CrashAttribution::CrashAttribution(const Collaborators &collaborators, core::TimePoint termStart)
     : m_with{collaborators}
+    , m_startedAt{termStart}
 {
 }
 
@@ -129,19 +138,33 @@
     const auto isOtherJob = [job = youngest->task.job](const Suspect &suspect) {
         return suspect.task.job != job;
     };
+    std::map<TaskName, core::Duration> ages;
+    for (const Suspect &suspect : suspects) {
+        ages.emplace(suspect.task, suspect.age);
+    }
+    const Worker *crashed = m_with.state.findWorker(worker);
     Circumstances circumstances;
+    circumstances.pool = crashed == nullptr ? std::string{} : crashed->entry.pool;
+    m_history.add(circumstances.pool, std::move(ages), now);
     circumstances.alone = std::none_of(suspects.begin(), suspects.end(), isOtherJob);
     circumstances.sole = std::none_of(suspects.begin(), suspects.end(), [&isOtherJob, simultaneousAge](const Suspect &suspect) {
         return isOtherJob(suspect) && suspect.age <= simultaneousAge;
     });
     for (const Suspect &suspect : suspects) {
-        circumstances.likely = suspect.confirmed && suspect.age <= std::min(simultaneousAge, internal::likelyAge);
+        circumstances.amongLast = suspect.age <= std::min(simultaneousAge, internal::likelyAge);
+        circumstances.likely = suspect.confirmed && circumstances.amongLast;
         if (suspect.age <= internal::harmlessAge) {
             recordEvidence(worker, suspect, circumstances, now);
         }
     }
 }
 
+void CrashAttribution::recordIdleCrash(const Worker &worker, core::TimePoint now)
+{
+    m_with.output.logDecision("worker_crashed", "", worker.entry.id, "detected_by=worker_ended runs=0 in_doubt=0");
+    m_history.add(worker.entry.pool, {}, now);
+}
+
 void CrashAttribution::recordEvidence(const std::string &worker, const Suspect &suspect, const Circumstances &circumstances, core::TimePoint now)
 {
     const TaskReference reference = m_with.state.findTask(suspect.task);
@@ -154,14 +177,22 @@
         return;
     }
     task.suspectedAt = now;
+    if (suspect.confirmed && suspect.age > 2 * CrashHistory::promptAge) {
+        clearPromptCrashes(*reference.entry, task);
+    }
+    task.crashAges.push_back(suspect.age);
+    task.soleCrashes += circumstances.sole && circumstances.amongLast ? 1 : 0;
     if (circumstances.likely) {
         runs.push_back(suspect.run);
-        task.soleCrashes += circumstances.sole ? 1 : 0;
         m_with.saves.markChanged(*reference.entry);
         task.evidenceVersion = reference.entry->version;
+    } else if (circumstances.amongLast) {
+        ++task.unconfirmedCrashes;
     } else {
         ++task.unlikelyCrashes;
     }
+    const Coincidence coincidence = coincidenceOf(reference, suspect.task, circumstances.pool, now);
+    task.onTrial = task.unlikelyCrashes >= internal::unlikelyCrashesForTrial && coincidence.logAll <= internal::maxLogCoincidenceForTrial;
     m_with.output.logDecision("crash_suspected",
                               toText(suspect.task),
                               worker,
@@ -176,34 +207,87 @@
                                            " crashes=",
                                            runs.size(),
                                            " unlikely=",
-                                           task.unlikelyCrashes));
-    if (isGuilty(reference, suspect.task, circumstances.alone)) {
+                                           task.unlikelyCrashes,
+                                           " unconfirmed=",
+                                           task.unconfirmedCrashes,
+                                           " log_prompt=",
+                                           std::llround(coincidence.logPrompt),
+                                           " log_all=",
+                                           std::llround(coincidence.logAll)));
+    if (isGuilty(reference, suspect.task, circumstances.alone, coincidence)) {
         m_guilty.insert(suspect.task);
+        m_history.explain(suspect.task);
     }
 }
 
-bool CrashAttribution::isGuilty(const TaskReference &reference, const TaskName &name, bool alone)
+CrashAttribution::Coincidence CrashAttribution::coincidenceOf(const TaskReference &reference,
+                                                              const TaskName &name,
+                                                              const std::string &pool,
+                                                              core::TimePoint now) const
+{
+    std::vector<core::Duration> ages = reference.task->crashAges;
+    ages.insert(ages.end(), static_cast<std::size_t>(reference.task->inheritedCrashes), internal::recordedAge);
+    const std::map<std::string, Worker> &workers = std::as_const(m_with.state).workers();
+    const std::ptrdiff_t count = std::count_if(workers.begin(), workers.end(), [&pool](const std::pair<const std::string, Worker> &item) {
+        return item.second.registered && item.second.entry.pool == pool;
+    });
+    const CrashHistory::Circumstances circumstances{pool, static_cast<std::size_t>(count), now - m_startedAt};
+    return {m_history.logCoincidence(CrashHistory::Scope::Prompt, name, ages, circumstances, now),
+            m_history.logCoincidence(CrashHistory::Scope::All, name, ages, circumstances, now)};
+}
+
+bool CrashAttribution::isGuilty(const TaskReference &reference, const TaskName &name, bool alone, const Coincidence &coincidence)
 {
     const std::int64_t crashes = StateTable::countRuns(reference, name, &TaskRecord::crashedRuns);
+    const std::int64_t withUnconfirmed = crashes + reference.task->unconfirmedCrashes;
     const std::int64_t ambiguousLimit = reference.step->gang ? internal::gangCrashesForVerdict : internal::ambiguousCrashesForVerdict;
-    return (crashes >= internal::crashesForVerdict && reference.task->soleCrashes > 0) || crashes >= ambiguousLimit
-        || (alone && crashes + reference.task->unlikelyCrashes >= internal::crashesForVerdictAlone);
+    const bool isSole = reference.task->soleCrashes > 0;
+    const bool isDistinct = isSole && (crashes >= internal::crashesForVerdict || (crashes > 0 && withUnconfirmed > internal::crashesForVerdict));
+    const bool isPrompt = coincidence.logPrompt <= internal::maxLogCoincidence && (isDistinct || crashes >= ambiguousLimit);
+    // What else ran on the workers may be the cause of late crashes, so that only a task that was alone can be told from it.
+    const bool isLate =
+        coincidence.logAll <= internal::maxLogCoincidence && alone && withUnconfirmed + reference.task->unlikelyCrashes >= internal::crashesForVerdictAlone;
+    return isPrompt || isLate;
 }
 
 void CrashAttribution::handleProgress(const TaskReference &reference, const TaskName &name, core::TimePoint now)
 {
     Task &task = *reference.task;
-    const bool suspected = !task.record.crashedRuns.empty() || task.unlikelyCrashes > 0;
-    if (!suspected || task.percent <= 0 || now - task.startedAt <= internal::harmlessAge) {
+    const core::Duration age = now - task.startedAt;
+    const bool isLate = task.unlikelyCrashes > 0 && age > internal::harmlessAge;
+    const bool isPrompt = (!task.record.crashedRuns.empty() || task.unconfirmedCrashes > 0) && age > internal::likelyAge;
+    if (task.percent <= 0 || (!isLate && !isPrompt)) {
         return;
     }
-    m_with.output.logDecision("suspicion_cleared", toText(name), task.worker, absl::StrCat("run=", task.run, " crashes=", task.record.crashedRuns.size()));
+    m_with.output.logDecision(
+        "suspicion_cleared",
+        toText(name),
+        task.worker,
+        absl::StrCat("run=", task.run, " crashes=", task.record.crashedRuns.size(), " unlikely=", task.unlikelyCrashes, " age_ms=", core::milliseconds(age)));
+    if (isPrompt) {
+        clearPromptCrashes(*reference.entry, task);
+    }
+    if (isLate) {
+        task.unlikelyCrashes = 0;
+        task.crashAges.clear();
+        task.onTrial = false;
+    }
+}
+
+void CrashAttribution::clearPromptCrashes(JobEntry &entry, Task &task)
+{
     if (!task.record.crashedRuns.empty()) {
         task.record.crashedRuns.clear();
-        m_with.saves.markChanged(*reference.entry);
+        m_with.saves.markChanged(entry);
     }
+    // Crashes that came later after a start stay on record.
+    std::erase_if(task.crashAges, [](core::Duration age) {
+        return age <= CrashHistory::promptAge;
+    });
     task.soleCrashes = 0;
-    task.unlikelyCrashes = 0;
+    task.unconfirmedCrashes = 0;
+    task.inheritedCrashes = 0;
+    task.unlikelyCrashes = static_cast<std::int64_t>(task.crashAges.size());
 }
 
 void CrashAttribution::advance(core::TimePoint now, std::int64_t wallMs)
--- a/src/oleanderwick/jobs/crash_attribution.hpp
+++ b/src/oleanderwick/jobs/crash_attribution.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "crash_history.hpp"
 #include "job_progress.hpp"
 #include "save_queue.hpp"
 #include "scheduler_output.hpp"
@@ -21,8 +22,9 @@
  * Each task on a crashed worker is a suspect; those whose runs began last are the likely ones. A suspect starts again at once, but with
  * no other job's start on its worker at the same time, so that the next crash tells whether it was the cause; after two crashes only when the
  * fate of its workers is known and the evidence is stored. Two likely crashes, one of them without another job started at the same time, end
- * the job of the task. A task that is on workers which crash again and again, but never among the last started, gets a worker of its own. A run
- * that lasts proves its task harmless. Runs that were given up while it was unknown whether their worker had ended are kept as doubts until
+ * the job of the task, unless workers of the pool crash so often that this may be a coincidence; then more are needed. A task that is on workers
+ * which crash again and again, but never among the last started, gets a worker of its own if that can hardly be a coincidence. A run that lasts
+ * proves its task harmless. Runs that were given up while it was unknown whether their worker had ended are kept as doubts until
  * the worker's fate is known.
  */
 class CrashAttribution
@@ -49,8 +51,9 @@
     /**
      * @brief Creates the object for one owner's term.
      * @param collaborators Objects that take part.
+     * @param termStart Start of the term on the monotonic clock.
      */
-    explicit CrashAttribution(const Collaborators &collaborators);
+    CrashAttribution(const Collaborators &collaborators, core::TimePoint termStart);
 
     /**
      * @brief Describes the active run of a task.
@@ -102,6 +105,13 @@
      */
     void recordCrash(const std::string &worker, std::vector<Suspect> suspects, std::string_view detectedBy, core::TimePoint now);
 
+    /**
+     * @brief Records that the process of a worker without runs has ended unexpectedly.
+     * @param worker The worker.
+     * @param now Current time of the monotonic clock.
+     */
+    void recordIdleCrash(const Worker &worker, core::TimePoint now);
+
     /**
      * @brief Clears the evidence against a task whose run makes progress and has lasted longer than tasks that crash their workers do.
      * @param reference The task, which is known.
@@ -128,14 +138,26 @@
     struct Circumstances {
         bool alone{false}; /**< No other job had runs on the worker. */
         bool sole{false}; /**< The runs that began last on the worker were of one job. */
-        bool likely{false}; /**< The run is one of those that began last, a short time before the crash. */
+        bool amongLast{false}; /**< The run is one of those that were commanded last, a short time before the crash. */
+        bool likely{false}; /**< Besides, the worker has confirmed its start. */
+        std::string pool; /**< Pool of the worker. */
+    };
+
+    /** How likely it is that a task was on crashed workers by coincidence, as natural logarithms of probabilities. */
+    struct Coincidence {
+        double logPrompt{0.0}; /**< Only of the crashes that came promptly after a start. */
+        double logAll{0.0}; /**< Of all crashes; 0 if workers have crashed without the task. */
     };
 
     void stopDelaying(Doubt &doubt);
     void recordEvidence(const std::string &worker, const Suspect &suspect, const Circumstances &circumstances, core::TimePoint now);
-    [[nodiscard]] static bool isGuilty(const TaskReference &reference, const TaskName &name, bool alone);
+    [[nodiscard]] Coincidence coincidenceOf(const TaskReference &reference, const TaskName &name, const std::string &pool, core::TimePoint now) const;
+    [[nodiscard]] static bool isGuilty(const TaskReference &reference, const TaskName &name, bool alone, const Coincidence &coincidence);
+    void clearPromptCrashes(JobEntry &entry, Task &task);
 
     Collaborators m_with;
+    core::TimePoint m_startedAt;
+    CrashHistory m_history;
     std::map<std::string, std::vector<Doubt>> m_doubts; /**< By worker. */
     std::set<TaskName> m_guilty; /**< Tasks whose jobs the next `advance` ends. */
 };
--- a/src/oleanderwick/jobs/job_progress.cpp
+++ b/src/oleanderwick/jobs/job_progress.cpp
@@ -126,6 +126,7 @@
         for (std::size_t task = 0; task < state.tasks.size(); ++task) {
             if (records != nullptr && index < records->size() && task < (*records)[index].size()) {
                 state.tasks[task].record = (*records)[index][task];
+                state.tasks[task].inheritedCrashes = static_cast<std::int64_t>(state.tasks[task].record.crashedRuns.size());
             }
             if (entry.predatesTerm) {
                 state.tasks[task].record.lastRun += state.tasks[task].record.done ? 0 : internal::skippedRunNumbers;
--- a/src/oleanderwick/jobs/run_tracker.cpp
+++ b/src/oleanderwick/jobs/run_tracker.cpp
@@ -147,8 +147,10 @@
         }
     }
     if (worker.hasStrayRuns() && !hadStrayRuns) {
-        m_with.output.logDecision(
-            "stray_runs", "", worker.entry.id, absl::StrCat("unknown=", worker.hasUnknownRuns ? 1 : 0, " cpu=", worker.unattached.cpu, " running=", report.running.size()));
+        m_with.output.logDecision("stray_runs",
+                                  "",
+                                  worker.entry.id,
+                                  absl::StrCat("unknown=", worker.hasUnknownRuns ? 1 : 0, " cpu=", worker.unattached.cpu, " running=", report.running.size()));
     }
 }
 
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -53,6 +53,7 @@
         , classifier{state, limits, output}
         , health{state, output, limits.attributeFailures}
         , leases{state, limits, termStart}
+        , crashes{{state, jobs, saves, output}, termStart}
         , racks{state, health, index, limits.remoteFactor}
         , finder{state, leases, estimates, index, limits.teamShares}
         , order{makeOrder(limits)}
@@ -86,7 +87,7 @@
     WorkerLeases leases;
     WorkerPolls polls{state, leases};
     JobProgress jobs{{state, loads, classifier, saves, tickets, stopper, output}};
-    CrashAttribution crashes{{state, jobs, saves, output}};
+    CrashAttribution crashes;
     RunTracker runs{{state, jobs, health, crashes, acks, saves, tickets, stopper, output}};
     WorkerRegistry registry{state, output};
     WorkerMonitor monitor{{state, leases, registry, runs, crashes, acks, output}};
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -46,8 +46,12 @@
     std::set<std::string> failedOn; /**< Workers on which runs of the task failed in this term; kept only with `SchedulerLimits::attributeFailures`. */
     core::TimePoint failedAt; /**< Time of the last failure in `failedOn`. */
     std::int64_t doubts{0}; /**< Runs that were given up while it was unknown whether their workers had crashed, as long as the task waits for that. */
-    std::int64_t unlikelyCrashes{0}; /**< Crashes in this term of workers on which other runs had begun later, or this one may not have begun. */
+    std::int64_t unlikelyCrashes{0}; /**< Crashes in this term of workers on which other runs had begun later. */
+    std::int64_t unconfirmedCrashes{0}; /**< Crashes in this term of workers on which this run was among the last to begin, if it has begun. */
     std::int64_t soleCrashes{0}; /**< Crashes in this term of workers on which runs of no other job had begun at the same time. */
+    std::vector<core::Duration> crashAges; /**< Ages of the runs at all these crashes, also the unlikely ones. */
+    std::int64_t inheritedCrashes{0}; /**< Number of `TaskRecord::crashedRuns` that previous owners have recorded. */
+    bool onTrial{false}; /**< The task is started on a worker of its own, since it may crash its worker only after a while. */
     core::TimePoint suspectedAt; /**< Time of the last crash or doubt. */
     std::uint64_t evidenceVersion{0}; /**< Version of the job that contains the last change of `TaskRecord::crashedRuns`. */
     bool unsound{false}; /**< The task has failed on several sound workers, so that the failures are attributed to it. */
@@ -55,13 +59,13 @@
     /** @return Number of workers that crashed, or may have crashed, because of the task. */
     [[nodiscard]] std::int64_t suspicions() const noexcept
     {
-        return static_cast<std::int64_t>(record.crashedRuns.size()) + doubts;
+        return static_cast<std::int64_t>(record.crashedRuns.size()) + unconfirmedCrashes + doubts;
     }
 
     /** @return True if the task may crash its worker, so that no others are started there at the same time. */
     [[nodiscard]] bool isSuspect() const noexcept
     {
-        return suspicions() > 0 || unlikelyCrashes > 0;
+        return suspicions() > 0 || onTrial;
     }
 
     /** @return True if the task is not started before the fate of its workers is known. */
@@ -71,13 +75,6 @@
         return suspicions() >= suspicionsForVerdict;
     }
 
-    /** @return True if the task is started on a worker of its own, since it may crash its worker only after a while. */
-    [[nodiscard]] bool needsTrial() const noexcept
-    {
-        constexpr std::int64_t unlikelyCrashesForTrial = 3;
-        return unlikelyCrashes >= unlikelyCrashesForTrial;
-    }
-
     /** @return True while a run of the task may exist on a worker. */
     [[nodiscard]] bool isActive() const noexcept
     {
@@ -172,6 +169,7 @@
     std::vector<std::string> provenBy; /**< The last two jobs with a success on the worker in this term; kept only with `attributeFailures`. */
     bool pollInFlight{false}; /**< A poll is in flight. */
     bool unresponsive{false}; /**< The last poll failed. */
+    bool crashNoted{false}; /**< The end of the worker is known, so that it counts once towards the crashes of its pool. */
     bool reservedForVerdict{false}; /**< The suspect needs a verdict, so that no other suspects share the worker either. */
     bool hasUnknownRuns{false}; /**< The last report listed runs of jobs that are not known any more. */
     Resources used; /**< Demand of the runs that are or may be on the worker. */
--- a/src/oleanderwick/jobs/task_placer.cpp
+++ b/src/oleanderwick/jobs/task_placer.cpp
@@ -161,8 +161,9 @@
     m_with.state.attach(entry, name, task, worker, run, TaskPhase::Starting, now);
     worker.lastStartAt = now;
     worker.lastStartJob = entry.job.id;
-    if (task.isSuspect()) {
-        worker.reserveFor(name, now + (task.needsTrial() ? internal::trialTime : simultaneousStarts), task.needsVerdict() || task.needsTrial());
+    const bool forVerdict = task.needsVerdict() || task.onTrial;
+    if (forVerdict || (task.isSuspect() && m_with.index.mayReserve(entry.job.pool, now))) {
+        worker.reserveFor(name, now + (task.onTrial ? internal::trialTime : simultaneousStarts), forVerdict);
     }
     const std::string *ticket = m_with.tickets.find(candidate.stepName(), worker.entry.id, now);
     StartCommand command{worker.entry.id,
--- a/src/oleanderwick/jobs/worker_chooser.cpp
+++ b/src/oleanderwick/jobs/worker_chooser.cpp
@@ -175,7 +175,7 @@
     Choices choices;
     choices.m_forSuspect = true;
     list(candidate, choices, now);
-    const bool waitsForEmpty = task.needsTrial() && now - task.suspectedAt < internal::emptyWorkerWait;
+    const bool waitsForEmpty = task.onTrial && now - task.suspectedAt < internal::emptyWorkerWait;
     // Separate workers for the suspects of a crash tell them apart at the next one, which then costs few other tasks.
     using Rank = std::tuple<bool, std::int64_t, std::size_t, double>;
     const Choice *best = nullptr;
@@ -196,7 +196,8 @@
             bestRank = rank;
         }
     }
-    if (best == nullptr) {
+    const bool needsReservation = task.needsVerdict() || task.onTrial;
+    if (best == nullptr || (needsReservation && !m_index.mayReserve(candidate.entry->job.pool, now))) {
         return nullptr;
     }
     if (std::get<0>(bestRank) && task.needsVerdict()) {
--- a/src/oleanderwick/jobs/worker_index.cpp
+++ b/src/oleanderwick/jobs/worker_index.cpp
@@ -5,6 +5,14 @@
 namespace oleanderwick::jobs
 {
 
+namespace internal
+{
+
+/** One of so many workers of a pool may be reserved for suspects, so that the others are left to all tasks. */
+constexpr std::ptrdiff_t workersPerReservation = 3;
+
+} // namespace internal
+
 void WorkerIndex::rebuild(StateTable &state)
 {
     m_workers.clear();
@@ -26,6 +34,18 @@
     return m_workers[pool];
 }
 
+bool WorkerIndex::mayReserve(const std::string &pool, core::TimePoint now) const
+{
+    const auto workers = m_workers.find(pool);
+    if (workers == m_workers.end()) {
+        return true;
+    }
+    const std::ptrdiff_t reserved = std::count_if(workers->second.begin(), workers->second.end(), [now](const Worker *worker) {
+        return worker->reservedFor.has_value() && now < worker->reservedUntil;
+    });
+    return reserved * internal::workersPerReservation < static_cast<std::ptrdiff_t>(workers->second.size());
+}
+
 bool WorkerIndex::mayFit(const std::string &pool, const Resources &demand) const
 {
     const auto room = m_room.find(pool);
--- a/src/oleanderwick/jobs/worker_index.hpp
+++ b/src/oleanderwick/jobs/worker_index.hpp
@@ -26,6 +26,14 @@
      */
     [[nodiscard]] const std::vector<Worker *> &workersOf(const std::string &pool);
 
+    /**
+     * @brief Checks whether another worker of a pool may be reserved for a suspect.
+     * @param pool Name of the pool.
+     * @param now Current time of the monotonic clock.
+     * @return False if a third of its workers is reserved.
+     */
+    [[nodiscard]] bool mayReserve(const std::string &pool, core::TimePoint now) const;
+
     /**
      * @brief Checks whether a demand may fit on a worker.
      * @param pool Name of the pool.
--- a/src/oleanderwick/jobs/worker_monitor.cpp
+++ b/src/oleanderwick/jobs/worker_monitor.cpp
@@ -48,6 +48,7 @@
         worker.leaseExpiresBy = std::max(worker.leaseExpiresBy, now + m_with.leases.maxDuration());
     }
     worker.unresponsive = false;
+    worker.crashNoted = false;
     worker.lastReplyAt = now;
     handleRestart(worker, report, now);
     m_with.runs.handleReport(worker, report, sentAt, now, wallMs);
@@ -119,6 +120,7 @@
     } else if (!suspects.empty() || m_with.crashes.hasDoubts(worker.entry.id)) {
         m_with.crashes.recordCrash(worker.entry.id, std::move(suspects), reason, now);
     }
+    worker.crashNoted = true;
     worker.reported = true;
     worker.endsTruncated = false;
     worker.unattached = {};
@@ -138,6 +140,14 @@
     });
 }
 
+bool WorkerMonitor::isIdleCrash(const Worker &worker, core::TimePoint requestedAt)
+{
+    // The list may lag behind the registry for a worker that has just appeared.
+    constexpr core::Duration listDelay = std::chrono::seconds{1};
+    const bool isListed = worker.registered && worker.reported && worker.runs.empty() && !worker.cordoned && !worker.entry.draining;
+    return isListed && !worker.crashNoted && (worker.unresponsive || requestedAt - worker.lastReplyAt > listDelay);
+}
+
 void WorkerMonitor::handleRunningWorkers(const std::set<std::string> &running, core::TimePoint requestedAt, core::TimePoint now)
 {
     for (std::pair<const std::string, Worker> &item : m_with.state.workers()) {
@@ -146,6 +156,10 @@
             m_with.crashes.handleListed(item.first, requestedAt);
             continue;
         }
+        if (isIdleCrash(worker, requestedAt)) {
+            worker.crashNoted = true;
+            m_with.crashes.recordIdleCrash(worker, now);
+        }
         if (!mayHaveEnded(worker, requestedAt)) {
             continue;
         }
--- a/src/oleanderwick/jobs/worker_monitor.hpp
+++ b/src/oleanderwick/jobs/worker_monitor.hpp
@@ -66,6 +66,7 @@
     void advance(core::TimePoint now);
 
 private:
+    [[nodiscard]] static bool isIdleCrash(const Worker &worker, core::TimePoint requestedAt);
     [[nodiscard]] bool mayHaveEnded(const Worker &worker, core::TimePoint requestedAt) const;
     /** Finds out from the first report of a new incarnation which runs its predecessor's end has cost. */
     void handleRestart(Worker &worker, const WorkerReport &report, core::TimePoint now);
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -3,8 +3,8 @@
 #include <map>
 #include <stdexcept>
 
-#include "oleanderwick/core/json_reading.hpp"
 #include "field_reader.hpp"
+#include "oleanderwick/core/json_reading.hpp"
 #include "wire.hpp"
 
 namespace oleanderwick::platform
