Let only a job's team read and cancel it

Cause: the routes checked the key and then used the id alone; the stored state had no team.

Change: status() and cancel() take the caller's team and answer others as for an unknown id. The stored state names the team; for states of earlier versions the job's record is read. A submission with the id of another team's job is no longer said to be accepted (409). Withdrawals are by team, so that a team can't keep others from using an id.

The scripted replies of job_service.cpp have a job's record now, which the answer needs.

--- a/src/emulator/world_load.cpp
+++ b/src/emulator/world_load.cpp
@@ -168,7 +168,7 @@
         return;
     }
     node->executor.after(internal::clientLatency, [this, client, node] {
-        node->node.jobService().status(client->job.id, now() + internal::clientTimeout, [this, client](const jobnode::JobReply &answer) {
+        node->node.jobService().status(client->job.id, client->job.team, now() + internal::clientTimeout, [this, client](const jobnode::JobReply &answer) {
             if (client->finished) {
                 return;
             }
--- a/src/oleanderwick/jobnode/job_service.cpp
+++ b/src/oleanderwick/jobnode/job_service.cpp
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include <absl/strings/str_cat.h>
-
+#include "job_call.hpp"
 #include "keys.hpp"
 
 namespace oleanderwick::jobnode
@@ -13,63 +12,28 @@
 namespace internal
 {
 
-constexpr core::Duration minRetryDelay = std::chrono::milliseconds{40};
 constexpr core::Duration maxRetryDelay = std::chrono::milliseconds{320};
 /** After this time without success the store counts as unavailable, and a change that is certainly not stored is refused. */
 constexpr core::Duration refusalTimeout = std::chrono::milliseconds{500};
 /** Time reserved before the submitter's deadline for the transfer of the reply. */
 constexpr core::Duration replyMargin = std::chrono::milliseconds{150};
-/** Conflicts with records of refusals after which a submission waits before it is repeated, or a refusal is given up. */
-constexpr int maxImmediateRepeats = 3;
-
 /** A write takes effect at most about 6 s late; the minimum is twice this for attempts that were sent shortly before the refusal, and a margin for clocks. */
 constexpr RecordLease::Lifetime refusalLifetime{std::chrono::seconds{60}, std::chrono::seconds{15}, std::chrono::seconds{15}};
 /** A submission that its client has given up may be on its way for as long as a process is paused or a write is delayed. */
 constexpr RecordLease::Lifetime withdrawalLifetime{std::chrono::seconds{120}, std::chrono::seconds{30}, std::chrono::seconds{90}};
 constexpr WithdrawalQuota::Limits withdrawalLimits{std::chrono::seconds{30}, 300, 600};
 
-std::int64_t toSeconds(core::Duration duration)
-{
-    return std::chrono::ceil<std::chrono::seconds>(duration).count();
-}
-
 /** Time in seconds until the record of a withdrawal expires, by the clock of the node that wrote it; at least 1. */
 std::int64_t secondsUntilExpiry(const jobs::StoreItem &withdrawal, std::int64_t wallMs)
 {
     std::int64_t expiresMs = 0;
     (void)std::from_chars(withdrawal.value.data(), withdrawal.value.data() + withdrawal.value.size(), expiresMs);
     const std::int64_t remainingMs = std::clamp<std::int64_t>(expiresMs - wallMs, 0, core::milliseconds(withdrawalLifetime.record + withdrawalLifetime.use));
-    return std::max<std::int64_t>(1, toSeconds(std::chrono::milliseconds{remainingMs}));
-}
-
-/** Returns the item of a key, or null if the reply has none. */
-const jobs::StoreItem *findItem(const jobs::StoreReply &reply, const std::string &key)
-{
-    const auto item = std::find_if(reply.items.begin(), reply.items.end(), [&key](const jobs::StoreItem &candidate) {
-        return candidate.key == key;
-    });
-    return item == reply.items.end() ? nullptr : &*item;
+    return std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(std::chrono::milliseconds{remainingMs}).count());
 }
 
 } // namespace internal
 
-struct JobService::Call {
-    std::string kind;
-    std::string id; /**< Id of the job; name of the queue for a call of pending(). */
-    jobs::StoreChange change;
-    std::int64_t revision{0}; /**< Store revision at which the change was found or written; 0 if unknown. */
-    core::TimePoint startedAt;
-    core::TimePoint deadline;
-    core::Duration retryDelay{internal::minRetryDelay};
-    bool outcomeUnknown{false}; /**< A write got no usable reply, or a read failed; the call is then not reported as NotStored. */
-    int attempts{0};
-    std::optional<jobs::Job> job; /**< Job of a submission. */
-    std::string team; /**< Team of the caller of a cancellation. */
-    bool isWithdrawalCounted{false}; /**< The cancellation of an unknown job has been taken from the quota. */
-    RefusalRecord refusal; /**< Record of an earlier refusal on which the change depends. */
-    OnReply onReply;
-};
-
 JobService::JobService(core::Executor &executor, jobs::CoordinationStore &store, LogSink &log, bool heedsRefusals)
     : m_executor{executor}
     , m_store{store}
@@ -135,7 +99,7 @@
     const std::string marker = keys::queuedPrefixOf(job.queue) + job.id;
     call.change = {};
     // The condition for the marker lets the store's client repeat the change, as it then only creates keys.
-    call.change.conditions = {{key, 0}, {marker, 0}, {keys::withdrawnPrefix + job.id, 0}};
+    call.change.conditions = {{key, 0}, {marker, 0}, {keys::withdrawnKeyOf(job.team, job.id), 0}};
     call.change.writes = {{key, jobs::toRecord(job), 0}, {marker, "1", 0}};
     if (m_heedsRefusals) {
         call.change.conditions.push_back({keys::refusalPrefix + job.id, call.refusal.revision});
@@ -149,11 +113,14 @@
 {
     const jobs::StoreItem *refusal = internal::findItem(reply, keys::refusalPrefix + call->id);
     const bool isRefusalNew = refusal != nullptr && refusal->revision != call->refusal.revision;
-    const bool hasJob = internal::findItem(reply, keys::jobPrefix + call->id) != nullptr;
+    const jobs::StoreItem *stored = internal::findItem(reply, keys::jobPrefix + call->id);
+    const bool hasJob = stored != nullptr;
     const bool hasMarker = internal::findItem(reply, keys::queuedPrefixOf(call->job->queue) + call->id) != nullptr;
-    const jobs::StoreItem *withdrawal = internal::findItem(reply, keys::withdrawnPrefix + call->id);
-    if (hasJob || (hasMarker && !isRefusalNew && withdrawal == nullptr)) {
-        // The record exists already, from an earlier attempt or from the same call on another node.
+    const jobs::StoreItem *withdrawal = internal::findItem(reply, keys::withdrawnKeyOf(call->job->team, call->id));
+    if (hasJob) {
+        call->revision = reply.revision;
+        finishStored(*call, *stored);
+    } else if (hasMarker && !isRefusalNew && withdrawal == nullptr) {
         call->revision = reply.revision;
         finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
     } else if (withdrawal != nullptr) {
@@ -169,12 +136,12 @@
 void JobService::lookUpConflict(const std::shared_ptr<Call> &call)
 {
     read(call, keys::jobPrefix + call->id, [this, call](const jobs::StoreReply &job) {
-        if (job.outcome == jobs::StoreOutcome::Done) {
-            call->revision = job.items.empty() ? 0 : job.items.front().revision;
-            finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
+        if (!job.items.empty()) {
+            call->revision = job.items.front().revision;
+            finishStored(*call, job.items.front());
             return;
         }
-        read(call, keys::withdrawnPrefix + call->id, [this, call](const jobs::StoreReply &withdrawal) {
+        read(call, keys::withdrawnKeyOf(call->job->team, call->id), [this, call](const jobs::StoreReply &withdrawal) {
             if (!withdrawal.items.empty()) {
                 const std::int64_t seconds = internal::secondsUntilExpiry(withdrawal.items.front(), m_executor.wallMs());
                 finish(*call, JobReply{JobCallOutcome::Withdrawn, {}, 0, seconds});
@@ -324,127 +291,44 @@
     });
 }
 
-void JobService::cancel(const std::string &id, const std::string &team, core::TimePoint deadline, OnReply onReply)
-{
-    const std::shared_ptr<Call> call = makeCall("cancel", id, deadline, std::move(onReply));
-    call->team = team;
-    lookUpJob(call);
-}
-
-void JobService::lookUpJob(const std::shared_ptr<Call> &call)
-{
-    read(call, keys::jobPrefix + call->id, [this, call](const jobs::StoreReply &reply) {
-        if (reply.items.empty()) {
-            withdraw(call, 0);
-        } else {
-            cancelKnown(call, reply.items.front().revision);
-        }
-    });
-}
-
-void JobService::cancelKnown(const std::shared_ptr<Call> &call, std::int64_t jobRevision)
-{
-    const std::string key = keys::cancelPrefix + call->id;
-    call->change = {};
-    // With the condition for the job, a delayed write leaves no record behind once the job's records are removed.
-    call->change.conditions = {{key, 0}, {keys::jobPrefix + call->id, jobRevision}};
-    call->change.writes = {{key, "1", 0}};
-    commit(call);
-}
-
-void JobService::handleCancelConflict(const std::shared_ptr<Call> &call, const jobs::StoreReply &reply)
-{
-    if (internal::findItem(reply, keys::cancelPrefix + call->id) != nullptr) {
-        call->revision = reply.revision;
-        finish(*call, JobReply{JobCallOutcome::Done, {}, 0});
-        return;
-    }
-    // The job's records were removed meanwhile, or the reply came without its items.
-    retry(call, [this](const std::shared_ptr<Call> &retried) {
-        lookUpJob(retried);
-    });
-}
-
-void JobService::withdraw(const std::shared_ptr<Call> &call, std::int64_t withdrawnRevision)
-{
-    const core::TimePoint now = m_executor.now();
-    if (!call->isWithdrawalCounted && !m_withdrawals.take(call->team, now)) {
-        finish(*call, JobReply{JobCallOutcome::NotStored, {}, 0, internal::toSeconds(m_withdrawals.untilNextPeriod(now))});
-        return;
-    }
-    call->isWithdrawalCounted = true;
-    m_withdrawalLease.obtain([this, call, withdrawnRevision](const std::optional<RecordLease::Grant> &grant) {
-        if (grant.has_value() && m_withdrawalLease.lastsLongEnough(*grant, m_executor.now())) {
-            writeWithdrawal(call, withdrawnRevision, *grant);
-            return;
-        }
-        retry(call, [this](const std::shared_ptr<Call> &retried) {
-            lookUpJob(retried);
-        });
-    });
-}
-
-void JobService::writeWithdrawal(const std::shared_ptr<Call> &call, std::int64_t withdrawnRevision, const RecordLease::Grant &grant)
+void JobService::finishStored(Call &call, const jobs::StoreItem &job)
 {
-    ++call->attempts;
-    const std::string key = keys::withdrawnPrefix + call->id;
-    const std::int64_t expiresMs = m_executor.wallMs() + core::milliseconds(grant.validUntil - m_executor.now());
-    call->change = {};
-    call->change.conditions = {{keys::jobPrefix + call->id, 0}, {key, withdrawnRevision}};
-    call->change.writes = {{key, absl::StrCat(expiresMs), grant.lease}};
-    m_store.commit(call->change, [this, call, grant](const jobs::StoreReply &reply) {
-        handleWithdrawalReply(call, grant, reply);
-    });
-}
-
-void JobService::handleWithdrawalReply(const std::shared_ptr<Call> &call, const RecordLease::Grant &grant, const jobs::StoreReply &reply)
-{
-    if (reply.outcome == jobs::StoreOutcome::Done) {
-        // A process that was paused must not say that the job doesn't exist on the strength of a record that is about to expire.
-        const bool isHeld = m_withdrawalLease.lastsLongEnough(grant, m_executor.now());
-        finish(*call, JobReply{isHeld ? JobCallOutcome::NotFound : JobCallOutcome::Unknown, {}, 0});
-        return;
-    }
-    if (reply.outcome == jobs::StoreOutcome::Conflict) {
-        const jobs::StoreItem *job = internal::findItem(reply, keys::jobPrefix + call->id);
-        const jobs::StoreItem *withdrawal = internal::findItem(reply, keys::withdrawnPrefix + call->id);
-        if (job != nullptr) {
-            cancelKnown(call, job->revision);
-            return;
-        }
-        if (withdrawal != nullptr && call->attempts <= internal::maxImmediateRepeats) {
-            // An earlier cancellation: its record is replaced, so that it lasts for long enough after this one too.
-            writeWithdrawal(call, withdrawal->revision, grant);
-            return;
-        }
-    } else if (reply.outcome == jobs::StoreOutcome::NotFound) {
-        m_withdrawalLease.discard(grant.lease);
-    }
-    call->outcomeUnknown = call->outcomeUnknown || reply.outcome == jobs::StoreOutcome::Unknown;
-    retry(call, [this](const std::shared_ptr<Call> &retried) {
-        lookUpJob(retried);
-    });
+    // The record exists already: from an earlier attempt, from the same call on another node, or from another team, which uses the same id.
+    const std::optional<std::string> team = internal::teamOf(job);
+    const bool isOther = team.has_value() && *team != call.job->team;
+    finish(call, JobReply{isOther ? JobCallOutcome::OtherTeam : JobCallOutcome::Done, {}, 0});
 }
 
-void JobService::status(const std::string &id, core::TimePoint deadline, OnReply onReply)
+void JobService::status(const std::string &id, const std::string &team, core::TimePoint deadline, OnReply onReply)
 {
     const std::shared_ptr<Call> call = makeCall("status", id, deadline, std::move(onReply));
+    call->team = team;
     read(call, keys::statePrefix + id, [this, call](const jobs::StoreReply &reply) {
         if (reply.outcome == jobs::StoreOutcome::Done && !reply.items.empty()) {
             const absl::StatusOr<jobs::JobRecord> record = jobs::progressFromRecord(reply.items.front().value);
             if (record.ok()) {
                 JobReply found{JobCallOutcome::Done, record->state, 0};
                 found.reason = record->reason;
-                finish(*call, found);
+                finishStatus(call, found, record->team);
                 return;
             }
             m_log.add("record_unreadable", telemetry::Event{"record_unreadable"}.with("job", call->id).with("error", std::string{record.status().message()}));
         }
         // The owner has not stored a state yet, the state is unreadable, or the job does not exist.
-        read(call, keys::jobPrefix + call->id, [this, call](const jobs::StoreReply &job) {
-            const bool found = job.outcome == jobs::StoreOutcome::Done;
-            finish(*call, JobReply{found ? JobCallOutcome::Done : JobCallOutcome::NotFound, jobs::JobState::Queued, 0});
-        });
+        finishStatus(call, JobReply{JobCallOutcome::Done, jobs::JobState::Queued, 0}, std::nullopt);
+    });
+}
+
+void JobService::finishStatus(const std::shared_ptr<Call> &call, const JobReply &found, const std::optional<std::string> &team)
+{
+    const JobReply absent{JobCallOutcome::NotFound, {}, 0};
+    if (team.has_value()) {
+        finish(*call, internal::mayAccess(call->team, team) ? found : absent);
+        return;
+    }
+    read(call, keys::jobPrefix + call->id, [this, call, found, absent](const jobs::StoreReply &job) {
+        const bool isFound = !job.items.empty() && internal::mayAccess(call->team, internal::teamOf(job.items.front()));
+        finish(*call, isFound ? found : absent);
     });
 }
 
--- a/src/oleanderwick/jobnode/job_service.hpp
+++ b/src/oleanderwick/jobnode/job_service.hpp
@@ -27,6 +27,7 @@
     Unknown, /**< The change may have been stored, or a read did not succeed in time. */
     Refused, /**< The job is not stored, and no earlier attempt to store it can take effect any more. */
     NotRefused, /**< The refusal could not be recorded, so the submitter must not be told of one. */
+    OtherTeam, /**< The id belongs to a job of another team; the caller's job is not stored. */
     Withdrawn, /**< The job was cancelled before it was stored; it is not stored, and no earlier attempt to store it can take effect any more. */
 };
 
@@ -95,7 +96,7 @@
     void refuse(const std::string &id, core::TimePoint deadline, OnReply onReply, const RefusalRecord &refusal = {});
 
     /**
-     * @brief Cancels a job.
+     * @brief Cancels a job; that of another team is not found.
      *
      * The reply is `NotFound` if the job does not exist; this is recorded for a time in which delayed submissions of the job may still arrive, so that none of
      * them is stored. It is `NotStored` if the team has cancelled too many unknown jobs.
@@ -107,12 +108,13 @@
     void cancel(const std::string &id, const std::string &team, core::TimePoint deadline, OnReply onReply);
 
     /**
-     * @brief Reads the state of a job.
+     * @brief Reads the state of a job; that of another team's job is not found.
      * @param id Id of the job.
+     * @param team Team of the caller; empty on queues that are open to all.
      * @param deadline Time at which the submitter gives up.
      * @param onReply Called once with the reply.
      */
-    void status(const std::string &id, core::TimePoint deadline, OnReply onReply);
+    void status(const std::string &id, const std::string &team, core::TimePoint deadline, OnReply onReply);
 
     /**
      * @brief Counts the accepted jobs of a queue of which no worker has started a task.
@@ -144,6 +146,8 @@
     void withdraw(const std::shared_ptr<Call> &call, std::int64_t withdrawnRevision);
     void writeWithdrawal(const std::shared_ptr<Call> &call, std::int64_t withdrawnRevision, const RecordLease::Grant &grant);
     void lookUpJob(const std::shared_ptr<Call> &call);
+    void finishStored(Call &call, const jobs::StoreItem &job);
+    void finishStatus(const std::shared_ptr<Call> &call, const JobReply &found, const std::optional<std::string> &team);
     void finish(Call &call, const JobReply &reply);
     void retry(const std::shared_ptr<Call> &call, std::function<void(const std::shared_ptr<Call> &)> attempt);
 
--- a/src/oleanderwick/jobs/codec.cpp
+++ b/src/oleanderwick/jobs/codec.cpp
@@ -173,6 +173,9 @@
     if (!record.reason.empty()) {
         value["reason"] = record.reason;
     }
+    if (record.team.has_value()) {
+        value["team"] = *record.team;
+    }
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -194,6 +197,9 @@
         value.at("next").get_to(record.nextOccurrence);
         record.yields = value.value("yields", std::int64_t{0});
         record.reason = value.value("reason", std::string{});
+        if (value.contains("team")) {
+            record.team = value["team"].get<std::string>();
+        }
         for (const json &entry : value.at("runs")) {
             std::vector<std::vector<TaskRecord>> &steps = record.occurrences[entry.at(0).get<std::int64_t>()];
             for (const json &rows : entry.at(1)) {
--- a/src/oleanderwick/jobs/model.hpp
+++ b/src/oleanderwick/jobs/model.hpp
@@ -179,6 +179,7 @@
     std::int64_t nextOccurrence{0}; /**< First occurrence not yet opened; `occurrences` has all lower ones until the job has ended, then none. */
     std::int64_t yields{0}; /**< How often runs of the job were stopped to make room for timely work. */
     std::string reason{}; /**< Why the job has failed, for its team; empty otherwise. */
+    std::optional<std::string> team{}; /**< Team of the job; missing in records of earlier versions. */
 
     [[nodiscard]] bool operator==(const JobRecord &) const = default;
 };
--- a/src/oleanderwick/jobs/save_queue.cpp
+++ b/src/oleanderwick/jobs/save_queue.cpp
@@ -54,8 +54,11 @@
 
 SaveRequest SaveQueue::makeRequest(const JobEntry &entry)
 {
-    SaveRequest save{
-        entry.job.id, entry.version, JobRecord{entry.state, entry.endedMs, {}, entry.nextOccurrence, entry.yields, entry.reason}, entry.job.queue, false};
+    SaveRequest save{entry.job.id,
+                     entry.version,
+                     JobRecord{entry.state, entry.endedMs, {}, entry.nextOccurrence, entry.yields, entry.reason, entry.job.team},
+                     entry.job.queue,
+                     false};
     save.leavesQueue = entry.storedState == JobState::Queued && entry.state != JobState::Queued;
     if (isFinal(entry.state)) {
         return save;
--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -53,6 +53,8 @@
         return jsonResponse(410, {});
     case jobnode::JobCallOutcome::NotStored:
         return unavailableResponse(503, result.retryAfterS);
+    case jobnode::JobCallOutcome::OtherTeam:
+        return jsonResponse(409, json{{"error", "the id is in use"}});
     case jobnode::JobCallOutcome::Withdrawn: {
         http::Response response = jsonResponse(503, json{{"error", "cancelled"}});
         response.headers.push_back({"Retry-After", absl::StrCat(result.retryAfterS)});
@@ -212,16 +214,17 @@
         return;
     }
     const std::string id = path.substr(route->prefix.size());
+    const std::string caller = team == nullptr ? std::string{} : *team;
     if (id.empty() && request.method == "GET") {
         pending(route->queue, deadline, respond);
     } else if (!internal::isJobId(id)) {
         reject(request, 404, "no_such_path", respond);
     } else if (request.method == "POST") {
-        submit(request, *route, route->open ? std::string{} : *team, id, deadline, std::move(respond));
+        submit(request, *route, route->open ? std::string{} : caller, id, deadline, std::move(respond));
     } else if (request.method == "GET") {
-        status(id, deadline, respond);
+        status(id, caller, deadline, respond);
     } else if (request.method == "DELETE") {
-        cancel(id, team == nullptr ? std::string{} : *team, deadline, respond);
+        cancel(id, caller, deadline, respond);
     } else {
         reject(request, 405, "method", respond);
     }
@@ -252,9 +255,9 @@
     });
 }
 
-void Ingress::status(const std::string &id, core::TimePoint deadline, const http::Responder &respond)
+void Ingress::status(const std::string &id, const std::string &team, core::TimePoint deadline, const http::Responder &respond)
 {
-    m_node.jobService().status(id, deadline, [respond](const jobnode::JobReply &result) {
+    m_node.jobService().status(id, team, deadline, [respond](const jobnode::JobReply &result) {
         json body{{"state", jobs::toText(result.state)}};
         if (!result.reason.empty()) {
             body["reason"] = result.reason;
--- a/src/platform/ingress.hpp
+++ b/src/platform/ingress.hpp
@@ -36,7 +36,7 @@
                 const std::string &id,
                 core::TimePoint deadline,
                 http::Responder respond);
-    void status(const std::string &id, core::TimePoint deadline, const http::Responder &respond);
+    void status(const std::string &id, const std::string &team, core::TimePoint deadline, const http::Responder &respond);
     void cancel(const std::string &id, const std::string &team, core::TimePoint deadline, const http::Responder &respond);
     void pending(const std::string &queue, core::TimePoint deadline, const http::Responder &respond);
     void reject(const http::Request &request, int status, const char *reason, const http::Responder &respond);
--- a/test/oleanderwick/jobnode/job_refusals.cpp
+++ b/test/oleanderwick/jobnode/job_refusals.cpp
@@ -117,7 +117,7 @@
     REQUIRE(change.conditions.size() == 3);
     CHECK(change.conditions[0].key == "q/j/a");
     CHECK(change.conditions[1].key == "w/q/a");
-    CHECK(change.conditions[2].key == "q/w/a");
+    CHECK(change.conditions[2].key == "q/w//a");
     CHECK(change.writes.size() == 2);
     CHECK(change.removals.empty());
 }
--- a/test/oleanderwick/jobnode/job_service.cpp
+++ b/test/oleanderwick/jobnode/job_service.cpp
@@ -54,7 +54,7 @@
     jobnode::JobReply status()
     {
         return call([this](core::TimePoint deadline, jobnode::JobService::OnReply onReply) {
-            service.status("a", deadline, std::move(onReply));
+            service.status("a", "", deadline, std::move(onReply));
         });
     }
 };
@@ -86,7 +86,9 @@
 TEST_CASE("a job without a stored state is queued, and a job without a record is not found", "[jobnode]")
 {
     JobServiceFixture fixture;
-    fixture.store.replies = {replyWith(jobs::StoreOutcome::NotFound), replyWith(jobs::StoreOutcome::Done)};
+    jobs::StoreReply stored = replyWith(jobs::StoreOutcome::Done);
+    stored.items = {{"q/j/a", jobs::toRecord(jobs::Job{}), 12}};
+    fixture.store.replies = {replyWith(jobs::StoreOutcome::NotFound), stored};
     const jobnode::JobReply queued = fixture.status();
     CHECK(queued.outcome == jobnode::JobCallOutcome::Done);
     CHECK(queued.state == jobs::JobState::Queued);
@@ -117,7 +119,7 @@
     CHECK(answeredFirst);
     CHECK(answeredFirst);
     jobs::StoreReply found = replyWith(jobs::StoreOutcome::Done);
-    found.items = {{"q/j/a", "", 12}};
+    found.items = {{"q/j/a", jobs::toRecord(jobs::Job{}), 12}};
     jobs::StoreReply cancelled = replyWith(jobs::StoreOutcome::Conflict);
     cancelled.items = {{"q/j/a", "", 12}, {"q/c/a", "1", 13}};
     fixture.store.replies = {found, cancelled};
--- a/test/oleanderwick/jobnode/job_withdrawals.cpp
+++ b/test/oleanderwick/jobnode/job_withdrawals.cpp
@@ -39,6 +39,7 @@
         jobs::Job job;
         job.id = "a";
         job.queue = "q";
+        job.team = "t";
         node.service.submit(job, timeline.now() + 3s, [&result](const jobnode::JobReply &reply) {
             result = reply;
         });
@@ -137,7 +138,7 @@
     WithdrawalFixture fixture;
     CHECK(fixture.cancelNow(fixture.second).outcome == JobCallOutcome::NotFound);
     fixture.run(160s);
-    CHECK_FALSE(fixture.exists("q/w/a"));
+    CHECK_FALSE(fixture.exists("q/w/t/a"));
     CHECK(fixture.submitNow(fixture.first).outcome == JobCallOutcome::Done);
 }
 
@@ -161,7 +162,7 @@
     WithdrawalFixture other;
     other.first.store.grantsFail = true;
     CHECK(other.cancelNow(other.first).outcome == JobCallOutcome::NotStored);
-    CHECK_FALSE(other.exists("q/w/a"));
+    CHECK_FALSE(other.exists("q/w/t/a"));
 }
 
 TEST_CASE("a cancellation whose lease the store has lost gets a new one", "[jobnode]")
@@ -172,7 +173,7 @@
     fixture.model.expire(fixture.timeline.now() + 1h);
     CHECK(fixture.cancelNow(fixture.first).outcome == JobCallOutcome::NotFound);
     CHECK(fixture.first.store.grants == 2);
-    CHECK(fixture.exists("q/w/a"));
+    CHECK(fixture.exists("q/w/t/a"));
 }
 
 // Guards against records without a job that nothing removes.
@@ -204,7 +205,7 @@
     CHECK(recorded == 300);
     CHECK(fixture.cancelNow(fixture.first, "b", "other").outcome == JobCallOutcome::NotFound);
     REQUIRE(fixture.submitNow(fixture.second).outcome == JobCallOutcome::Done);
-    CHECK(fixture.cancelNow(fixture.first, "a", "flooding").outcome == JobCallOutcome::Done);
+    CHECK(fixture.cancelNow(fixture.first, "a", "t").outcome == JobCallOutcome::Done);
     fixture.run(40s);
     CHECK(fixture.cancelNow(fixture.first, "flood-again", "flooding").outcome == JobCallOutcome::NotFound);
 }
--- a/test/oleanderwick/jobs/crash_coincidence.cpp
+++ b/test/oleanderwick/jobs/crash_coincidence.cpp
@@ -190,14 +190,14 @@
         fleet.scheduler.addJob(JobFleet::makeJob(absl::StrCat("suspect-", index), {JobFleet::makeStep(1)}), record, false, fleet.now);
     }
     constexpr std::int64_t room = workers * tasksPerWorker - suspects;
-    fleet.scheduler.addJob(JobFleet::makeJob("b", {JobFleet::makeStep(room)}), std::nullopt, false, fleet.now);
+    fleet.scheduler.addJob(JobFleet::makeJob("z", {JobFleet::makeStep(room)}), std::nullopt, false, fleet.now);
     std::int64_t started = 0;
     std::int64_t startedAtOnce = 0;
     for (int step = 0; step < 10; ++step) {
         const std::vector<jobs::StartCommand> starts = fleet.advance(50ms);
         fleet.accept(starts);
         started += std::count_if(starts.begin(), starts.end(), [](const jobs::StartCommand &start) {
-            return start.task.job == "b";
+            return start.task.job == "z";
         });
         startedAtOnce = step == 0 ? started : startedAtOnce;
     }
