--- a/src/oleanderwick/jobnode/owner_term_saves.cpp
+++ b/src/oleanderwick/jobnode/owner_term_saves.cpp
@@ -140,7 +140,7 @@
 void OwnerTerm::State::saveUsedWorkers()
 {
     const std::uint64_t version = scheduler.usedWorkersVersion();
-    if (usedWorkersSaveInFlight || version == savedUsedWorkersVersion) {
+    if (usedWorkersSaveInFlight || version == savedUsedWorkersVersion || executor.now() < usedWorkersRetryAt) {
         return;
     }
     usedWorkersSaveInFlight = true;
@@ -149,8 +149,10 @@
         if (stored) {
             savedUsedWorkersVersion = version;
             scheduler.handleUsedWorkersStored(version);
+            scheduleCycle();
+        } else {
+            usedWorkersRetryAt = executor.now() + internal::stateSaveRetryDelay;
         }
-        scheduleCycle();
     });
 }
 
--- a/src/oleanderwick/jobnode/owner_term_state.hpp
+++ b/src/oleanderwick/jobnode/owner_term_state.hpp
@@ -137,6 +137,7 @@
     core::TimePoint lastStateSaveAt;
     core::TimePoint stateSaveRetryAt;
     bool usedWorkersSaveInFlight{false};
+    core::TimePoint usedWorkersRetryAt;
     std::uint64_t savedUsedWorkersVersion{0};
     bool removalInFlight{false};
     core::TimePoint lastRemovalAt;
