Name what stopped a reader: the check of an address, a bound, three comments

isReachable() only checked the form of an address, and is isIpEndpoint() now. The bound of the records of withdrawals says what it leads to. No change of behaviour.

--- a/src/oleanderwick/jobnode/job_service.cpp
+++ b/src/oleanderwick/jobnode/job_service.cpp
@@ -21,6 +21,7 @@
 constexpr RecordLease::Lifetime refusalLifetime{std::chrono::seconds{60}, std::chrono::seconds{15}, std::chrono::seconds{15}};
 /** A submission that its client has given up may be on its way for as long as a process is paused or a write is delayed. */
 constexpr RecordLease::Lifetime withdrawalLifetime{std::chrono::seconds{120}, std::chrono::seconds{30}, std::chrono::seconds{90}};
+/** With the lifetime above, a node has at most five periods of records in the store at a time. */
 constexpr WithdrawalQuota::Limits withdrawalLimits{std::chrono::seconds{30}, 300, 600};
 
 /** Time in seconds until the record of a withdrawal expires, by the clock of the node that wrote it; at least 1. */
--- a/src/oleanderwick/jobnode/record_lease.hpp
+++ b/src/oleanderwick/jobnode/record_lease.hpp
@@ -25,6 +25,7 @@
         core::Duration use; /**< Time for which a lease is used for new records. */
         core::Duration minimum; /**< Below this remaining time a lease is not used any more. */
     };
+
     /** @brief A granted lease. */
     struct Grant {
         std::int64_t lease{0}; /**< Id of the lease. */
--- a/src/oleanderwick/jobs/table.hpp
+++ b/src/oleanderwick/jobs/table.hpp
@@ -152,7 +152,7 @@
     bool cordoned{false}; /**< Gets no new work because of maintenance or a move to another pool. */
     bool maintenancePending{false}; /**< A maintenance wave includes the worker and has not reached it yet. */
     bool zoneClosed{false}; /**< Operators have closed the worker's zone. */
-    bool vacatedWhenSilent{false}; /**< See `isVacated`, at `silentSince`; crashed workers are cordoned as well, once they have no runs. */
+    bool vacatedWhenSilent{false}; /**< Whether `isVacated` was true at `silentSince`; a crashed worker has no runs either, and may be cordoned afterwards. */
     bool restartPlanned{false}; /**< The incarnation before it was draining or cordoned. */
     std::int64_t incarnation{0}; /**< Newest known incarnation; 0 while unknown. */
     std::int64_t clockMs{0}; /**< Time of the worker's clock at `clockAt`; 0 while unknown. */
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -12,7 +12,7 @@
  * @brief Reads a reply of the platform's key-value service.
  * @param result Result of the exchange.
  * @param list Name of the list that a reply of success has to contain; null for none.
- * @return The reply; `Unknown` if a reply of success can't be read, lacks its list, or announces more items than none.
+ * @return The reply; `Unknown` if a reply of success can't be read, lacks its list, or announces a further page without having an item.
  */
 [[nodiscard]] jobs::StoreReply readStoreReply(const http::ExchangeResult &result, const char *list = nullptr);
 
--- a/src/platform/store_translator.cpp
+++ b/src/platform/store_translator.cpp
@@ -60,11 +60,15 @@
     return labels;
 }
 
-bool isReachable(const std::string &address)
+/** Checks whether a text is an IP address and a port to which a connection can be made. */
+bool isIpEndpoint(const std::string &address)
 {
     const absl::StatusOr<http::Endpoint> endpoint = http::parseEndpoint(address);
     boost::system::error_code error;
-    return endpoint.ok() && endpoint->port != 0 && (boost::asio::ip::make_address(endpoint->host, error), !error);
+    if (endpoint.ok()) {
+        (void)boost::asio::ip::make_address(endpoint->host, error);
+    }
+    return endpoint.ok() && !error && endpoint->port != 0;
 }
 
 } // namespace internal
@@ -146,7 +150,7 @@
     if (entry.pool.empty()) {
         fields.fail("service", "is missing");
     }
-    if (!internal::isReachable(entry.address)) {
+    if (!internal::isIpEndpoint(entry.address)) {
         fields.fail("address", "is not an IP address and a port");
     }
     if (!fields.error().empty()) {
