--- a/review/fleet-2/fleet.py
+++ b/review/fleet-2/fleet.py
@@ -1,18 +1,18 @@
-"""Stand-ins of the users' platform for the cases 6 to 10: store, runners, machines, operator and clients, on loopback and the real clock.
+"""Stand-ins of the users' platform for the cases 6 to 9: store, runners, machines, operator and clients, on loopback and the real clock.
 
 They follow ../given/kit/more/system/PROTOCOL.md. Everything that they see is kept in `Record`, from which the cases judge a rule.
+The nodes' logs are removed with their temporary folder, unless KEEP_LOGS is set.
 """
 import asyncio
 import base64
-import itertools
 import json
 import os
 import pathlib
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 import urllib.parse
@@ -453,10 +453,9 @@
         self.record = Record()
         self.store = Store(self.record)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        self.machines, self.jobs, self.pending_down = {}, {}, []
+        self.machines, self.jobs = {}, {}
         self.cloud, self.cloud_mode, self.page = Server(self._cloud), "up", 200
         self.advice = Server(self._no_advice)
-        self.counter = itertools.count(1)
         self.nodes = [Node(self, index) for index in range(nodes)]
         self.command = self._deploy_command()
         self.services = services or {"orders": 8}
@@ -695,15 +694,22 @@
                 await machine.runner.crash()
         for server in [self.cloud, self.advice] + [node.store for node in self.nodes if node.store is not None]:
             server.drop()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run_case(case, folder, seed=1):
     """Runs the coroutine `case(fleet_class_random, disturbed)`; returns the exit status: 0 held, 1 broken, 2 could not run."""
     import random
     disturbed = os.environ.get("TROUBLE", "1") != "0"
+
+    async def guarded():
+        # A script that is told to end still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await case(random.Random(seed), disturbed)
     try:
-        result, record = asyncio.run(case(random.Random(seed), disturbed))
-    except Exception as error:  # pylint: disable=broad-except
+        result, record = asyncio.run(guarded())
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         print(f"the case could not run: {error!r}")
         return 2
     record.write(pathlib.Path(folder) / "record.txt")
