Limit each part of a message whose end has not arrived

Callers saw a node end: clients, or a worker, an instance or the store, sent trailers, a trailer line or a chunk extension without end, and the process ran out of memory (std::bad_alloc).

Cause: the parser limits headers and body, but waits for the end of a chunk header and of all trailers with everything before it in its buffer, which had no limit. The server, the connections to upstreams and the blocking client had the same fault. Besides, trailers were added to the headers, so that an API key in a trailer counted as one in a header.

Change: MessageParser builds the request or response itself, feeds on a buffer that its reader fills, and fails once a part over its limit has not ended, the framing is out of proportion to the body, or there are too many headers; trailers are checked and dropped. The server and the connections to upstreams read with it; the blocking client's buffer has a maximum size, which its parser reports.

--- a/src/oleanderwick/http/client.cpp
+++ b/src/oleanderwick/http/client.cpp
@@ -19,6 +19,8 @@
 using boost::system::error_code;
 
 constexpr std::size_t maxResponseBytes = 64U << 20U;
+/** Limits the headers, the trailers and each chunk header of a response, which have to fit into the buffer; a longer one is an error. */
+constexpr std::size_t maxBufferBytes = 128U << 10U;
 constexpr core::Duration streamWakeInterval = std::chrono::milliseconds{500};
 /** A middlebox between client and server may have dropped a connection that was idle for longer. */
 constexpr core::Duration maxIdleTime = std::chrono::seconds{10};
@@ -219,7 +221,7 @@
     Endpoint m_endpoint;
     asio::io_context m_context{1};
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{maxBufferBytes};
     bool m_connected{false};
     core::TimePoint m_lastUsed;
 };
--- a/src/oleanderwick/http/server.cpp
+++ b/src/oleanderwick/http/server.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "internal/loop_state.hpp"
+#include "internal/message_parser.hpp"
 
 namespace oleanderwick::http
 {
@@ -126,7 +127,7 @@
     }
 
 private:
-    using Parser = beast::http::request_parser<beast::http::string_body>;
+    using Parser = MessageParser<true>;
 
     void setTimeout(core::Duration timeout)
     {
@@ -136,88 +137,96 @@
     void waitForRequest()
     {
         m_busy = false;
+        m_parser.reset();
         if (m_buffer.size() > 0) {
-            readHeader();
+            startRequest();
             return;
         }
+        if (m_buffer.capacity() > headerReadBytes) {
+            m_buffer.shrink_to_fit();
+        }
         setTimeout(m_server->limits().idleTimeout);
-        m_stream.async_read_some(m_buffer.prepare(firstReadBytes), [self = shared_from_this()](const error_code &error, std::size_t bytes) {
-            if (error) {
-                self->close();
-                return;
-            }
-            self->m_buffer.commit(bytes);
-            self->readHeader();
-        });
+        read(headerReadBytes);
     }
 
-    void readHeader()
+    void read(std::size_t maxBytes)
     {
-        m_busy = true;
-        m_parser.emplace();
-        m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits().maxHeaderBytes));
-        m_parser->body_limit(m_server->limits().maxBodyBytes);
-        setTimeout(m_server->limits().headerTimeout);
-        beast::http::async_read_header(m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
-            self->onHeader(error);
+        m_stream.async_read_some(m_buffer.prepare(maxBytes), [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+            self->onRead(error, bytes);
         });
     }
 
-    void onHeader(const error_code &error)
+    void onRead(const error_code &error, std::size_t bytes)
     {
-        if (error) {
-            handleError(error);
+        if (error == asio::error::eof && m_parser.has_value()) {
+            refuse(beast::http::error::partial_message);
             return;
         }
-        if (beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue") && !m_parser->is_done()) {
-            sendContinue();
+        if (error) {
+            close();
             return;
         }
-        readBody();
+        m_buffer.commit(bytes);
+        if (m_parser.has_value()) {
+            parse();
+        } else {
+            startRequest();
+        }
     }
 
-    void sendContinue()
+    void startRequest()
     {
-        static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
-        asio::async_write(m_stream, asio::buffer(line), [self = shared_from_this()](const error_code &error, std::size_t) {
-            if (error) {
-                self->close();
-                return;
-            }
-            self->readBody();
-        });
+        m_busy = true;
+        const ServerLimits &limits = m_server->limits();
+        m_parser.emplace(MessageLimits{limits.maxHeaderBytes, limits.maxHeaders, limits.maxBodyBytes});
+        setTimeout(limits.headerTimeout);
+        parse();
     }
 
-    void readBody()
+    void parse()
     {
-        if (m_parser->is_done()) {
+        error_code error;
+        switch (m_parser->feed(m_buffer, error)) {
+        case ParseStep::NeedsMore:
+            read(m_parser->is_header_done() ? bodyReadBytes : headerReadBytes);
+            return;
+        case ParseStep::HeaderComplete:
+            onHeader();
+            return;
+        case ParseStep::Complete:
             onRequest();
             return;
+        case ParseStep::Failed:
+            break;
         }
+        refuse(error);
+    }
+
+    void onHeader()
+    {
         setTimeout(m_server->limits().bodyTimeout);
-        beast::http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
+        const std::string *expect = findHeader(m_parser->message().headers, "Expect");
+        if (expect == nullptr || !beast::iequals(*expect, "100-continue")) {
+            parse();
+            return;
+        }
+        static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
+        asio::async_write(m_stream, asio::buffer(line), [self = shared_from_this()](const error_code &error, std::size_t) {
             if (error) {
-                self->handleError(error);
+                self->close();
                 return;
             }
-            self->onRequest();
+            self->parse();
         });
     }
 
     void onRequest()
     {
         m_timer.disarm();
-        beast::http::request<beast::http::string_body> message = m_parser->release();
-        m_keepAlive = message.keep_alive();
-        m_version = message.version();
-        m_isHead = message.method() == beast::http::verb::head;
-        Request request;
-        request.method = std::string{message.method_string()};
-        request.target = std::string{message.target()};
-        for (const auto &field : message) {
-            request.headers.push_back(Header{std::string{field.name_string()}, std::string{field.value()}});
-        }
-        request.body = std::move(message.body());
+        m_keepAlive = m_parser->keep_alive();
+        m_version = m_parser->version();
+        Request request = m_parser->release();
+        m_isHead = request.method == "HEAD";
         const std::weak_ptr<Session> weak = weak_from_this();
         asio::any_io_executor executor = m_stream.get_executor();
         m_server->handle(std::move(request), [weak, executor](Response response) {
@@ -260,13 +269,9 @@
         });
     }
 
-    void handleError(const error_code &error)
+    /** Answers a request that is malformed or over a limit; it was not handled. */
+    void refuse(const error_code &error)
     {
-        if (error == beast::http::error::end_of_stream || error == asio::error::eof || error == asio::error::connection_reset
-            || error == asio::error::operation_aborted) {
-            close();
-            return;
-        }
         m_keepAlive = false;
         m_isHead = false;
         m_version = 11;
@@ -276,7 +281,8 @@
                       absl::StrCat(R"({"status":)", status, R"(,"outcome":"not-run","reason":"bad_request","detail":")", error.message(), "\"}")});
     }
 
-    static constexpr std::size_t firstReadBytes = 4096;
+    static constexpr std::size_t headerReadBytes = 4096;
+    static constexpr std::size_t bodyReadBytes = 16U << 10U;
     static constexpr int statusNoContent = 204;
     static constexpr int statusNotModified = 304;
 
--- a/src/oleanderwick/http/server.hpp
+++ b/src/oleanderwick/http/server.hpp
@@ -20,7 +20,8 @@
 
 /** @brief Limits of a server on requests and connections. */
 struct ServerLimits {
-    std::size_t maxHeaderBytes{16U << 10U};
+    std::size_t maxHeaderBytes{16U << 10U}; /**< Of the headers, of the trailers, and of each chunk header. */
+    std::size_t maxHeaders{128}; /**< Number of headers, and of trailers. */
     std::size_t maxBodyBytes{1U << 20U};
     std::size_t maxConnections{20'000};
     core::Duration headerTimeout{std::chrono::seconds{10}}; /**< From the first byte of a request to the end of its headers. */
--- a/src/oleanderwick/http/upstream_links.cpp
+++ b/src/oleanderwick/http/upstream_links.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include "internal/loop_state.hpp"
+#include "internal/message_parser.hpp"
 
 namespace oleanderwick::http
 {
@@ -28,9 +29,11 @@
 constexpr core::Duration connectTimeout = std::chrono::seconds{1};
 constexpr core::Duration maxIdleTime = std::chrono::seconds{15};
 constexpr core::Duration maxFreshIdleTime = std::chrono::seconds{1};
-constexpr std::uint32_t maxResponseHeaderBytes = 64U << 10U;
+constexpr std::size_t maxResponseHeaderBytes = 64U << 10U;
+constexpr std::size_t maxResponseHeaders = 256;
 /** Most responses arrive whole in one read of this size. */
 constexpr std::size_t firstReadBytes = 8U << 10U;
+constexpr std::size_t bodyReadBytes = 16U << 10U;
 constexpr int serviceUnavailable = 503;
 
 /** @brief Open connection that no exchange uses. */
@@ -206,7 +209,7 @@
     }
 
     using Message = beast::http::request<beast::http::string_body>;
-    using Parser = beast::http::response_parser<beast::http::string_body>;
+    using Parser = MessageParser<false>;
 
     void connect()
     {
@@ -251,61 +254,76 @@
         m_timer.arm(m_deadline);
         beast::http::async_write(*m_stream, m_message, [self = shared_from_this()](const error_code &error, std::size_t bytes) {
             if (!error) {
-                self->readHeader();
+                self->startResponse();
+                self->read(firstReadBytes);
                 return;
             }
             self->finish(bytes == 0 ? ExchangeOutcome::NothingSent : ExchangeOutcome::PartSent);
         });
     }
 
-    void readHeader()
+    void startResponse()
     {
-        m_buffer.reserve(firstReadBytes);
-        m_parser.emplace();
-        m_parser->header_limit(maxResponseHeaderBytes);
-        m_parser->body_limit(m_exchange.maxResponseBytes);
+        m_parser.emplace(MessageLimits{maxResponseHeaderBytes, maxResponseHeaders, m_exchange.maxResponseBytes});
         if (m_message.method() == beast::http::verb::head) {
             m_parser->skip(true);
         }
-        beast::http::async_read_header(*m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
-            self->onHeader(error);
+    }
+
+    void read(std::size_t maxBytes)
+    {
+        m_stream->async_read_some(m_buffer.prepare(maxBytes), [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+            if (error) {
+                self->finish(self->outcomeOf(error));
+                return;
+            }
+            self->m_buffer.commit(bytes);
+            self->parse();
         });
     }
 
-    void onHeader(const error_code &error)
+    void parse()
     {
-        if (error) {
-            finish(outcomeOf(error));
-            return;
+        error_code error;
+        ParseStep step = m_parser->feed(m_buffer, error);
+        while (step != ParseStep::Failed && m_parser->is_header_done() && m_parser->message().status < 200) {
+            // Skips an interim response.
+            startResponse();
+            step = m_parser->feed(m_buffer, error);
         }
-        if (m_parser->get().result_int() < 200) {
-            readHeader();
-            return;
+        if (step == ParseStep::HeaderComplete) {
+            if (m_parser->need_eof()) {
+                // The body ends with the connection, so a truncated response would look complete.
+                finish(ExchangeOutcome::BrokenResponse);
+                return;
+            }
+            step = m_parser->feed(m_buffer, error);
         }
-        if (!m_parser->is_done() && m_parser->need_eof()) {
-            // The body ends with the connection, so a truncated response would look complete.
-            finish(ExchangeOutcome::BrokenResponse);
+        switch (step) {
+        case ParseStep::NeedsMore:
+        case ParseStep::HeaderComplete:
+            read(m_parser->is_header_done() ? bodyReadBytes : firstReadBytes);
+            return;
+        case ParseStep::Complete:
+            onResponse();
+            return;
+        case ParseStep::Failed:
+            finish(outcomeOf(error));
             return;
         }
-        beast::http::async_read(*m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &failed, std::size_t) {
-            self->onResponse(failed);
-        });
     }
 
-    void onResponse(const error_code &error)
+    void onResponse()
     {
-        if (error) {
-            finish(outcomeOf(error));
-            return;
-        }
-        const beast::http::response<beast::http::string_body> &message = m_parser->get();
-        const auto echoed = message.find(requestIdHeader);
-        if (!m_exchange.requestId.empty() && echoed != message.end() && echoed->value() != m_exchange.requestId) {
+        const std::vector<Header> &headers = m_parser->message().headers;
+        const std::string *echoed = findHeader(headers, requestIdHeader);
+        if (!m_exchange.requestId.empty() && echoed != nullptr && *echoed != m_exchange.requestId) {
             finish(ExchangeOutcome::WrongResponse);
             return;
         }
-        const bool refused = message.result_int() == serviceUnavailable && message[outcomeHeader] == "not-run";
-        if (message.keep_alive() && m_buffer.size() == 0) {
+        const std::string *outcome = findHeader(headers, outcomeHeader);
+        const bool refused = m_parser->message().status == serviceUnavailable && outcome != nullptr && *outcome == "not-run";
+        if (m_parser->keep_alive() && m_buffer.size() == 0) {
             m_connections->keepIdle(m_exchange.address, std::move(m_stream), m_exchange.maxIdleConnections);
         }
         finish(refused ? ExchangeOutcome::RefusedNotRun : ExchangeOutcome::Complete);
@@ -328,13 +346,8 @@
         ExchangeResult result;
         result.outcome = outcome;
         if (outcome == ExchangeOutcome::Complete) {
-            beast::http::response<beast::http::string_body> message = m_parser->release();
-            result.response.status = static_cast<int>(message.result_int());
-            result.leaving = message.find(leavingHeader) != message.end();
-            for (const auto &field : message) {
-                result.response.headers.push_back(Header{std::string{field.name_string()}, std::string{field.value()}});
-            }
-            result.response.body = std::move(message.body());
+            result.response = m_parser->release();
+            result.leaving = findHeader(result.response.headers, leavingHeader) != nullptr;
         }
         m_stream.reset();
         if (outcome == ExchangeOutcome::TimedOut) {
--- /dev/null
+++ b/test/platform/clients/answers.py
@@ -0,0 +1,29 @@
+"""Answers of servers that do not behave: an instance, a worker or a store that does not end what it sends."""
+
+BLOCK_BYTES = 64 * 1024
+TOTAL_BYTES = 256 << 20
+OK = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+HEADER_LINE = b"X-Pad: " + b"a" * 55 + b"\r\n"
+
+
+async def send(writer, head, block, total_bytes):
+    writer.write(head)
+    for _ in range(total_bytes // len(block)):
+        writer.write(block)
+        await writer.drain()
+
+
+async def endless_trailers(writer):
+    await send(writer, CHUNKED + b"2\r\n{}\r\n0\r\n", HEADER_LINE * (BLOCK_BYTES // len(HEADER_LINE)), TOTAL_BYTES)
+
+
+async def endless_chunk_extension(writer):
+    await send(writer, CHUNKED + b"2;pad=", b"a" * BLOCK_BYTES, TOTAL_BYTES)
+
+
+async def endless_header_line(writer):
+    await send(writer, OK + b"X-Pad: ", b"a" * BLOCK_BYTES, TOTAL_BYTES)
+
+
+ANSWERS = {answer.__name__: answer for answer in (endless_trailers, endless_chunk_extension, endless_header_line)}
--- /dev/null
+++ b/test/platform/clients/crowds.py
@@ -0,0 +1,77 @@
+"""Crowds of clients that do not behave: each opens its connections, sends, and keeps them open until the crowd is closed."""
+import asyncio
+
+BLOCK_BYTES = 64 * 1024
+SEND_TIMEOUT_S = 20.0
+
+HEADERS = b" HTTP/1.1\r\nHost: clients.example\r\nContent-Type: application/json\r\nApi-Key: key-1\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+ONE_CHUNK = b"2\r\n{}\r\n"
+HEADER_LINE = b"X-Pad: " + b"a" * 55 + b"\r\n"
+
+
+class Crowd:
+    """Connections to one address that send the same bytes."""
+
+    def __init__(self, address, path):
+        self.address = address
+        self.post = b"POST " + path.encode() + HEADERS
+        self.get = b"GET " + path.encode() + HEADERS + b"\r\n"
+        self.writers = []
+        self.readers = []
+
+    async def _send(self, head, block, total_bytes):
+        try:
+            reader, writer = await asyncio.open_connection(*self.address)
+        except OSError:
+            return
+        self.writers.append(writer)
+        try:
+            writer.write(head)
+            sent = 0
+            while sent < total_bytes:
+                part = block[:total_bytes - sent]
+                writer.write(part)
+                await writer.drain()
+                sent += len(part)
+            await writer.drain()
+        except OSError:
+            pass
+        self.readers.append(reader)
+
+    async def send(self, count, head, block=b"", total_bytes=0, timeout_s=SEND_TIMEOUT_S):
+        """Opens `count` connections and sends `head` and `total_bytes` of repeated `block` on each; returns when all have sent or were closed."""
+        sends = [asyncio.ensure_future(self._send(head, block, total_bytes)) for _ in range(count)]
+        _, late = await asyncio.wait(sends, timeout=timeout_s)
+        for send in late:
+            send.cancel()
+        await asyncio.gather(*late, return_exceptions=True)
+
+    async def close(self):
+        for writer in self.writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+
+async def endless_trailers(crowd):
+    await crowd.send(6, crowd.post + CHUNKED + ONE_CHUNK + b"0\r\n", HEADER_LINE * (BLOCK_BYTES // len(HEADER_LINE)), 48 << 20)
+
+
+async def endless_trailer_line(crowd):
+    await crowd.send(6, crowd.post + CHUNKED + ONE_CHUNK + b"0\r\nX-Pad: ", b"a" * BLOCK_BYTES, 48 << 20)
+
+
+async def endless_chunk_extension(crowd):
+    await crowd.send(6, crowd.post + CHUNKED + b"2;pad=", b"a" * BLOCK_BYTES, 48 << 20)
+
+
+async def endless_header_lines(crowd):
+    await crowd.send(6, crowd.post, HEADER_LINE * (BLOCK_BYTES // len(HEADER_LINE)), 48 << 20)
+
+
+async def endless_header_line(crowd):
+    await crowd.send(6, crowd.post + b"X-Pad: ", b"a" * BLOCK_BYTES, 48 << 20)
+
+
+CROWDS = {crowd.__name__: crowd for crowd in (
+    endless_trailers, endless_trailer_line, endless_chunk_extension, endless_header_lines, endless_header_line)}
--- /dev/null
+++ b/test/platform/clients/test_clients.py
@@ -0,0 +1,151 @@
+"""Plays clients and servers that do not behave against real processes: these live, keep their limits, and serve an ordinary request afterwards."""
+import asyncio
+import unittest
+
+from answers import ANSWERS
+from crowds import CROWDS, Crowd
+from processes import DESCRIPTOR_LIMIT, FREE_DESCRIPTORS, MEMORY_LIMIT_BYTES, AnswerServer, PlatformNode, StandaloneNode, text_request, wait_until
+
+WORKERS = 24
+CALLS = 60
+ANSWER_S = 4.0  # For so long a server gives its answers.
+
+
+class LimitsTest(unittest.IsolatedAsyncioTestCase):
+    """Base of the tests: a process that keeps its limits."""
+
+    def check_limits(self, process):
+        peak_memory_bytes = process.peak_memory_bytes()
+        self.assertTrue(process.lives(), "the process ended: " + process.log()[-1000:])
+        self.assertLess(peak_memory_bytes, MEMORY_LIMIT_BYTES)
+        self.assertLessEqual(process.most_descriptors, DESCRIPTOR_LIMIT - FREE_DESCRIPTORS)
+
+    async def play(self, node, listener, play_crowd):
+        await node.start()
+        crowd = Crowd(*node.LISTENERS[listener])
+        try:
+            await play_crowd(crowd)
+            await node.process.settle()
+            status = await node.ordinary_request(listener)
+            self.check_limits(node.process)
+            self.assertEqual(status, 200, "the ordinary request while the crowd is connected")
+            await crowd.close()
+            self.assertEqual(await node.ordinary_request(listener), 200, "the ordinary request after the crowd")
+        finally:
+            await crowd.close()
+            await node.stop()
+
+
+class ClientsOfPlatformNode(LimitsTest):
+    pass
+
+
+class ClientsOfStandaloneNode(LimitsTest):
+    pass
+
+
+def add_crowds(test_class, node_class):
+    """Adds a test for each crowd on each listener of a product."""
+    for listener in node_class.LISTENERS:
+        for name, play_crowd in CROWDS.items():
+            async def test(self, listener=listener, play_crowd=play_crowd):
+                await self.play(node_class(), listener, play_crowd)
+            setattr(test_class, f"test_{listener}_{name}", test)
+
+
+add_crowds(ClientsOfPlatformNode, PlatformNode)
+add_crowds(ClientsOfStandaloneNode, StandaloneNode)
+
+
+class ServersOfPlatformNode(LimitsTest):
+    """Answers of workers, the store and the instance service."""
+
+    async def check_workers(self, answer):
+        node, worker = PlatformNode(), AnswerServer(None)
+        worker.use(answer)
+        await worker.start()
+        try:
+            await node.start(workers=[worker.port] * WORKERS)
+            await asyncio.sleep(ANSWER_S)
+            self.check_limits(node.process)
+            self.assertEqual(await node.ordinary_request("callers"), 200)
+        finally:
+            await node.stop()
+            await worker.stop()
+
+    async def check_store(self, answer):
+        node = PlatformNode()
+        try:
+            await node.start()
+            node.store_server.use(answer)
+            await asyncio.sleep(ANSWER_S)
+            self.check_limits(node.process)
+            node.store_server.use(None)
+            await wait_until(node.is_ready, "an ordinary request is served")
+            self.check_limits(node.process)
+        finally:
+            await node.stop()
+
+    async def check_instances(self, answer):
+        node, service = PlatformNode(), AnswerServer(None)
+        service.use(answer)
+        await service.start()
+        try:
+            await node.start(f"  instances: {service.host}:{service.port}\n")
+            await asyncio.sleep(ANSWER_S)
+            self.check_limits(node.process)
+            self.assertEqual(await node.ordinary_request("callers"), 200)
+        finally:
+            await node.stop()
+            await service.stop()
+
+
+class ServersOfStandaloneNode(LimitsTest):
+    """Answers of instances and of the store."""
+
+    async def check_instance(self, answer):
+        node = StandaloneNode()
+        try:
+            await node.start()
+            node.instance.use(answer)
+            address, path = node.LISTENERS["callers"]
+            calls = [asyncio.ensure_future(text_request(address, path)) for _ in range(CALLS)]
+            await asyncio.sleep(ANSWER_S)
+            self.check_limits(node.process)
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+            node.instance.use(None)
+            await wait_until(node.serves, "an ordinary request is served")
+            self.check_limits(node.process)
+        finally:
+            await node.stop()
+
+    async def check_store(self, answer):
+        node, store = StandaloneNode(), AnswerServer(None)
+        store.use(answer)
+        await store.start()
+        try:
+            await node.start(store.port)
+            await asyncio.sleep(ANSWER_S)
+            self.check_limits(node.process)
+            self.assertEqual(await node.ordinary_request("control"), 200)
+        finally:
+            await node.stop()
+            await store.stop()
+
+
+def add_answers(test_class, servers):
+    """Adds a test for each answer of each kind of server."""
+    for server in servers:
+        for name, answer in ANSWERS.items():
+            async def test(self, server=server, answer=answer):
+                await getattr(self, "check_" + server)(answer)
+            setattr(test_class, f"test_{server}_{name}", test)
+
+
+add_answers(ServersOfPlatformNode, ("workers", "store", "instances"))
+add_answers(ServersOfStandaloneNode, ("instance", "store"))
+
+if __name__ == "__main__":
+    unittest.main()
