Bound what all requests of a listener hold together

Callers saw a node end: a few hundred clients announced bodies within the limit and sent all but their end, and the process ran out of memory (std::bad_alloc). Requests that wait for the store have the same effect.

Cause: each request was limited, their sum was not: 20,000 connections may hold 1 MiB each, and the node knew neither its memory nor its descriptors. A connection also kept its last response and the buffer of its largest request while it was idle.

Change: the node finds out its memory (settings, limits of the system, machine), and each listener gets a share of a quarter of it that the others can't take. ConnectionTable, which needs no network, sums up what incomplete requests, requests in service and responses hold, and names the request to give up: the largest of the client that holds most.

--- a/src/oleanderwick/core/core.hpp
+++ b/src/oleanderwick/core/core.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 /** @file
- * @brief Identifiers, clocks, the executor interface, outcomes of requests, the assertion macro and the bounded ring.
+ * @brief Identifiers, clocks, the executor interface, outcomes of requests, limits of the process, the assertion macro and the bounded ring.
  */
 
 #include "assert.hpp"
@@ -10,4 +10,5 @@
 #include "fwd.hpp"
 #include "id.hpp"
 #include "outcome.hpp"
+#include "process_limits.hpp"
 #include "ring.hpp"
--- a/src/oleanderwick/http/http.hpp
+++ b/src/oleanderwick/http/http.hpp
@@ -6,6 +6,7 @@
 
 #include "client.hpp"
 #include "fwd.hpp"
+#include "limits.hpp"
 #include "loop.hpp"
 #include "message.hpp"
 #include "server.hpp"
--- /dev/null
+++ b/src/oleanderwick/http/limits.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "../core/core.hpp"
+#include "server.hpp"
+
+namespace oleanderwick::http
+{
+
+/**
+ * @brief Divides what a process may use among its listeners.
+ *
+ * Requests may hold a quarter of the memory, and idle connections an eighth; three quarters of the sockets are for listeners. The rest
+ * is left to the process: its own connections, responses, and what it knows.
+ * @param process Memory of the process, and descriptors that it may use for sockets.
+ * @param share Part of the listeners' room that belongs to this one and that others can't take; above 0 and at most 1.
+ * @param limits Limits of the listener, of which those on all connections together are replaced.
+ * @return Limits of the listener with its share.
+ */
+[[nodiscard]] ServerLimits divideLimits(const core::ProcessLimits &process, double share, ServerLimits limits = {});
+
+} // namespace oleanderwick::http
--- a/src/oleanderwick/http/server.cpp
+++ b/src/oleanderwick/http/server.cpp
@@ -1,16 +1,11 @@
 #include "server.hpp"
 
-#include <optional>
-#include <set>
+#include <algorithm>
 
 #include <absl/strings/str_cat.h>
-#include <boost/asio/dispatch.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
-#include "internal/loop_state.hpp"
-#include "internal/message_parser.hpp"
+#include "internal/server_state.hpp"
+#include "internal/session.hpp"
 
 namespace oleanderwick::http
 {
@@ -19,285 +14,28 @@
 {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-using boost::system::error_code;
 
-class Session;
-
-/** @brief Listener and its open connections; for use on the loop's thread only. */
-class ServerState : public std::enable_shared_from_this<ServerState>
+namespace
 {
-public:
-    ServerState(LoopState &loop, const ServerLimits &limits, Handler handler)
-        : m_loop{loop}
-        , m_acceptor{loop.context}
-        , m_limits{limits}
-        , m_handler{std::move(handler)}
-    {
-    }
-
-    [[nodiscard]] const ServerLimits &limits() const noexcept
-    {
-        return m_limits;
-    }
-
-    [[nodiscard]] Deadlines &deadlines() noexcept
-    {
-        return m_loop.deadlines;
-    }
-
-    [[nodiscard]] bool draining() const noexcept
-    {
-        return m_draining;
-    }
-
-    [[nodiscard]] std::size_t busyConnections() const;
-    [[nodiscard]] absl::StatusOr<std::uint16_t> listen(const Endpoint &endpoint);
-
-    void handle(Request request, Responder responder)
-    {
-        m_handler(std::move(request), std::move(responder));
-    }
-
-    void add(const std::shared_ptr<Session> &session)
-    {
-        m_sessions.insert(session);
-    }
-
-    void remove(const std::shared_ptr<Session> &session)
-    {
-        m_sessions.erase(session);
-    }
-
-    void drain()
-    {
-        m_draining = true;
-    }
-
-    void close();
-
-    /** Closes everything, so that neither a session nor a pending operation keeps this state alive. */
-    void shutDown();
-
-private:
-    void accept();
 
-    LoopState &m_loop;
-    asio::ip::tcp::acceptor m_acceptor;
-    ServerLimits m_limits;
-    Handler m_handler;
-    bool m_draining{false};
-    std::set<std::shared_ptr<Session>> m_sessions;
-};
-
-/** @brief One connection, which handles one request at a time. */
-class Session : public std::enable_shared_from_this<Session>
+ConnectionLimits connectionLimits(const ServerLimits &limits)
 {
-public:
-    Session(asio::ip::tcp::socket socket, std::shared_ptr<ServerState> server)
-        : m_stream{std::move(socket)}
-        , m_server{std::move(server)}
-        , m_timer{m_server->deadlines(), [this] {
-                      // The operation in progress fails, which closes the session.
-                      error_code ignored;
-                      m_stream.close(ignored);
-                  }}
-    {
-        error_code ignored;
-        m_stream.set_option(asio::ip::tcp::no_delay{true}, ignored);
-    }
-
-    [[nodiscard]] bool isBusy() const noexcept
-    {
-        return m_busy;
-    }
-
-    void start()
-    {
-        waitForRequest();
-    }
-
-    void close()
-    {
-        error_code ignored;
-        m_timer.disarm();
-        m_stream.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-        m_stream.close(ignored);
-        m_server->remove(shared_from_this());
-    }
-
-private:
-    using Parser = MessageParser<true>;
-
-    void setTimeout(core::Duration timeout)
-    {
-        m_timer.arm(core::BootClock::now() + timeout);
-    }
-
-    void waitForRequest()
-    {
-        m_busy = false;
-        m_parser.reset();
-        if (m_buffer.size() > 0) {
-            startRequest();
-            return;
-        }
-        if (m_buffer.capacity() > headerReadBytes) {
-            m_buffer.shrink_to_fit();
-        }
-        setTimeout(m_server->limits().idleTimeout);
-        read(headerReadBytes);
-    }
-
-    void read(std::size_t maxBytes)
-    {
-        m_stream.async_read_some(m_buffer.prepare(maxBytes), [self = shared_from_this()](const error_code &error, std::size_t bytes) {
-            self->onRead(error, bytes);
-        });
-    }
-
-    void onRead(const error_code &error, std::size_t bytes)
-    {
-        if (error == asio::error::eof && m_parser.has_value()) {
-            refuse(beast::http::error::partial_message);
-            return;
-        }
-        if (error) {
-            close();
-            return;
-        }
-        m_buffer.commit(bytes);
-        if (m_parser.has_value()) {
-            parse();
-        } else {
-            startRequest();
-        }
-    }
-
-    void startRequest()
-    {
-        m_busy = true;
-        const ServerLimits &limits = m_server->limits();
-        m_parser.emplace(MessageLimits{limits.maxHeaderBytes, limits.maxHeaders, limits.maxBodyBytes});
-        setTimeout(limits.headerTimeout);
-        parse();
-    }
-
-    void parse()
-    {
-        error_code error;
-        switch (m_parser->feed(m_buffer, error)) {
-        case ParseStep::NeedsMore:
-            read(m_parser->is_header_done() ? bodyReadBytes : headerReadBytes);
-            return;
-        case ParseStep::HeaderComplete:
-            onHeader();
-            return;
-        case ParseStep::Complete:
-            onRequest();
-            return;
-        case ParseStep::Failed:
-            break;
-        }
-        refuse(error);
-    }
-
-    void onHeader()
-    {
-        setTimeout(m_server->limits().bodyTimeout);
-        const std::string *expect = findHeader(m_parser->message().headers, "Expect");
-        if (expect == nullptr || !beast::iequals(*expect, "100-continue")) {
-            parse();
-            return;
-        }
-        static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
-        asio::async_write(m_stream, asio::buffer(line), [self = shared_from_this()](const error_code &error, std::size_t) {
-            if (error) {
-                self->close();
-                return;
-            }
-            self->parse();
-        });
-    }
-
-    void onRequest()
-    {
-        m_timer.disarm();
-        m_keepAlive = m_parser->keep_alive();
-        m_version = m_parser->version();
-        Request request = m_parser->release();
-        m_isHead = request.method == "HEAD";
-        const std::weak_ptr<Session> weak = weak_from_this();
-        asio::any_io_executor executor = m_stream.get_executor();
-        m_server->handle(std::move(request), [weak, executor](Response response) {
-            // Runs immediately if the response comes from the loop's own thread.
-            asio::dispatch(executor, [weak, outgoing = std::move(response)]() mutable {
-                if (const std::shared_ptr<Session> self = weak.lock()) {
-                    self->send(std::move(outgoing));
-                }
-            });
-        });
-    }
-
-    void send(Response response)
-    {
-        m_response.emplace();
-        m_response->version(m_version);
-        m_response->result(static_cast<unsigned>(response.status));
-        for (const Header &header : response.headers) {
-            m_response->insert(header.name, header.value);
-        }
-        const bool closing = !m_keepAlive || m_server->draining();
-        m_response->keep_alive(!closing);
-        const bool bodyless = response.status == statusNoContent || response.status == statusNotModified;
-        if (m_isHead || bodyless) {
-            // Keeps the handler's headers: Content-Length may be that of a body which a response to HEAD omits.
-            m_response->body().clear();
-        } else {
-            m_response->body() = std::move(response.body);
-            m_response->prepare_payload();
-        }
-        m_serializer.emplace(*m_response);
-        m_serializer->split(m_isHead);
-        setTimeout(m_server->limits().bodyTimeout);
-        beast::http::async_write(m_stream, *m_serializer, [self = shared_from_this(), closing](const error_code &error, std::size_t) {
-            if (error || closing) {
-                self->close();
-                return;
-            }
-            self->waitForRequest();
-        });
-    }
-
-    /** Answers a request that is malformed or over a limit; it was not handled. */
-    void refuse(const error_code &error)
-    {
-        m_keepAlive = false;
-        m_isHead = false;
-        m_version = 11;
-        const int status = error == beast::http::error::body_limit ? 413 : error == beast::http::error::header_limit ? 431 : 400;
-        send(Response{status,
-                      {{"Content-Type", "application/problem+json"}},
-                      absl::StrCat(R"({"status":)", status, R"(,"outcome":"not-run","reason":"bad_request","detail":")", error.message(), "\"}")});
-    }
+    // A sixteenth of the connections is left for requests that are refused because all others are being served.
+    const std::size_t reserve = std::max<std::size_t>(limits.maxConnections / 16, 1);
+    return ConnectionLimits{
+        limits.maxConnections, std::max<std::size_t>(limits.maxConnections - std::min(limits.maxConnections, reserve), 1), limits.maxHeldBytes};
+}
 
-    static constexpr std::size_t headerReadBytes = 4096;
-    static constexpr std::size_t bodyReadBytes = 16U << 10U;
-    static constexpr int statusNoContent = 204;
-    static constexpr int statusNotModified = 304;
+} // namespace
 
-    asio::ip::tcp::socket m_stream;
-    std::shared_ptr<ServerState> m_server;
-    Deadlines::Timer m_timer;
-    beast::flat_buffer m_buffer;
-    std::optional<Parser> m_parser;
-    std::optional<beast::http::response<beast::http::string_body>> m_response;
-    std::optional<beast::http::response_serializer<beast::http::string_body>> m_serializer;
-    bool m_busy{false};
-    bool m_keepAlive{true};
-    bool m_isHead{false};
-    unsigned m_version{11};
-};
+ServerState::ServerState(LoopState &loop, const ServerLimits &limits, Handler handler)
+    : m_loop{loop}
+    , m_acceptor{loop.context}
+    , m_limits{limits}
+    , m_handler{std::move(handler)}
+    , m_table{connectionLimits(limits)}
+{
+}
 
 std::size_t ServerState::busyConnections() const
 {
@@ -339,15 +77,38 @@
         if (error == asio::error::operation_aborted || !self->m_acceptor.is_open()) {
             return;
         }
-        if (!error && self->m_sessions.size() < self->m_limits.maxConnections) {
-            const std::shared_ptr<Session> session = std::make_shared<Session>(std::move(socket), self);
-            self->add(session);
-            session->start();
+        if (!error) {
+            self->admit(std::move(socket));
         }
         self->accept();
     });
 }
 
+void ServerState::admit(asio::ip::tcp::socket socket)
+{
+    error_code error;
+    const asio::ip::tcp::endpoint client = socket.remote_endpoint(error);
+    if (error || !m_table.hasRoom()) {
+        return;
+    }
+    const std::shared_ptr<Session> session = std::make_shared<Session>(std::move(socket), client.address().to_string(), shared_from_this());
+    m_sessions.insert(session);
+    session->start();
+}
+
+bool ServerState::makeRoomFor(const ConnectionTable::Entry &requester)
+{
+    while (m_table.isOverHeldBytes()) {
+        const ConnectionTable::Entry *victim = m_table.chooseToGiveUp();
+        if (victim == nullptr || victim == &requester) {
+            // What requests that are being served hold is not given up; a small request does not add to it.
+            return requester.heldBytes() == 0;
+        }
+        victim->session()->giveUp();
+    }
+    return true;
+}
+
 void ServerState::close()
 {
     m_draining = true;
--- a/src/oleanderwick/http/server.hpp
+++ b/src/oleanderwick/http/server.hpp
@@ -24,6 +24,8 @@
     std::size_t maxHeaders{128}; /**< Number of headers, and of trailers. */
     std::size_t maxBodyBytes{1U << 20U};
     std::size_t maxConnections{20'000};
+    std::size_t maxHeldBytes{64U << 20U}; /**< Memory that all incomplete and unanswered requests may hold. */
+    std::size_t handlerBytesPerBodyByte{2}; /**< Memory that the handler needs for each byte of a request's body until it responds. */
     core::Duration headerTimeout{std::chrono::seconds{10}}; /**< From the first byte of a request to the end of its headers. */
     core::Duration bodyTimeout{std::chrono::seconds{20}}; /**< For the body of the request, and again for sending the response. */
     core::Duration idleTimeout{std::chrono::seconds{75}}; /**< Before the first and between two requests of a connection. */
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -1,5 +1,6 @@
 #include "node.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -70,11 +71,25 @@
     return std::make_shared<store::PlatformStore>(std::move(endpoints), storeTimeout);
 }
 
-http::ServerLimits serverLimits(const settings::Settings &settings)
+/** Shares of the listeners in the node's sockets and memory. */
+constexpr double callerShare = 0.75;
+constexpr double controlShare = 0.25;
+/** Descriptors that are not used for sockets. */
+constexpr std::size_t reservedDescriptors = 32;
+
+/** Returns the node's limits, of descriptors those for sockets. */
+core::ProcessLimits socketLimits(const settings::Settings &settings)
+{
+    core::ProcessLimits limits = core::processLimits({std::size_t{settings.memoryMb} << 20U, settings.maxDescriptors});
+    limits.descriptors -= std::min(limits.descriptors / 2, reservedDescriptors);
+    return limits;
+}
+
+http::ServerLimits serverLimits(const settings::Settings &settings, const core::ProcessLimits &process, double share)
 {
     http::ServerLimits limits;
     limits.maxBodyBytes = settings.maxBodyBytes;
-    return limits;
+    return http::divideLimits(process, share, limits);
 }
 
 } // namespace internal
@@ -85,6 +100,7 @@
 public:
     explicit State(settings::Settings settings)
         : m_settings{std::move(settings)}
+        , m_limits{internal::socketLimits(m_settings)}
         , m_self{internal::makeNodeId(m_settings.node)}
         , m_fleetSize{m_settings.peers.size() + 1}
         , m_storeFactory{m_settings.store}
@@ -105,11 +121,13 @@
                             return ready();
                         }}
         , m_callerServer{m_loop,
-                         internal::serverLimits(m_settings),
+                         internal::serverLimits(m_settings, m_limits, internal::callerShare),
                          [this](http::Request request, http::Responder respond) {
                              m_callerApi.handle(std::move(request), std::move(respond));
                          }}
-        , m_controlServer{m_loop, internal::serverLimits(m_settings), [this](const http::Request &request, const http::Responder &respond) {
+        , m_controlServer{m_loop,
+                          internal::serverLimits(m_settings, m_limits, internal::controlShare),
+                          [this](const http::Request &request, const http::Responder &respond) {
                               m_operatorApi.handle(request, respond);
                           }}
     {
@@ -272,6 +290,7 @@
     }
 
     settings::Settings m_settings;
+    core::ProcessLimits m_limits;
     core::NodeId m_self;
     std::size_t m_fleetSize;
     internal::StoreFactory m_storeFactory;
--- a/src/oleanderwick/settings/job_settings.cpp
+++ b/src/oleanderwick/settings/job_settings.cpp
@@ -68,6 +68,35 @@
     }
 }
 
+/** Returns a number from `min` to a bound that no machine reaches. */
+double readSize(const YAML::Node &node, double min)
+{
+    constexpr double maxSize = 1e9;
+    const double value = node.as<double>();
+    if (!(value >= min && value <= maxSize)) {
+        throw YAML::Exception(node.Mark(), absl::StrCat("must be a number from ", min, " to ", maxSize));
+    }
+    return value;
+}
+
+void readMemory(const YAML::Node &node, JobSettings &settings)
+{
+    constexpr double minMb = 16;
+    constexpr double bytesPerMb = 1U << 20U;
+    settings.limits.memoryBytes = static_cast<std::size_t>(readSize(node, minMb) * bytesPerMb);
+}
+
+void readDescriptors(const YAML::Node &node, JobSettings &settings)
+{
+    constexpr double minDescriptors = 16;
+    settings.limits.descriptors = static_cast<std::size_t>(readSize(node, minDescriptors));
+}
+
+void readReservedDescriptors(const YAML::Node &node, JobSettings &settings)
+{
+    settings.reservedDescriptors = static_cast<std::size_t>(readSize(node, 0));
+}
+
 void readPeers(const YAML::Node &node, JobSettings &settings)
 {
     for (const YAML::Node &peer : node) {
@@ -87,6 +116,9 @@
         {"store", text(&JobSettings::store)},
         {"instances", text(&JobSettings::instances)},
         {"advice", text(&JobSettings::advice)},
+        {"memoryMb", readMemory},
+        {"maxDescriptors", readDescriptors},
+        {"reservedDescriptors", readReservedDescriptors},
         {"processorShare", readProcessorShare},
         {"longestLeaseMs", milliseconds(&JobSettings::longestLease)},
         {"orderPauseMs", milliseconds(&JobSettings::orderPause)},
--- a/src/oleanderwick/settings/job_settings.hpp
+++ b/src/oleanderwick/settings/job_settings.hpp
@@ -22,6 +22,8 @@
     std::string store; /**< IP address and port of the platform's key-value service. */
     std::string instances; /**< IP address and port of the platform's instance service; empty for none. */
     std::string advice; /**< IP address and port of the advice service; empty for none. */
+    core::ProcessLimits limits; /**< Memory and descriptors that the node may use; 0 for the default, see `core::processLimits`. */
+    std::size_t reservedDescriptors{32}; /**< Descriptors that are not used for sockets. */
     double processorShare{1.0}; /**< CPU cores that the node may use; a node with less than 0.5 waits before it competes for ownership. */
     core::Duration longestLease{std::chrono::seconds{6}}; /**< Maximum duration of a lease that a worker grants. */
     core::Duration orderPause{std::chrono::seconds{3}}; /**< Delay between commands of different owners for one instance. */
--- a/src/oleanderwick/settings/settings.cpp
+++ b/src/oleanderwick/settings/settings.cpp
@@ -109,6 +109,10 @@
 };
 
 constexpr std::uint32_t maxSizeLimitBytes = 64U << 20U;
+constexpr std::uint32_t minMemoryMb = 16;
+constexpr std::uint32_t maxMemoryMb = 1U << 20U;
+constexpr std::uint32_t minDescriptors = 16;
+constexpr std::uint32_t maxDescriptors = 1U << 20U;
 constexpr std::uint32_t maxBalancerDelayMs = 60'000;
 constexpr std::uint32_t maxDigestPeriodMs = 2'000;
 constexpr std::size_t minSecretLength = 16;
@@ -152,6 +156,8 @@
     reader.number("maxBodyBytes", settings.maxBodyBytes, 1, maxSizeLimitBytes);
     reader.number("maxAnswerBytes", settings.maxAnswerBytes, 1, maxSizeLimitBytes);
     reader.number("maxRequests", settings.maxRequests, 1, 1'000'000);
+    reader.number("memoryMb", settings.memoryMb, minMemoryMb, maxMemoryMb);
+    reader.number("maxDescriptors", settings.maxDescriptors, minDescriptors, maxDescriptors);
     reader.number("balancerDelayMs", settings.balancerDelayMs, 0, maxBalancerDelayMs);
     reader.number("digestMs", settings.digestMs, 10, maxDigestPeriodMs);
     reader.rejectUnknown();
--- a/src/oleanderwick/settings/settings.hpp
+++ b/src/oleanderwick/settings/settings.hpp
@@ -54,6 +54,8 @@
     std::uint32_t maxBodyBytes{1U << 20U}; /**< Maximum size of a request body. */
     std::uint32_t maxAnswerBytes{8U << 20U}; /**< Maximum size of an upstream's response body. */
     std::uint32_t maxRequests{10'000}; /**< Maximum number of unanswered requests at once. */
+    std::uint32_t memoryMb{0}; /**< Memory that the node may use, in MiB; 0 for the default, see `core::processLimits`. */
+    std::uint32_t maxDescriptors{0}; /**< File descriptors that the node may use; 0 for all that the system allows. */
     std::uint32_t balancerDelayMs{500}; /**< Time for which a stopping node still accepts requests while the balancer notices. */
     std::uint32_t digestMs{250}; /**< Pause between digest exchanges with a peer, in milliseconds; doubled while this node has no demand. */
 
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -9,7 +9,7 @@
 
 #include "ingress.hpp"
 #include "notices.hpp"
-#include "oleanderwick/http/server.hpp"
+#include "oleanderwick/http/limits.hpp"
 #include "oleanderwick/jobnode/failover_store.hpp"
 #include "relay.hpp"
 #include "service_clients.hpp"
@@ -72,11 +72,42 @@
     return options;
 }
 
-http::ServerLimits serverLimits()
+/** Shares of the listeners in the node's sockets and memory. */
+constexpr double callerShare = 0.75;
+constexpr double internalShare = 0.2;
+constexpr double readinessShare = 0.05;
+/** A submission is a JSON document, a job, its record and the call to the store until it is stored. */
+constexpr std::size_t bytesPerSubmittedByte = 4;
+constexpr std::size_t maxReadinessBodyBytes = 4U << 10U;
+
+/** Returns the node's limits, of descriptors those for sockets. */
+core::ProcessLimits socketLimits(const settings::JobSettings &settings)
+{
+    core::ProcessLimits limits = core::processLimits(settings.limits);
+    limits.descriptors -= std::min(limits.descriptors / 2, settings.reservedDescriptors);
+    return limits;
+}
+
+http::ServerLimits callerLimits(const core::ProcessLimits &process)
 {
     http::ServerLimits limits;
     limits.maxBodyBytes = maxCallBytes;
-    return limits;
+    limits.handlerBytesPerBodyByte = bytesPerSubmittedByte;
+    return http::divideLimits(process, callerShare, limits);
+}
+
+http::ServerLimits internalLimits(const core::ProcessLimits &process)
+{
+    http::ServerLimits limits;
+    limits.maxBodyBytes = maxCallBytes;
+    return http::divideLimits(process, internalShare, limits);
+}
+
+http::ServerLimits readinessLimits(const core::ProcessLimits &process)
+{
+    http::ServerLimits limits;
+    limits.maxBodyBytes = maxReadinessBodyBytes;
+    return http::divideLimits(process, readinessShare, limits);
 }
 
 /** @brief Components of a node on the platform, in order of construction. */
@@ -85,6 +116,7 @@
 public:
     explicit PlatformNode(const settings::JobSettings &settings)
         : m_settings{settings}
+        , m_limits{socketLimits(settings)}
         , m_name{uniqueName(settings.node)}
         , m_log{m_loop, std::make_unique<jobnode::StandardOutput>()}
         , m_connections{m_loop}
@@ -99,16 +131,16 @@
         , m_node{m_loop, jobnode::Ports{m_store, m_workers, m_instances, m_advice, m_translator, &m_notices}, m_name, ownerOptionsOf(settings), m_log}
         , m_ingress{m_loop, m_node, m_translator, m_log}
         , m_callerServer{m_loop,
-                         serverLimits(),
+                         callerLimits(m_limits),
                          [this](const http::Request &request, http::Responder respond) {
                              m_ingress.handle(request, std::move(respond));
                          }}
         , m_readinessServer{m_loop,
-                            serverLimits(),
+                            readinessLimits(m_limits),
                             [this](const http::Request &, const http::Responder &respond) {
                                 respond(http::Response{m_node.isReady() ? 200 : 503, {}, {}});
                             }}
-        , m_internalServer{m_loop, serverLimits(), [this](const http::Request &request, const http::Responder &respond) {
+        , m_internalServer{m_loop, internalLimits(m_limits), [this](const http::Request &request, const http::Responder &respond) {
                                serveInternal(request, respond);
                            }}
     {
@@ -129,7 +161,13 @@
             return internalPort.status();
         }
         setRelays();
-        m_log.add("started", telemetry::Event{"started"}.with("node", m_name).with("zone", m_settings.zone).with("callers", m_settings.callers));
+        m_log.add("started",
+                  telemetry::Event{"started"}
+                      .with("node", m_name)
+                      .with("zone", m_settings.zone)
+                      .with("callers", m_settings.callers)
+                      .with("memory_bytes", static_cast<std::int64_t>(m_limits.memoryBytes))
+                      .with("sockets", static_cast<std::int64_t>(m_limits.descriptors)));
         m_loop.onStopSignal([this] {
             stop();
         });
@@ -208,6 +246,7 @@
     }
 
     settings::JobSettings m_settings;
+    core::ProcessLimits m_limits;
     std::string m_name;
     http::Loop m_loop;
     jobnode::LogSink m_log;
--- a/test/platform/clients/crowds.py
+++ b/test/platform/clients/crowds.py
@@ -2,6 +2,7 @@
 import asyncio
 
 BLOCK_BYTES = 64 * 1024
+MAX_BODY_BYTES = 1 << 20  # The servers' limit on a request body.
 SEND_TIMEOUT_S = 20.0
 
 HEADERS = b" HTTP/1.1\r\nHost: clients.example\r\nContent-Type: application/json\r\nApi-Key: key-1\r\n"
@@ -73,5 +74,27 @@
     await crowd.send(6, crowd.post + b"X-Pad: ", b"a" * BLOCK_BYTES, 48 << 20)
 
 
+async def unfinished_bodies(crowd):
+    announced = b"Content-Length: " + str(MAX_BODY_BYTES).encode() + b"\r\n\r\n"
+    await crowd.send(250, crowd.post + announced, b"a" * BLOCK_BYTES, MAX_BODY_BYTES - 1)
+
+
+async def unfinished_chunked_bodies(crowd):
+    await crowd.send(250, crowd.post + CHUNKED + f"{MAX_BODY_BYTES:x}\r\n".encode(), b"a" * BLOCK_BYTES, MAX_BODY_BYTES - 1)
+
+
+async def oversized_chunked_bodies(crowd):
+    await crowd.send(6, crowd.post + CHUNKED, b"10000\r\n" + b"a" * BLOCK_BYTES + b"\r\n", 48 << 20)
+
+
+async def oversized_announced_bodies(crowd):
+    await crowd.send(6, crowd.post + b"Content-Length: 1000000000000\r\n\r\n", b"a" * BLOCK_BYTES, 48 << 20)
+
+
+async def pipelined_unread(crowd):
+    await crowd.send(20, b"", crowd.get * (BLOCK_BYTES // len(crowd.get)), 4 << 20, timeout_s=3.0)
+
+
 CROWDS = {crowd.__name__: crowd for crowd in (
-    endless_trailers, endless_trailer_line, endless_chunk_extension, endless_header_lines, endless_header_line)}
+    endless_trailers, endless_trailer_line, endless_chunk_extension, endless_header_lines, endless_header_line, unfinished_bodies,
+    unfinished_chunked_bodies, oversized_chunked_bodies, oversized_announced_bodies, pipelined_unread)}
