Close the connections that owe least when there is no room for another

Callers got no answer, and a node spent a whole core, while more clients were connected than it has descriptors, idle or with requests that they didn't finish.

When they are in use, the server closes one for each new one: of the client with the most, one that is refused, idle or at its headers, then one at its body, the oldest first, and never one whose request is being served. A request that has begun is answered with 503 and Retry-After. A failure to accept is followed by a pause.

The test of accepting counts failures: below 100 in 0.3 s.

--- a/src/oleanderwick/http/internal/server_state.hpp
+++ b/src/oleanderwick/http/internal/server_state.hpp
@@ -46,6 +46,13 @@
         return m_draining;
     }
 
+    /** @brief Adds one to a counter. */
+    void count(std::uint64_t ServerFigures::*counter) noexcept
+    {
+        ++(m_figures.*counter);
+    }
+
+    [[nodiscard]] ServerFigures figures() const;
     [[nodiscard]] std::size_t busyConnections() const;
     [[nodiscard]] absl::StatusOr<std::uint16_t> listen(const Endpoint &endpoint);
 
@@ -79,6 +86,8 @@
 private:
     void accept();
     void admit(boost::asio::ip::tcp::socket socket);
+    /** Closes a connection, so that another one has room; false if all are being served. */
+    bool closeOne();
 
     LoopState &m_loop;
     boost::asio::ip::tcp::acceptor m_acceptor;
@@ -86,6 +95,8 @@
     Handler m_handler;
     bool m_draining{false};
     ConnectionTable m_table;
+    ServerFigures m_figures;
+    Deadlines::Timer m_acceptPause;
     std::set<std::shared_ptr<Session>> m_sessions;
 };
 
--- a/src/oleanderwick/http/internal/session.cpp
+++ b/src/oleanderwick/http/internal/session.cpp
@@ -1,5 +1,7 @@
 #include "session.hpp"
 
+#include <sys/socket.h>
+
 #include <absl/strings/str_cat.h>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/write.hpp>
@@ -21,12 +23,30 @@
 constexpr int statusUnavailable = 503;
 constexpr core::Duration retryAfter = std::chrono::seconds{1};
 
+namespace
+{
+
+/** Returns a response as it is sent on a connection that is closed after it. */
+std::string toText(const Response &response)
+{
+    std::string text =
+        absl::StrCat("HTTP/1.1 ", response.status, " ", std::string{beast::http::obsolete_reason(static_cast<beast::http::status>(response.status))}, "\r\n");
+    for (const Header &header : response.headers) {
+        absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
+    }
+    absl::StrAppend(&text, "Connection: close\r\nContent-Length: ", response.body.size(), "\r\n\r\n", response.body);
+    return text;
+}
+
+} // namespace
+
 Session::Session(asio::ip::tcp::socket socket, const std::string &client, std::shared_ptr<ServerState> server)
     : m_stream{std::move(socket)}
     , m_server{std::move(server)}
     , m_timer{m_server->deadlines(), [this] {
                   // The operation in progress fails, which closes the session.
                   error_code ignored;
+                  m_server->count(&ServerFigures::timedOut);
                   m_stream.close(ignored);
               }}
 {
@@ -55,6 +75,16 @@
     m_server->remove(shared_from_this());
 }
 
+void Session::closeForRoom()
+{
+    const std::shared_ptr<Session> self = shared_from_this();
+    if (m_parser.has_value()) {
+        const std::string text = toText(toResponse(noRoom()));
+        (void)::send(m_stream.native_handle(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    close();
+}
+
 void Session::giveUp()
 {
     m_isGivenUp = true;
@@ -246,6 +276,24 @@
     waitForRequest();
 }
 
+Session::Refusal Session::noRoom()
+{
+    return Refusal{statusUnavailable, "overloaded", "no room for the request", true};
+}
+
+Response Session::toResponse(const Refusal &refusal)
+{
+    Response response;
+    response.status = refusal.status;
+    response.headers = {{"Content-Type", "application/problem+json"}};
+    if (refusal.mayReturn) {
+        response.headers.push_back({"Retry-After", absl::StrCat(std::chrono::duration_cast<std::chrono::seconds>(retryAfter).count())});
+    }
+    response.body =
+        absl::StrCat(R"({"status":)", refusal.status, R"(,"outcome":"not-run","reason":")", refusal.reason, R"(","detail":")", refusal.detail, "\"}");
+    return response;
+}
+
 void Session::refuse(const Refusal &refusal)
 {
     m_isGivenUp = false;
@@ -256,15 +304,7 @@
     m_keepAlive = false;
     m_isHead = false;
     m_version = 11;
-    Response response;
-    response.status = refusal.status;
-    response.headers = {{"Content-Type", "application/problem+json"}};
-    if (refusal.mayReturn) {
-        response.headers.push_back({"Retry-After", absl::StrCat(std::chrono::duration_cast<std::chrono::seconds>(retryAfter).count())});
-    }
-    response.body =
-        absl::StrCat(R"({"status":)", refusal.status, R"(,"outcome":"not-run","reason":")", refusal.reason, R"(","detail":")", refusal.detail, "\"}");
-    send(std::move(response));
+    send(toResponse(refusal));
 }
 
 void Session::refuseMalformed(const error_code &error)
@@ -272,12 +312,14 @@
     const int status = error == beast::http::error::body_limit ? statusBodyTooLarge
         : error == beast::http::error::header_limit            ? statusHeadersTooLarge
                                                                : statusBadRequest;
+    m_server->count(status == statusBadRequest ? &ServerFigures::malformed : &ServerFigures::tooLarge);
     refuse(Refusal{status, "bad_request", error.message(), false});
 }
 
 void Session::refuseForRoom()
 {
-    refuse(Refusal{statusUnavailable, "overloaded", "no room for the request", true});
+    m_server->count(&ServerFigures::overloaded);
+    refuse(noRoom());
 }
 
 } // namespace oleanderwick::http::internal
--- a/src/oleanderwick/http/internal/session.hpp
+++ b/src/oleanderwick/http/internal/session.hpp
@@ -34,6 +34,9 @@
     /** @brief Closes the connection. */
     void close();
 
+    /** @brief Closes the connection so that another one has room; a request that has begun is refused, as far as that is possible at once. */
+    void closeForRoom();
+
     /** @brief Frees what the incomplete request holds, and refuses it. */
     void giveUp();
 
@@ -46,6 +49,9 @@
         bool mayReturn; /**< The same request may be accepted later. */
     };
 
+    /** Refusal of a request for which there is no room now. */
+    [[nodiscard]] static Refusal noRoom();
+    [[nodiscard]] static Response toResponse(const Refusal &refusal);
     void setTimeout(core::Duration timeout);
     void waitForRequest();
     void read(std::size_t maxBytes);
--- a/src/oleanderwick/http/server.cpp
+++ b/src/oleanderwick/http/server.cpp
@@ -18,6 +18,9 @@
 namespace
 {
 
+/** Time after a failure to accept, mostly for want of descriptors, until the next attempt. */
+constexpr core::Duration acceptPause = std::chrono::milliseconds{50};
+
 ConnectionLimits connectionLimits(const ServerLimits &limits)
 {
     // A sixteenth of the connections is left for requests that are refused because all others are being served.
@@ -34,7 +37,19 @@
     , m_limits{limits}
     , m_handler{std::move(handler)}
     , m_table{connectionLimits(limits)}
+    , m_acceptPause{loop.deadlines, [this] {
+                        accept();
+                    }}
+{
+}
+
+ServerFigures ServerState::figures() const
 {
+    ServerFigures figures = m_figures;
+    figures.connections = m_table.size();
+    figures.serving = m_table.serving();
+    figures.heldBytes = m_table.heldBytes();
+    return figures;
 }
 
 std::size_t ServerState::busyConnections() const
@@ -77,9 +92,13 @@
         if (error == asio::error::operation_aborted || !self->m_acceptor.is_open()) {
             return;
         }
-        if (!error) {
-            self->admit(std::move(socket));
+        if (error) {
+            self->count(&ServerFigures::acceptFailures);
+            self->closeOne();
+            self->m_acceptPause.arm(core::BootClock::now() + acceptPause);
+            return;
         }
+        self->admit(std::move(socket));
         self->accept();
     });
 }
@@ -88,7 +107,7 @@
 {
     error_code error;
     const asio::ip::tcp::endpoint client = socket.remote_endpoint(error);
-    if (error || !m_table.hasRoom()) {
+    if (error || (!m_table.hasRoom() && !closeOne())) {
         return;
     }
     const std::shared_ptr<Session> session = std::make_shared<Session>(std::move(socket), client.address().to_string(), shared_from_this());
@@ -96,6 +115,17 @@
     session->start();
 }
 
+bool ServerState::closeOne()
+{
+    const ConnectionTable::Entry *entry = m_table.chooseToClose();
+    if (entry == nullptr) {
+        return false;
+    }
+    count(&ServerFigures::closedForRoom);
+    entry->session()->closeForRoom();
+    return true;
+}
+
 bool ServerState::makeRoomFor(const ConnectionTable::Entry &requester)
 {
     while (m_table.isOverHeldBytes()) {
@@ -113,6 +143,7 @@
 {
     m_draining = true;
     error_code ignored;
+    m_acceptPause.disarm();
     m_acceptor.close(ignored);
     const std::set<std::shared_ptr<Session>> sessions = m_sessions;
     for (const std::shared_ptr<Session> &session : sessions) {
@@ -126,6 +157,7 @@
 {
     m_draining = true;
     error_code ignored;
+    m_acceptPause.disarm();
     m_acceptor.close(ignored);
     // A session removes itself when it closes, and both refer to each other: a loop that runs no more handlers would never free them.
     const std::set<std::shared_ptr<Session>> sessions = std::move(m_sessions);
@@ -147,6 +179,11 @@
     m_state->shutDown();
 }
 
+ServerFigures Server::figures() const
+{
+    return m_state->figures();
+}
+
 std::size_t Server::busyConnections() const
 {
     return m_state->busyConnections();
--- a/src/oleanderwick/http/server.hpp
+++ b/src/oleanderwick/http/server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -33,6 +34,21 @@
     [[nodiscard]] bool operator==(const ServerLimits &) const = default;
 };
 
+/** @brief What the connections of a server use, and what it has refused or closed since its start. */
+struct ServerFigures {
+    std::size_t connections{0};
+    std::size_t serving{0}; /**< Requests that are handled or whose response is being sent. */
+    std::size_t heldBytes{0}; /**< Memory that requests and responses hold. */
+    std::uint64_t malformed{0}; /**< Requests refused with 400. */
+    std::uint64_t tooLarge{0}; /**< Requests refused with 413 or 431. */
+    std::uint64_t overloaded{0}; /**< Requests refused with 503 for want of room. */
+    std::uint64_t closedForRoom{0}; /**< Connections closed so that others have room. */
+    std::uint64_t timedOut{0}; /**< Connections closed because a request, a response or the next request took too long. */
+    std::uint64_t acceptFailures{0};
+
+    [[nodiscard]] bool operator==(const ServerFigures &) const = default;
+};
+
 /** @brief Sends the response to one request; called once, from any thread. */
 using Responder = std::function<void(Response)>;
 /** @brief Called with each complete request, on the loop's thread. */
@@ -55,6 +71,9 @@
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
 
+    /** @return Figures of this moment. For the loop's thread only. */
+    [[nodiscard]] ServerFigures figures() const;
+
     /** @return Number of connections with a request in progress, from its first byte until its response is sent. */
     [[nodiscard]] std::size_t busyConnections() const;
 
--- a/test/oleanderwick/http/server.cpp
+++ b/test/oleanderwick/http/server.cpp
@@ -1,11 +1,16 @@
 #include <catch2/catch.hpp>
 
+#include <future>
 #include <memory>
 #include <thread>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include "oleanderwick/http/http.hpp"
@@ -20,9 +25,9 @@
 class EchoServer
 {
 public:
-    EchoServer()
+    explicit EchoServer(const http::ServerLimits &serverLimits = limits())
         : m_server{m_loop,
-                   limits(),
+                   serverLimits,
                    [this](http::Request request, const http::Responder &respond) {
                        ++m_handled;
                        respond(http::Response{200, {{"X-Target", request.target}}, std::move(request.body)});
@@ -48,6 +53,15 @@
         return m_port;
     }
 
+    [[nodiscard]] http::ServerFigures figures()
+    {
+        std::promise<http::ServerFigures> figures;
+        m_loop.post([this, &figures] {
+            figures.set_value(m_server.figures());
+        });
+        return figures.get_future().get();
+    }
+
     [[nodiscard]] int handled() const
     {
         return m_handled;
@@ -149,6 +163,60 @@
     CHECK(handled.use_count() == 1);
 }
 
+TEST_CASE("A server without descriptors does not spin, and accepts again once it has some", "[http]")
+{
+    constexpr rlim_t fewDescriptors = 64;
+    EchoServer echo;
+    asio::io_context context;
+    asio::ip::tcp::socket socket{context, asio::ip::tcp::v4()};
+    rlimit before{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+    const rlimit lowered{fewDescriptors, before.rlim_max};
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+    std::vector<int> fillers;
+    for (int descriptor = ::dup(0); descriptor >= 0; descriptor = ::dup(0)) {
+        fillers.push_back(descriptor);
+    }
+    socket.connect({asio::ip::address_v4::loopback(), echo.port()});
+    std::this_thread::sleep_for(std::chrono::milliseconds{300});
+    const std::uint64_t failures = echo.figures().acceptFailures;
+    for (const int descriptor : fillers) {
+        ::close(descriptor);
+    }
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &before) == 0);
+    CHECK(failures > 0);
+    CHECK(failures < 100);
+    asio::write(socket, asio::buffer(std::string{"GET /late HTTP/1.1\r\nConnection: close\r\n\r\n"}));
+    std::string answer;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 200"));
+}
+
+TEST_CASE("Server refuses the oldest incomplete request and closes its connection if a new one has no room", "[http]")
+{
+    http::ServerLimits limits;
+    limits.maxConnections = 4;
+    EchoServer echo{limits};
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> sockets;
+    const std::string start = "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n";
+    for (int count = 0; count < 5; ++count) {
+        sockets.emplace_back(context).connect({asio::ip::address_v4::loopback(), echo.port()});
+        asio::write(sockets.back(), asio::buffer(start));
+        std::string interim;
+        const std::size_t received = asio::read_until(sockets.back(), asio::dynamic_buffer(interim), "\r\n\r\n");
+        CHECK(received == interim.size());
+    }
+    std::string answer;
+    boost::system::error_code error;
+    asio::read(sockets.front(), asio::dynamic_buffer(answer), error);
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 503") && Catch::Contains("Retry-After: 1") && Catch::Contains("not-run"));
+    CHECK(echo.figures().closedForRoom == 1);
+    CHECK(echo.figures().connections == 4);
+    CHECK(echo.handled() == 0);
+}
+
 TEST_CASE("removeHopByHop removes hop-by-hop headers and those that Connection lists", "[http]")
 {
     std::vector<http::Header> headers{{"Connection", "close, X-Own"}, {"x-own", "1"}, {"TE", "trailers"}, {"Accept", "*/*"}};
--- a/test/platform/clients/crowds.py
+++ b/test/platform/clients/crowds.py
@@ -95,6 +95,19 @@
     await crowd.send(20, b"", crowd.get * (BLOCK_BYTES // len(crowd.get)), 4 << 20, timeout_s=3.0)
 
 
+async def idle_connections(crowd):
+    await crowd.send(500, b"")
+
+
+async def unfinished_headers(crowd):
+    await crowd.send(500, crowd.post)
+
+
+async def unfinished_small_bodies(crowd):
+    await crowd.send(500, crowd.post + b"Content-Length: 100\r\n\r\n{")
+
+
 CROWDS = {crowd.__name__: crowd for crowd in (
     endless_trailers, endless_trailer_line, endless_chunk_extension, endless_header_lines, endless_header_line, unfinished_bodies,
-    unfinished_chunked_bodies, oversized_chunked_bodies, oversized_announced_bodies, pipelined_unread)}
+    unfinished_chunked_bodies, oversized_chunked_bodies, oversized_announced_bodies, pipelined_unread, idle_connections, unfinished_headers,
+    unfinished_small_bodies)}
