Let a refused client receive its refusal

Callers whose request is over a limit saw a broken connection in place of 413, 431 or 503: their send failed.

Cause: the server closed the connection with unread bytes, which resets it.

Change: after a refusal it shuts down its side and drops what the client still sends, up to 4 MiB and for 2 s. Such a connection is the first to be closed when there is no room for another, and a stopping node doesn't wait for it.

Evidence: the new test sends a request of 3 MiB whole to a server that allows 100 bytes, announced and chunked, and reads then. A client that never stops sending is disconnected.

--- a/src/oleanderwick/http/internal/session.cpp
+++ b/src/oleanderwick/http/internal/session.cpp
@@ -21,6 +21,9 @@
 constexpr int statusBodyTooLarge = 413;
 constexpr int statusHeadersTooLarge = 431;
 constexpr int statusUnavailable = 503;
+/** What a refused client may still send, and for how long, before its connection is closed. */
+constexpr std::size_t maxDroppedBytes = 4U << 20U;
+constexpr core::Duration maxLingerTime = std::chrono::seconds{2};
 constexpr core::Duration retryAfter = std::chrono::seconds{1};
 
 namespace
@@ -263,6 +266,10 @@
     m_serializer->split(m_isHead);
     setTimeout(m_server->limits().bodyTimeout);
     beast::http::async_write(m_stream, *m_serializer, [self = shared_from_this(), closing](const error_code &error, std::size_t) {
+        if (self->m_isRefused && !error) {
+            self->linger();
+            return;
+        }
         self->onSent(error || closing);
     });
 }
@@ -276,6 +283,31 @@
     waitForRequest();
 }
 
+void Session::linger()
+{
+    if (!m_entry.has_value()) {
+        return;
+    }
+    m_busy = false;
+    error_code ignored;
+    m_stream.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    setTimeout(maxLingerTime);
+    onDropped({}, 0);
+}
+
+void Session::onDropped(const error_code &error, std::size_t bytes)
+{
+    m_droppedBytes += bytes;
+    if (error || m_droppedBytes > maxDroppedBytes) {
+        close();
+        return;
+    }
+    m_buffer.clear();
+    m_stream.async_read_some(m_buffer.prepare(headerReadBytes), [self = shared_from_this()](const error_code &failed, std::size_t received) {
+        self->onDropped(failed, received);
+    });
+}
+
 Session::Refusal Session::noRoom()
 {
     return Refusal{statusUnavailable, "overloaded", "no room for the request", true};
@@ -297,8 +329,10 @@
 void Session::refuse(const Refusal &refusal)
 {
     m_isGivenUp = false;
+    m_isRefused = true;
     m_parser.reset();
     m_buffer.clear();
+    m_buffer.shrink_to_fit();
     m_entry->hold(0);
     m_entry->enter(ConnectionPhase::Closing);
     m_keepAlive = false;
--- a/src/oleanderwick/http/internal/session.hpp
+++ b/src/oleanderwick/http/internal/session.hpp
@@ -64,6 +64,9 @@
     [[nodiscard]] bool reserve(std::size_t bytes);
     void send(Response response);
     void onSent(bool closing);
+    /** Drops what a refused client still sends, because closing the connection before would destroy the refusal on its way. */
+    void linger();
+    void onDropped(const error_code &error, std::size_t bytes);
     void refuse(const Refusal &refusal);
     void refuseMalformed(const error_code &error);
     void refuseForRoom();
@@ -78,6 +81,8 @@
     std::optional<beast::http::response_serializer<beast::http::string_body>> m_serializer;
     bool m_busy{false};
     bool m_isGivenUp{false}; /**< The operation in progress was cancelled, and the request is to be refused. */
+    bool m_isRefused{false}; /**< The refusal is the last response, and what follows the refused request is dropped. */
+    std::size_t m_droppedBytes{0};
     bool m_keepAlive{true};
     bool m_isHead{false};
     unsigned m_version{11};
--- a/test/oleanderwick/http/server.cpp
+++ b/test/oleanderwick/http/server.cpp
@@ -193,6 +193,41 @@
     CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 200"));
 }
 
+TEST_CASE("A client that sends its whole request although it was refused receives the refusal", "[http]")
+{
+    const EchoServer echo;
+    const std::string head = GENERATE("POST / HTTP/1.1\r\nContent-Length: 3145728\r\n\r\n", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n300000\r\n");
+    const std::string body(3U << 20U, 'a');
+    asio::io_context context;
+    asio::ip::tcp::socket socket{context};
+    socket.connect({asio::ip::address_v4::loopback(), echo.port()});
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(head + body), error);
+    CHECK_FALSE(error);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    CHECK(error == asio::error::eof);
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 413") && Catch::Contains("not-run"));
+    CHECK(echo.handled() == 0);
+}
+
+TEST_CASE("Server closes the connection of a refused client that does not stop sending", "[http]")
+{
+    const EchoServer echo;
+    asio::io_context context;
+    asio::ip::tcp::socket socket{context};
+    socket.connect({asio::ip::address_v4::loopback(), echo.port()});
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(std::string{"POST / HTTP/1.1\r\nContent-Length: 1000000000000\r\n\r\n"}), error);
+    const std::string block(1U << 20U, 'a');
+    int blocks = 0;
+    while (!error && blocks < 1000) {
+        asio::write(socket, asio::buffer(block), error);
+        ++blocks;
+    }
+    CHECK(blocks < 100);
+}
+
 TEST_CASE("Server refuses the oldest incomplete request and closes its connection if a new one has no room", "[http]")
 {
     http::ServerLimits limits;
