Bound what all responses to a node's requests hold together

Callers saw a node end when workers, instances or the store answered with bodies of several MiB at once, without end or without their last part, and when callers of the node by itself asked for large answers and didn't read them (std::bad_alloc).

Cause: a response may have 8 MiB (64 MiB for the blocking client, of which a node has several), whatever was asked, and nothing counted them together. An answer that a caller doesn't read was held until the timeout of its connection.

Change: MemoryBudget counts what responses hold until their last copy is gone, also while they are sent on; a quarter is reserved for small ones and for the store and the list of instances.

--- a/src/oleanderwick/http/fwd.hpp
+++ b/src/oleanderwick/http/fwd.hpp
@@ -11,6 +11,7 @@
 struct Exchange;
 struct ExchangeResult;
 class Loop;
+class MemoryBudget;
 class Server;
 class Client;
 class UpstreamConnections;
--- a/src/oleanderwick/http/http.hpp
+++ b/src/oleanderwick/http/http.hpp
@@ -8,6 +8,7 @@
 #include "fwd.hpp"
 #include "limits.hpp"
 #include "loop.hpp"
+#include "memory_budget.hpp"
 #include "message.hpp"
 #include "server.hpp"
 #include "upstream_links.hpp"
--- a/src/oleanderwick/http/internal/session.cpp
+++ b/src/oleanderwick/http/internal/session.cpp
@@ -108,6 +108,7 @@
     m_busy = false;
     m_serializer.reset();
     m_response.reset();
+    m_responseMemory.reset();
     m_entry->enter(ConnectionPhase::Waiting);
     m_entry->hold(0);
     if (m_buffer.size() > 0) {
@@ -258,7 +259,8 @@
         // Keeps the handler's headers: Content-Length may be that of a body which a response to HEAD omits.
         m_response->body().clear();
     } else {
-        m_entry->hold(response.body.size() > minHeldBytes ? response.body.size() : 0);
+        m_responseMemory = std::move(response.memory);
+        m_entry->hold(m_responseMemory == nullptr && response.body.size() > minHeldBytes ? response.body.size() : 0);
         m_response->body() = std::move(response.body);
         m_response->prepare_payload();
     }
--- a/src/oleanderwick/http/internal/session.hpp
+++ b/src/oleanderwick/http/internal/session.hpp
@@ -79,6 +79,7 @@
     std::optional<MessageParser<true>> m_parser;
     std::optional<beast::http::response<beast::http::string_body>> m_response;
     std::optional<beast::http::response_serializer<beast::http::string_body>> m_serializer;
+    std::shared_ptr<const MemoryBudget::Share> m_responseMemory;
     bool m_busy{false};
     bool m_isGivenUp{false}; /**< The operation in progress was cancelled, and the request is to be refused. */
     bool m_isRefused{false}; /**< The refusal is the last response, and what follows the refused request is dropped. */
--- a/src/oleanderwick/http/limits.cpp
+++ b/src/oleanderwick/http/limits.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "upstream_links.hpp"
+
 namespace oleanderwick::http
 {
 
@@ -29,4 +31,9 @@
     return limits;
 }
 
+std::size_t responseBytes(const core::ProcessLimits &process)
+{
+    return std::max(process.memoryBytes / 8, 2 * Exchange{}.maxResponseBytes);
+}
+
 } // namespace oleanderwick::http
--- a/src/oleanderwick/http/limits.hpp
+++ b/src/oleanderwick/http/limits.hpp
@@ -18,4 +18,11 @@
  */
 [[nodiscard]] ServerLimits divideLimits(const core::ProcessLimits &process, double share, ServerLimits limits = {});
 
+/**
+ * @brief Returns the memory of responses to the process's own requests.
+ * @param process Memory of the process.
+ * @return An eighth of it, but enough for two of the largest responses.
+ */
+[[nodiscard]] std::size_t responseBytes(const core::ProcessLimits &process);
+
 } // namespace oleanderwick::http
--- a/src/oleanderwick/http/message.hpp
+++ b/src/oleanderwick/http/message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -8,6 +9,7 @@
 #include <absl/status/statusor.h>
 
 #include "fwd.hpp"
+#include "memory_budget.hpp"
 
 namespace oleanderwick::http
 {
@@ -35,6 +37,7 @@
     int status{200};
     std::vector<Header> headers;
     std::string body;
+    std::shared_ptr<const MemoryBudget::Share> memory{nullptr}; /**< Memory that the response counts with until its last copy is gone; may be null. */
 
     [[nodiscard]] bool operator==(const Response &) const = default;
 };
--- a/src/oleanderwick/http/upstream_links.cpp
+++ b/src/oleanderwick/http/upstream_links.cpp
@@ -71,11 +71,17 @@
 class ConnectionsState : public std::enable_shared_from_this<ConnectionsState>
 {
 public:
-    explicit ConnectionsState(LoopState &loop)
+    ConnectionsState(LoopState &loop, std::size_t maxHeldBytes)
         : m_loop{loop}
+        , m_memory{std::make_shared<MemoryBudget>(maxHeldBytes)}
     {
     }
 
+    [[nodiscard]] const std::shared_ptr<MemoryBudget> &memory() const noexcept
+    {
+        return m_memory;
+    }
+
     [[nodiscard]] LoopState &loop() noexcept
     {
         return m_loop;
@@ -142,6 +148,7 @@
 
 private:
     LoopState &m_loop;
+    std::shared_ptr<MemoryBudget> m_memory;
     std::map<std::string, std::deque<IdleConnection>> m_idle;
     std::map<std::string, LimitedExchanges> m_limited;
 };
@@ -154,6 +161,7 @@
         : m_connections{std::move(connections)}
         , m_exchange{std::move(exchange)}
         , m_onResult{std::move(onResult)}
+        , m_memory{std::make_shared<MemoryBudget::Share>(m_connections->memory(), m_exchange.mayUseReserve)}
         , m_deadline{core::BootClock::now() + m_exchange.timeout}
         , m_timer{m_connections->loop().deadlines, [this] {
                       onDeadline();
@@ -302,6 +310,10 @@
         switch (step) {
         case ParseStep::NeedsMore:
         case ParseStep::HeaderComplete:
+            if (!m_memory->resize(m_buffer.capacity() + m_parser->heldBytes())) {
+                finish(ExchangeOutcome::TooLarge);
+                return;
+            }
             read(m_parser->is_header_done() ? bodyReadBytes : firstReadBytes);
             return;
         case ParseStep::Complete:
@@ -347,6 +359,7 @@
         result.outcome = outcome;
         if (outcome == ExchangeOutcome::Complete) {
             result.response = m_parser->release();
+            result.response.memory = std::move(m_memory);
             result.leaving = findHeader(result.response.headers, leavingHeader) != nullptr;
         }
         m_stream.reset();
@@ -363,6 +376,7 @@
     std::shared_ptr<ConnectionsState> m_connections;
     Exchange m_exchange;
     UpstreamConnections::OnResult m_onResult;
+    std::shared_ptr<MemoryBudget::Share> m_memory; /**< Of the response. */
     core::TimePoint m_deadline;
     Deadlines::Timer m_timer;
     bool m_timedOut{false};
@@ -416,8 +430,8 @@
 
 } // namespace internal
 
-UpstreamConnections::UpstreamConnections(Loop &loop)
-    : m_state{std::make_shared<internal::ConnectionsState>(loop.state())}
+UpstreamConnections::UpstreamConnections(Loop &loop, std::size_t maxHeldBytes)
+    : m_state{std::make_shared<internal::ConnectionsState>(loop.state(), maxHeldBytes)}
 {
     const std::weak_ptr<internal::ConnectionsState> weak = m_state;
     loop.every(std::chrono::seconds{1}, [weak] {
@@ -437,4 +451,9 @@
     std::make_shared<internal::Attempt>(m_state, std::move(exchange), std::move(onResult))->start();
 }
 
+std::size_t UpstreamConnections::heldBytes() const noexcept
+{
+    return m_state->memory()->usedBytes();
+}
+
 } // namespace oleanderwick::http
--- a/src/oleanderwick/http/upstream_links.hpp
+++ b/src/oleanderwick/http/upstream_links.hpp
@@ -26,6 +26,7 @@
     core::Duration timeout{}; /**< Maximum time until the response is complete. */
     bool freshConnection{false}; /**< Use only a connection that is new or was used within the last second. */
     std::size_t maxResponseBytes{8U << 20U};
+    bool mayUseReserve{false}; /**< A large response may use the memory that is reserved for small ones; for services that the node depends on. */
     std::size_t maxIdleConnections{8}; /**< Maximum number of idle connections that are kept to the upstream afterwards. */
     /** Maximum number of limited exchanges with the upstream at the same time; further ones wait for one of them to end. 0 for no limit. */
     std::size_t maxConcurrent{0};
@@ -48,14 +49,18 @@
 class UpstreamConnections
 {
 public:
+    /** Default of `maxHeldBytes`. */
+    static constexpr std::size_t defaultHeldBytes = 32U << 20U;
+
     /** @brief Called once with the result of an exchange. */
     using OnResult = std::function<void(ExchangeResult)>;
 
     /**
      * @brief Constructs an object without connections.
      * @param loop Loop to run on; has to outlive this object.
+     * @param maxHeldBytes Memory that all responses may hold, from their arrival until their last copy is gone.
      */
-    explicit UpstreamConnections(Loop &loop);
+    explicit UpstreamConnections(Loop &loop, std::size_t maxHeldBytes = defaultHeldBytes);
     ~UpstreamConnections();
     UpstreamConnections(const UpstreamConnections &) = delete;
     UpstreamConnections &operator=(const UpstreamConnections &) = delete;
@@ -67,6 +72,9 @@
      */
     void start(Exchange exchange, OnResult onResult);
 
+    /** @return Memory that responses hold. */
+    [[nodiscard]] std::size_t heldBytes() const noexcept;
+
 private:
     std::shared_ptr<internal::ConnectionsState> m_state;
 };
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -109,7 +109,7 @@
         , m_idempotencyRing{internal::storeRingSize}
         , m_telemetryRing{internal::telemetryRingSize}
         , m_keeper{m_decisionRing}
-        , m_upstreams{m_loop}
+        , m_upstreams{m_loop, std::max<std::size_t>(http::responseBytes(m_limits), 2 * std::size_t{m_settings.maxAnswerBytes})}
         , m_callerApi{m_self, m_loop, m_upstreams, m_decisionRing, m_idempotencyRing, m_keeper, m_fleetSize, m_settings.maxRequests, m_settings.maxAnswerBytes}
         , m_operatorApi{m_settings,
                         m_keeper,
--- a/src/platform/notices.cpp
+++ b/src/platform/notices.cpp
@@ -10,6 +10,7 @@
 
 /** Well above the time for which an owner with little processor time is busy; one message is in flight at a time. */
 constexpr core::Duration noticeTimeout = std::chrono::milliseconds{500};
+constexpr std::size_t maxReplyBytes = 64U << 10U;
 constexpr int notTheOwner = 421;
 
 } // namespace internal
@@ -23,6 +24,7 @@
 {
     http::Exchange exchange = makeExchange(address, "POST", noticePath, {}, internal::noticeTimeout);
     exchange.request.body = jobnode::toText(notices);
+    exchange.maxResponseBytes = internal::maxReplyBytes;
     m_connections.start(std::move(exchange), [reply = std::move(onReply)](const http::ExchangeResult &result) {
         const int status = result.outcome == routing::ExchangeOutcome::Complete ? result.response.status : 0;
         reply(status == 204                         ? jobnode::NoticeOutcome::Delivered
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -29,9 +29,10 @@
     if (!request.body.empty()) {
         exchange.request.headers.push_back({"Content-Type", "application/json"});
     }
+    exchange.mayUseReserve = true;
     m_connections.start(std::move(exchange), [respond](const http::ExchangeResult &result) {
         if (result.outcome == routing::ExchangeOutcome::Complete) {
-            respond(http::Response{result.response.status, {{"Content-Type", "application/json"}}, result.response.body});
+            respond(http::Response{result.response.status, {{"Content-Type", "application/json"}}, result.response.body, result.response.memory});
         } else {
             respond(http::Response{certainlyNotSent(result.outcome) ? 503 : 504, {}, {}});
         }
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -119,7 +119,7 @@
         , m_limits{socketLimits(settings)}
         , m_name{uniqueName(settings.node)}
         , m_log{m_loop, std::make_unique<jobnode::StandardOutput>()}
-        , m_connections{m_loop}
+        , m_connections{m_loop, http::responseBytes(m_limits)}
         , m_directStore{m_connections, settings.store}
         , m_store{m_loop, m_directStore, m_log}
         , m_relay{m_connections, settings.store}
--- a/src/platform/service_clients.cpp
+++ b/src/platform/service_clients.cpp
@@ -14,6 +14,9 @@
 constexpr core::Duration commandTimeout = std::chrono::milliseconds{1500};
 /** Longer than the others, because the service takes time for each worker of the request. */
 constexpr core::Duration adviceTimeout = std::chrono::milliseconds{3000};
+constexpr std::size_t maxCommandReplyBytes = 64U << 10U;
+/** A request names at most 100 workers, each of which gets one ticket. */
+constexpr std::size_t maxAdviceBytes = 256U << 10U;
 
 jobs::InstanceState instanceState(const std::string &text)
 {
@@ -68,34 +71,35 @@
     if (!page.empty()) {
         absl::StrAppend(&target, "?page_token=", page);
     }
-    m_connections.start(makeExchange(m_address, "GET", std::move(target), {}, internal::listTimeout),
-                        [this, found, reply = std::move(onReply)](const http::ExchangeResult &result) {
-                            const json body = parseObject(result.response.body);
-                            if (result.outcome != routing::ExchangeOutcome::Complete || result.response.status != 200 || !body.contains("machines")
-                                || !body["machines"].is_array()) {
-                                reply(std::nullopt);
-                                return;
-                            }
-                            for (const json &row : body["machines"]) {
-                                if (row.is_object()) {
-                                    const std::string id = readString(row, "machine");
-                                    // `machine` is the id of the instance, `id` that of the worker on it.
-                                    const json capacity = row.value("capacity", json::object());
-                                    (*found)[id] = jobs::InstanceEntry{id,
-                                                                       readString(row, "pool"),
-                                                                       readString(row, "id"),
-                                                                       internal::instanceState(readString(row, "state")),
-                                                                       capacity.is_object() ? readResources(capacity) : jobs::Resources{},
-                                                                       readString(row, "zone")};
-                                }
-                            }
-                            const json next = body.value("next_token", json{});
-                            if (next.is_null()) {
-                                reply(std::move(*found));
-                                return;
-                            }
-                            listPage(next.is_string() ? next.get<std::string>() : next.dump(), found, reply);
-                        });
+    http::Exchange exchange = makeExchange(m_address, "GET", std::move(target), {}, internal::listTimeout);
+    exchange.mayUseReserve = true;
+    m_connections.start(std::move(exchange), [this, found, reply = std::move(onReply)](const http::ExchangeResult &result) {
+        const json body = parseObject(result.response.body);
+        if (result.outcome != routing::ExchangeOutcome::Complete || result.response.status != 200 || !body.contains("machines")
+            || !body["machines"].is_array()) {
+            reply(std::nullopt);
+            return;
+        }
+        for (const json &row : body["machines"]) {
+            if (row.is_object()) {
+                const std::string id = readString(row, "machine");
+                // `machine` is the id of the instance, `id` that of the worker on it.
+                const json capacity = row.value("capacity", json::object());
+                (*found)[id] = jobs::InstanceEntry{id,
+                                                   readString(row, "pool"),
+                                                   readString(row, "id"),
+                                                   internal::instanceState(readString(row, "state")),
+                                                   capacity.is_object() ? readResources(capacity) : jobs::Resources{},
+                                                   readString(row, "zone")};
+            }
+        }
+        const json next = body.value("next_token", json{});
+        if (next.is_null()) {
+            reply(std::move(*found));
+            return;
+        }
+        listPage(next.is_string() ? next.get<std::string>() : next.dump(), found, reply);
+    });
 }
 
 void InstanceClient::sendCommand(const char *target,
@@ -104,6 +108,7 @@
                                  std::function<void(jobs::InstanceOutcome)> onReply)
 {
     http::Exchange exchange = makeExchange(m_address, "POST", target, parseObject(body), internal::commandTimeout);
+    exchange.maxResponseBytes = internal::maxCommandReplyBytes;
     exchange.sendBefore = permit.sendBefore;
     exchange.request.headers.push_back({leaseHolderHeader, m_holder});
     exchange.request.headers.push_back({fencingTokenHeader, absl::StrCat(permit.token)});
@@ -132,23 +137,24 @@
 {
     const std::string step = absl::StrCat(request.step.job, ".", request.step.occurrence, ".", request.step.step);
     const json body{{"step", step}, {"workers", request.workers}};
-    m_connections.start(makeExchange(m_address, "POST", "/v1/advise", body, internal::adviceTimeout),
-                        [reply = std::move(onReply)](const http::ExchangeResult &result) {
-                            const json replyBody = parseObject(result.response.body);
-                            if (result.outcome != routing::ExchangeOutcome::Complete || result.response.status != 200 || !replyBody.contains("good")
-                                || !replyBody["good"].is_array()) {
-                                reply(std::nullopt);
-                                return;
-                            }
-                            jobs::AdviceReply advice;
-                            for (const json &row : replyBody["good"]) {
-                                if (row.is_array() && row.size() >= 2 && row[0].is_string() && row[1].is_string()) {
-                                    advice.tickets[row[0].get<std::string>()] = row[1].get<std::string>();
-                                }
-                            }
-                            advice.validFor = std::chrono::milliseconds{readInteger(replyBody, "valid_ms")};
-                            reply(std::move(advice));
-                        });
+    http::Exchange exchange = makeExchange(m_address, "POST", "/v1/advise", body, internal::adviceTimeout);
+    exchange.maxResponseBytes = internal::maxAdviceBytes;
+    m_connections.start(std::move(exchange), [reply = std::move(onReply)](const http::ExchangeResult &result) {
+        const json replyBody = parseObject(result.response.body);
+        if (result.outcome != routing::ExchangeOutcome::Complete || result.response.status != 200 || !replyBody.contains("good")
+            || !replyBody["good"].is_array()) {
+            reply(std::nullopt);
+            return;
+        }
+        jobs::AdviceReply advice;
+        for (const json &row : replyBody["good"]) {
+            if (row.is_array() && row.size() >= 2 && row[0].is_string() && row[1].is_string()) {
+                advice.tickets[row[0].get<std::string>()] = row[1].get<std::string>();
+            }
+        }
+        advice.validFor = std::chrono::milliseconds{readInteger(replyBody, "valid_ms")};
+        reply(std::move(advice));
+    });
 }
 
 } // namespace oleanderwick::platform
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -130,6 +130,7 @@
 void StoreClient::call(http::Exchange exchange, OnReply onReply, const char *list)
 {
     exchange.request.target.insert(0, m_pathPrefix);
+    exchange.mayUseReserve = true;
     m_connections.start(std::move(exchange), [reply = std::move(onReply), list](const http::ExchangeResult &result) {
         reply(readStoreReply(result, list));
     });
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -20,12 +20,17 @@
 /** Workers return at most so many run ends; further ones follow after an acknowledgement. */
 constexpr std::size_t maxReportedEnds = 500;
 
+/** A report lists the runs on one worker and at most 500 ends. */
+constexpr std::size_t maxReportBytes = 2U << 20U;
+constexpr std::size_t maxCommandReplyBytes = 64U << 10U;
+
 /** Commands to one worker that are in flight at once; a new connection for each of many would cost more than waiting for the one before. */
 constexpr std::size_t maxConcurrentCommands = 2;
 
 http::Exchange makePoll(const std::string &address, const std::string &worker, const json &body, core::Duration timeout, core::TimePoint sendBefore)
 {
     http::Exchange exchange = makeExchange(address, "POST", "/v1/hold", body, timeout);
+    exchange.maxResponseBytes = maxReportBytes;
     exchange.request.headers.push_back({expectedWorkerHeader, worker});
     exchange.sendBefore = sendBefore;
     return exchange;
@@ -34,6 +39,7 @@
 http::Exchange makeCommand(const std::string &address, const std::string &worker, const char *target, const json &body, core::TimePoint sendBefore)
 {
     http::Exchange exchange = makeExchange(address, "POST", target, body, commandTimeout);
+    exchange.maxResponseBytes = maxCommandReplyBytes;
     exchange.request.headers.push_back({expectedWorkerHeader, worker});
     exchange.maxConcurrent = maxConcurrentCommands;
     exchange.sendBefore = sendBefore;
--- a/test/platform/clients/answers.py
+++ b/test/platform/clients/answers.py
@@ -26,4 +26,14 @@
     await send(writer, OK + b"X-Pad: ", b"a" * BLOCK_BYTES, TOTAL_BYTES)
 
 
-ANSWERS = {answer.__name__: answer for answer in (endless_trailers, endless_chunk_extension, endless_header_line)}
+async def endless_chunks(writer):
+    await send(writer, CHUNKED, b"10000\r\n" + b"a" * BLOCK_BYTES + b"\r\n", TOTAL_BYTES)
+
+
+async def unfinished_body(writer):
+    size = 8 << 20
+    await send(writer, OK + f"Content-Length: {size}\r\n\r\n".encode(), b"a" * BLOCK_BYTES, size - BLOCK_BYTES)
+
+
+ANSWERS = {answer.__name__: answer for answer in (
+    endless_trailers, endless_chunk_extension, endless_header_line, endless_chunks, unfinished_body)}
--- a/test/platform/clients/processes.py
+++ b/test/platform/clients/processes.py
@@ -21,6 +21,7 @@
 # The process keeps so many descriptors free for itself.
 FREE_DESCRIPTORS = 16
 REQUEST_TIMEOUT_S = 30.0
+LARGE_ANSWER_BYTES = 4 << 20
 START_TIMEOUT_S = 20.0
 SAMPLE_INTERVAL_S = 0.02
 SETTLE_TIMEOUT_S = 10.0
@@ -200,7 +201,7 @@
         self.process = None
 
     async def serve_work(self, method, path, query, headers, body):
-        return 200, {"work": "done"}
+        return 200, {"work": "x" * LARGE_ANSWER_BYTES if path.endswith("/large") else "done"}
 
     async def start(self, store_port=None):
         await self.instance.start()
--- a/test/platform/clients/test_clients.py
+++ b/test/platform/clients/test_clients.py
@@ -41,7 +41,11 @@
 
 
 class ClientsOfStandaloneNode(LimitsTest):
-    pass
+    async def test_callers_large_answers_unread(self):
+        async def ask(crowd):
+            await crowd.send(CALLS, b"GET /q/queue/large HTTP/1.1\r\nHost: clients.example\r\n\r\n")
+
+        await self.play(StandaloneNode(), "callers", ask)
 
 
 def add_crowds(test_class, node_class):
