Bound the number of values of a JSON text from outside

Callers saw a node end (std::bad_alloc) when a worker, the store or the instance service answered with a body within its limit that consists of millions of empty values.

Cause: parsed, a value of two or three bytes takes up to 80 bytes; 8 MiB became several hundred. The duties of a node by itself parse replies at the same time. The reader of workers' reports copied its lists besides.

Change: parseJson ends at 400,000 values, about three times those of the record of a job with 10,000 tasks that all failed several times; replies of the key-value service to a node by itself may have 100,000. Reports are read in place.

The largest record is read back.

--- a/src/oleanderwick/core/json_reading.cpp
+++ b/src/oleanderwick/core/json_reading.cpp
@@ -20,6 +20,11 @@
 class BoundedBuilder
 {
 public:
+    explicit BoundedBuilder(std::size_t maxValues)
+        : m_maxValues{maxValues}
+    {
+    }
+
     [[nodiscard]] json &root() noexcept
     {
         return m_root;
@@ -113,8 +118,12 @@
 
     bool add(json value)
     {
-        place(std::move(value));
-        return true;
+        return isWithinLimit() && place(std::move(value)) != nullptr;
+    }
+
+    bool isWithinLimit()
+    {
+        return ++m_values <= m_maxValues || fail(absl::StrCat("more than ", m_maxValues, " values"));
     }
 
     bool open(json::value_t type)
@@ -122,6 +131,9 @@
         if (m_open.size() >= maxJsonDepth) {
             return fail(absl::StrCat("nested more than ", maxJsonDepth, " levels deep"));
         }
+        if (!isWithinLimit()) {
+            return false;
+        }
         m_open.push_back(place(json(type)));
         return true;
     }
@@ -149,23 +161,25 @@
     json m_root;
     std::vector<json *> m_open; /**< Arrays and objects that contain the current position, the innermost last. */
     json *m_field{nullptr}; /**< Field of the innermost object that gets the next value. */
+    std::size_t m_maxValues;
+    std::size_t m_values{0};
     std::string m_error;
 };
 
 } // namespace internal
 
-absl::StatusOr<nlohmann::json> parseJson(std::string_view text)
+absl::StatusOr<nlohmann::json> parseJson(std::string_view text, std::size_t maxValues)
 {
-    internal::BoundedBuilder builder;
+    internal::BoundedBuilder builder{maxValues};
     if (!nlohmann::json::sax_parse(text, &builder)) {
         return absl::InvalidArgumentError(builder.error());
     }
     return std::move(builder.root());
 }
 
-nlohmann::json parseJsonOrDiscard(std::string_view text)
+nlohmann::json parseJsonOrDiscard(std::string_view text, std::size_t maxValues)
 {
-    absl::StatusOr<nlohmann::json> value = parseJson(text);
+    absl::StatusOr<nlohmann::json> value = parseJson(text, maxValues);
     return value.ok() ? *std::move(value) : nlohmann::json(nlohmann::json::value_t::discarded);
 }
 
--- a/src/oleanderwick/store/platform_store.cpp
+++ b/src/oleanderwick/store/platform_store.cpp
@@ -16,6 +16,8 @@
 
 constexpr int statusOk = 200;
 constexpr int statusServerError = 500;
+/** Values of a reply, in which an entry has five, and its own value is text. Several duties read replies at the same time. */
+constexpr std::size_t maxReplyValues = 100'000;
 /** gRPC status NOT_FOUND, which the gateway passes on in its error body. */
 constexpr int codeNotFound = 5;
 
@@ -95,7 +97,7 @@
 /** Handles one line of a watch; returns false to end the watch. */
 bool handleWatchLine(const std::string &line, const Store::OnChange &onChange)
 {
-    const nlohmann::json json = core::parseJsonOrDiscard(line);
+    const nlohmann::json json = core::parseJsonOrDiscard(line, maxReplyValues);
     if (!json.is_object() || !json.contains("result") || !json["result"].is_object()) {
         return false;
     }
@@ -149,7 +151,7 @@
         useNextEndpoint();
         return response.status();
     }
-    nlohmann::json json = core::parseJsonOrDiscard(response->body);
+    nlohmann::json json = core::parseJsonOrDiscard(response->body, internal::maxReplyValues);
     if (response->status == internal::statusOk && json.is_object()) {
         return json;
     }
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -101,6 +101,13 @@
     return value;
 }
 
+/** Returns the rows of a list in an object, none if the object lacks it; throws if it is no object. */
+const json &rowsOf(const json &object, const char *name)
+{
+    static const json none = json::array();
+    return object.contains(name) ? object.at(name) : none;
+}
+
 std::optional<jobs::TaskName> readTaskName(const json &row, std::size_t column)
 {
     return row.at(column).is_string() ? jobs::parseTaskName(row.at(column).get_ref<const std::string &>()) : std::nullopt;
@@ -180,7 +187,7 @@
         jobs::WorkerReport report;
         report.clockMs = body.at("clock_ms").get<std::int64_t>();
         report.incarnation = readInteger(body, "born");
-        for (const json &row : body.value("running", json::array())) {
+        for (const json &row : internal::rowsOf(body, "running")) {
             const std::optional<jobs::TaskName> task = internal::readTaskName(row, 0);
             if (!task.has_value()) {
                 return std::nullopt;
@@ -189,7 +196,7 @@
             const std::int64_t percent = static_cast<std::int64_t>(row.at(3).get<double>());
             report.running.push_back({*task, internal::readCounter(row, 1), row.at(2).get<std::string>(), percent, measurement});
         }
-        for (const json &row : body.value("ended", json::array())) {
+        for (const json &row : internal::rowsOf(body, "ended")) {
             const std::optional<jobs::TaskName> task = internal::readTaskName(row, 1);
             const std::optional<jobs::RunEndKind> kind = internal::endKind(row.at(3).get<std::string>());
             if (!task.has_value() || !kind.has_value()) {
--- a/test/oleanderwick/core/json_reading.cpp
+++ b/test/oleanderwick/core/json_reading.cpp
@@ -70,3 +70,15 @@
         CHECK(value.status().message().substr(0, 22) == "malformed JSON at byte");
     }
 }
+
+TEST_CASE("parseJson refuses a text whose many small values would take many times its size in memory", "[core]")
+{
+    const std::string value = GENERATE(as<std::string>{}, "0", "{}", "[]", R"({"":0})");
+    std::string text = "[" + value;
+    while (text.size() < 4 * core::maxJsonValues) {
+        text += "," + value;
+    }
+    const absl::StatusOr<nlohmann::json> parsed = core::parseJson(text + "]");
+    REQUIRE_FALSE(parsed.ok());
+    CHECK(parsed.status().message() == "more than 400000 values");
+}
--- a/test/oleanderwick/jobs/codec.cpp
+++ b/test/oleanderwick/jobs/codec.cpp
@@ -55,3 +55,13 @@
         CHECK_FALSE(jobs::parseTaskName(text).has_value());
     }
 }
+
+TEST_CASE("progressFromRecord reads the record of a job with the most tasks, each of which failed several times", "[jobs]")
+{
+    jobs::JobRecord record;
+    const jobs::TaskRecord task{false, {1, 2, 3, 4, 5}, 12, "00000bb87a21d94b", {6, 7, 8}};
+    record.occurrences[0] = {std::vector<jobs::TaskRecord>(10'000, task)};
+    const absl::StatusOr<jobs::JobRecord> read = jobs::progressFromRecord(jobs::toRecord(record));
+    REQUIRE(read.ok());
+    CHECK(*read == record);
+}
--- a/test/platform/clients/answers.py
+++ b/test/platform/clients/answers.py
@@ -35,5 +35,11 @@
     await send(writer, OK + f"Content-Length: {size}\r\n\r\n".encode(), b"a" * BLOCK_BYTES, size - BLOCK_BYTES)
 
 
+async def many_values(writer):
+    """A complete body of JSON values that take many times their size in memory."""
+    body = b"[" + b"{}," * ((8 << 20) // 3 - 2) + b"{}]"
+    await send(writer, OK + f"Content-Length: {len(body)}\r\n\r\n".encode(), body, len(body))
+
+
 ANSWERS = {answer.__name__: answer for answer in (
-    endless_trailers, endless_chunk_extension, endless_header_line, endless_chunks, unfinished_body)}
+    endless_trailers, endless_chunk_extension, endless_header_line, endless_chunks, unfinished_body, many_values)}
