Count and report what listeners refuse and close

Cause: a refused or closed connection left no trace, so that operators could not tell a crowd of clients from a fault of their own.

--- a/src/oleanderwick/http/http.hpp
+++ b/src/oleanderwick/http/http.hpp
@@ -7,6 +7,7 @@
 #include "client.hpp"
 #include "fwd.hpp"
 #include "limits.hpp"
+#include "listener_watch.hpp"
 #include "loop.hpp"
 #include "memory_budget.hpp"
 #include "message.hpp"
--- a/src/oleanderwick/http/internal/session.cpp
+++ b/src/oleanderwick/http/internal/session.cpp
@@ -49,7 +49,9 @@
     , m_timer{m_server->deadlines(), [this] {
                   // The operation in progress fails, which closes the session.
                   error_code ignored;
-                  m_server->count(&ServerFigures::timedOut);
+                  if (m_busy) {
+                      m_server->count(&ServerFigures::timedOut);
+                  }
                   m_stream.close(ignored);
               }}
 {
--- a/src/oleanderwick/http/server.hpp
+++ b/src/oleanderwick/http/server.hpp
@@ -43,7 +43,7 @@
     std::uint64_t tooLarge{0}; /**< Requests refused with 413 or 431. */
     std::uint64_t overloaded{0}; /**< Requests refused with 503 for want of room. */
     std::uint64_t closedForRoom{0}; /**< Connections closed so that others have room. */
-    std::uint64_t timedOut{0}; /**< Connections closed because a request, a response or the next request took too long. */
+    std::uint64_t timedOut{0}; /**< Connections closed because a request or a response was not complete in time. */
     std::uint64_t acceptFailures{0};
 
     [[nodiscard]] bool operator==(const ServerFigures &) const = default;
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -22,6 +22,7 @@
 namespace internal
 {
 
+constexpr core::Duration refusalReportInterval = std::chrono::seconds{1};
 constexpr core::Duration tickPeriod = std::chrono::milliseconds{10};
 constexpr std::uint64_t ticksPerIdleEvent = 5;
 constexpr core::Duration stopCheckPeriod = std::chrono::milliseconds{20};
@@ -146,6 +147,7 @@
             return callers.status();
         }
         startDuties();
+        watchListeners();
         log(telemetry::Event{"started"}.with("node", m_self.text()).with("callers", m_settings.callers).with("control", m_settings.control));
         m_loop.every(internal::tickPeriod, [this] {
             // No request waits on an idle node, so fewer ticks are enough there.
@@ -180,6 +182,21 @@
         return m_phase == Phase::Serving && m_keeper.current()->version() > 0;
     }
 
+    void watchListeners()
+    {
+        m_listeners.add("callers", m_callerServer);
+        m_listeners.add("control", m_controlServer);
+        m_loop.every(internal::refusalReportInterval, [this] {
+            m_listeners.report([this](const std::string &listener, const char *reason, std::uint64_t count) {
+                log(telemetry::Event{"listener_refusals"}.with("listener", listener).with("reason", reason).with("count", static_cast<std::int64_t>(count)));
+            });
+            m_listeners.exportGauges([this](const std::string &name, std::int64_t value) {
+                m_metrics.setGauge(name, static_cast<double>(value));
+            });
+            m_metrics.setGauge("response_held_bytes", static_cast<double>(m_upstreams.heldBytes()));
+        });
+    }
+
     void startDuties()
     {
         m_telemetryDuty = std::make_unique<TelemetryDuty>(m_telemetryRing, m_metrics);
@@ -308,6 +325,7 @@
     OperatorApi m_operatorApi;
     http::Server m_callerServer;
     http::Server m_controlServer;
+    http::ListenerWatch m_listeners;
     Phase m_phase{Phase::Serving};
     core::TimePoint m_phaseStart;
     std::uint64_t m_idleTicks{0};
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -10,6 +10,7 @@
 #include "ingress.hpp"
 #include "notices.hpp"
 #include "oleanderwick/http/limits.hpp"
+#include "oleanderwick/http/listener_watch.hpp"
 #include "oleanderwick/jobnode/failover_store.hpp"
 #include "relay.hpp"
 #include "service_clients.hpp"
@@ -26,6 +27,7 @@
 constexpr core::Duration loadBalancerDelay = std::chrono::milliseconds{2600};
 /** Shutdown finishes this long before the platform kills the process. */
 constexpr core::Duration killMargin = std::chrono::milliseconds{900};
+constexpr core::Duration refusalReportInterval = std::chrono::seconds{1};
 constexpr core::Duration stopPollInterval = std::chrono::milliseconds{50};
 /** Number of CPU cores that a node needs to compete for ownership without an extra delay; nodes with fewer wait longer. */
 constexpr double sufficientCores = 0.5;
@@ -161,6 +163,7 @@
             return internalPort.status();
         }
         setRelays();
+        watchListeners();
         m_log.add("started",
                   telemetry::Event{"started"}
                       .with("node", m_name)
@@ -191,6 +194,20 @@
         m_store.setRelays(std::move(relays));
     }
 
+    void watchListeners()
+    {
+        m_listeners.add("callers", m_callerServer);
+        m_listeners.add("readiness", m_readinessServer);
+        m_listeners.add("internal", m_internalServer);
+        m_loop.every(refusalReportInterval, [this] {
+            m_listeners.report([this](const std::string &listener, const char *reason, std::uint64_t count) {
+                m_log.add(
+                    "listener_refusals",
+                    telemetry::Event{"listener_refusals"}.with("listener", listener).with("reason", reason).with("count", static_cast<std::int64_t>(count)));
+            });
+        });
+    }
+
     void serveInternal(const http::Request &request, const http::Responder &respond)
     {
         if (request.target.starts_with(relayPrefix)) {
@@ -213,6 +230,10 @@
         metrics.setGauge("ready", m_node.isReady() ? 1 : 0);
         metrics.setGauge("config_version", m_node.configVersion());
         metrics.setGauge("log_lines_suppressed", static_cast<std::int64_t>(m_log.suppressedLines()));
+        metrics.setGauge("response_held_bytes", static_cast<std::int64_t>(m_connections.heldBytes()));
+        m_listeners.exportGauges([&metrics](const std::string &name, std::int64_t value) {
+            metrics.setGauge(name, value);
+        });
         respond(http::Response{200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.toText()});
     }
 
@@ -264,6 +285,7 @@
     http::Server m_callerServer;
     http::Server m_readinessServer;
     http::Server m_internalServer;
+    http::ListenerWatch m_listeners;
     bool m_stopping{false};
     core::TimePoint m_stoppingSince;
 };
