Play clients that do not behave beside the load and the faults of the soak

Cause: each crowd was played by itself; nothing showed that ordinary callers are served correctly beside one while nodes and the store fail.

The soak also checks that no node has more than 260 MB resident.

--- a/test/platform/clients/crowds.py
+++ b/test/platform/clients/crowds.py
@@ -1,5 +1,11 @@
-"""Crowds of clients that do not behave: each opens its connections, sends, and keeps them open until the crowd is closed."""
+"""Crowds of clients that do not behave: each opens its connections, sends, and keeps them open until the crowd is closed.
+
+Run as a program, it plays randomly chosen crowds against addresses of the form HOST:PORT/PATH, one after the other.
+"""
+import argparse
 import asyncio
+import random
+import time
 
 BLOCK_BYTES = 64 * 1024
 MAX_BODY_BYTES = 1 << 20  # The servers' limit on a request body.
@@ -111,3 +117,31 @@
     endless_trailers, endless_trailer_line, endless_chunk_extension, endless_header_lines, endless_header_line, unfinished_bodies,
     unfinished_chunked_bodies, oversized_chunked_bodies, oversized_announced_bodies, pipelined_unread, idle_connections, unfinished_headers,
     unfinished_small_bodies)}
+
+
+async def play_in_turn(targets, seed, seconds):
+    """Plays crowds for a time; each stays connected for up to a second after it has sent."""
+    choice, end = random.Random(seed), time.monotonic() + seconds
+    while time.monotonic() < end:
+        address, _, path = choice.choice(targets).partition("/")
+        host, _, port = address.partition(":")
+        crowd = Crowd((host, int(port)), "/" + path)
+        try:
+            await asyncio.wait_for(choice.choice(list(CROWDS.values()))(crowd), max(end - time.monotonic(), 0.1))
+            await asyncio.sleep(choice.random())
+        except asyncio.TimeoutError:
+            pass
+        await crowd.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("targets", nargs="+", help="HOST:PORT/PATH")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    options = parser.parse_args()
+    asyncio.run(play_in_turn(options.targets, options.seed, options.seconds))
+
+
+if __name__ == "__main__":
+    main()
--- a/test/platform/clients/test_clients.py
+++ b/test/platform/clients/test_clients.py
@@ -1,5 +1,6 @@
 """Plays clients and servers that do not behave against real processes: these live, keep their limits, and serve an ordinary request afterwards."""
 import asyncio
+import json
 import re
 import unittest
 
@@ -9,6 +10,8 @@
 
 WORKERS = 24
 CALLS = 60
+JOBS = 140
+LARGE_LABEL_BYTES = 900_000
 ANSWER_S = 4.0  # For so long a server gives its answers.
 NO_MORE_DESCRIPTORS = 3  # Those of the standard streams, which stay open.
 MAX_ACCEPT_FAILURES = 1000  # In that time.
@@ -60,6 +63,28 @@
             await node.stop()
 
 
+    async def test_callers_large_jobs_while_the_store_is_silent(self):
+        node = PlatformNode()
+        job = json.dumps({"spec": "work", "steps": [{"count": 1, "cpu": 100, "mem_mb": 10, "requires": "x" * LARGE_LABEL_BYTES}]}).encode()
+        try:
+            await node.start()
+            node.store.mode = "silent"
+            address, _ = node.LISTENERS["callers"]
+            headers = b"Api-Key: key-1\r\nX-Deadline-Ms: 60000\r\n"
+            calls = [asyncio.ensure_future(text_request(address, f"/a/{number:016x}", headers, "POST", job)) for number in range(1000, 1000 + JOBS)]
+            await asyncio.sleep(ANSWER_S)
+            self.check_limits(node.process)
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+            node.store.mode = "serves"
+            node.store_server.drop_connections()
+            await wait_until(node.is_ready, "an ordinary request is served")
+            self.check_limits(node.process)
+        finally:
+            await node.stop()
+
+
 class ClientsOfStandaloneNode(LimitsTest):
     async def test_callers_large_answers_unread(self):
         async def ask(crowd):
--- a/test/platform/soak/node.py
+++ b/test/platform/soak/node.py
@@ -1,5 +1,6 @@
 """A node of the product as a process of its own, behind proxies to the store and to the instance service."""
 import asyncio
+import pathlib
 import signal
 
 from proxy import Proxy
@@ -39,6 +40,14 @@
     def alive(self):
         return self.process is not None and self.process.returncode is None
 
+    def peak_memory_bytes(self):
+        """Peak of the resident memory of the current process; 0 if it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0
+        return next((int(line.split()[1]) << 10 for line in status.splitlines() if line.startswith("VmHWM:")), 0)
+
     async def kill(self, signal_number=signal.SIGKILL):
         if self.alive():
             self.process.send_signal(signal_number)
--- a/test/platform/soak/soak.py
+++ b/test/platform/soak/soak.py
@@ -20,7 +20,7 @@
 from instances import InstanceService
 from judge import InvariantChecker
 from maintenance_judge import MaintenanceChecker
-from node import CALLER_PORT, Node
+from node import CALLER_PORT, INTERNAL_PORT, READINESS_PORT, Node
 from stall_judge import StallChecker
 from store import Store
 from waves import WavePlan
@@ -35,6 +35,7 @@
 COMPLETION_TIMEOUT_S = 20.0
 SETTLE_TIMEOUT_S = 35.0
 CONTACT_S = 3.0
+MEMORY_LIMIT_BYTES = 260 << 20
 SETTLED_S = 14.0
 
 
@@ -213,18 +214,35 @@
         self.load_deadline = time.monotonic()
         self.deadline = self.load_deadline + COMPLETION_TIMEOUT_S
 
+    async def play_crowds(self):
+        """Plays clients that do not behave, in a process of their own so that they do not delay the stubs."""
+        script = pathlib.Path(__file__).resolve().parents[1] / "clients" / "crowds.py"
+        ports = [f"{CALLER_PORT}{prefix}{'0' * 16}" for _, prefix in QUEUES.values()] + [f"{READINESS_PORT}/v1/ready", f"{INTERNAL_PORT}/metrics"]
+        targets = [f"{node.host}:{port}" for node in self.nodes for port in ports]
+        process = await asyncio.create_subprocess_exec(sys.executable, str(script), "--seed", str(self.seed), "--seconds", str(self.options.seconds), *targets)
+        try:
+            await process.wait()
+        finally:
+            if process.returncode is None:
+                process.kill()
+
     async def execute(self):
         await self.start()
         await asyncio.sleep(2)
         self.started_at = self.last_look = time.monotonic()
         load = self.spawn(asyncio.gather(self.generate_load(), self.generate_speculative_load()))
         looks = self.spawn(self.watch_for_stalls())
+        if self.options.crowds:
+            self.spawn(self.play_crowds())
         await asyncio.gather(self.injector.inject(), self.waves.play())
         await self.settle()
         await load
         looks.cancel()
         self.checker.check_unfinished_jobs()
         for node in self.nodes:
+            peak_memory = node.peak_memory_bytes()
+            if peak_memory > MEMORY_LIMIT_BYTES:
+                self.checker.record_violation("memory", f"node-{node.index} bytes={peak_memory}")
             if node.process is not None and node.process.returncode is not None:
                 self.checker.record_violation("node_ended", f"node-{node.index} code={node.process.returncode}")
         await asyncio.gather(*(node.kill() for node in self.nodes))
@@ -269,6 +287,7 @@
     parser.add_argument("--seeds", type=int, default=1, help="number of runs, with consecutive seeds")
     parser.add_argument("--seconds", type=float, default=20.0, help="seconds for which faults are injected; jobs are submitted until the waves are completed")
     parser.add_argument("--nodes", type=int, default=4)
+    parser.add_argument("--crowds", action="store_true", help="play clients that do not behave beside the load and the faults")
     return asyncio.run(run(parser.parse_args()))
 
 
