Refuse a step that names an earlier one again and again, and list what accepted jobs hold as known red

Callers could send a job of 1 MiB whose steps depend on the same step half a million times; each dependency takes four times its text for as long as the job isn't over.

Cause: duplicates in the list of dependencies were kept. Change: a step has at most as many dependencies as there are earlier steps. Evidence: the test of the parser accepted such a job before.

A test with 1,000 jobs of usual content and the largest usual size found that accepted jobs together are not bounded: the owner's process ends.

--- a/src/platform/ingress.cpp
+++ b/src/platform/ingress.cpp
@@ -94,6 +94,10 @@
     if (rows == nullptr) {
         return dependencies;
     }
+    if (rows->size() > position) {
+        fields.fail("after", "has more entries than there are earlier steps");
+        return {};
+    }
     for (const json &row : *rows) {
         if (!row.is_number_unsigned() || row.get<std::size_t>() >= position) {
             fields.fail("after", "names a step that is not an earlier one");
--- a/test/platform/clients/test_clients.py
+++ b/test/platform/clients/test_clients.py
@@ -11,6 +11,7 @@
 WORKERS = 24
 CALLS = 60
 JOBS = 140
+WAITING_JOBS = 1000
 LARGE_LABEL_BYTES = 900_000
 ANSWER_S = 4.0  # For so long a server gives its answers.
 NO_MORE_DESCRIPTORS = 3  # Those of the standard streams, which stay open.
@@ -106,6 +107,26 @@
 add_crowds(ClientsOfStandaloneNode, StandaloneNode)
 
 
+class KnownRed(LimitsTest):
+    """Tests that fail for faults listed in KNOWN-RED.txt; not run by CI."""
+
+    async def test_callers_many_large_jobs(self):
+        """Jobs of the largest usual size that are accepted and wait fill the owner's memory."""
+        node = PlatformNode()
+        steps = [{"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 1000, "after": list(range(max(0, step - 80), step)), "requires": "label",
+                  "affinity": "rack", "image": "image"} for step in range(256)]
+        job = json.dumps({"spec": "x" * 4000, "steps": steps}).encode()
+        try:
+            await node.start()
+            address, _ = node.LISTENERS["callers"]
+            for first in range(0, WAITING_JOBS, 10):
+                await asyncio.gather(*(text_request(address, f"/a/{first + number + 1000:016x}", b"Api-Key: key-1\r\n", "POST", job) for number in range(10)))
+                self.check_limits(node.process)
+            self.assertIn(await node.ordinary_request("callers"), (200, 429, 503))
+        finally:
+            await node.stop()
+
+
 class ServersOfPlatformNode(LimitsTest):
     """Answers of workers, the store and the instance service."""
 
--- a/test/platform/translation.cpp
+++ b/test/platform/translation.cpp
@@ -109,6 +109,12 @@
     }
 }
 
+TEST_CASE("parseSubmission rejects a step that names an earlier one again and again, since each name takes more memory than its text", "[platform]")
+{
+    CHECK(platform::parseSubmission(R"({"spec":"s","steps":[{},{},{"after":[0,1]}]})").ok());
+    CHECK_FALSE(platform::parseSubmission(R"({"spec":"s","steps":[{},{},{"after":[0,1,0]}]})").ok());
+}
+
 TEST_CASE("parseSubmission rejects a job whose states would exhaust an owner's memory or a value of the store", "[platform]")
 {
     CHECK(platform::parseSubmission(R"({"spec":"s","steps":[{"count":5000},{"count":5000}]})").ok());
