Test that a job of the largest usual size is served, however it is sent

Cause: nothing showed that the new limits let the largest usual requests pass: with their length, slowly in small parts, chunked with a trailer, and after 100 Continue.

--- a/test/platform/clients/test_clients.py
+++ b/test/platform/clients/test_clients.py
@@ -6,7 +6,7 @@
 
 from answers import ANSWERS
 from crowds import CROWDS, Crowd
-from processes import DESCRIPTOR_LIMIT, FREE_DESCRIPTORS, MEMORY_LIMIT_BYTES, AnswerServer, PlatformNode, StandaloneNode, exchange, text_request, wait_until
+from processes import DESCRIPTOR_LIMIT, FREE_DESCRIPTORS, MEMORY_LIMIT_BYTES, REQUEST_TIMEOUT_S, AnswerServer, PlatformNode, StandaloneNode, exchange, text_request, wait_until
 
 WORKERS = 24
 CALLS = 60
@@ -17,6 +17,11 @@
 NO_MORE_DESCRIPTORS = 3  # Those of the standard streams, which stay open.
 MAX_ACCEPT_FAILURES = 1000  # In that time.
 
+PART_PAUSE_S = 0.01
+LARGE_JOB = json.dumps({"spec": "x" * 4000, "steps": [
+    {"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 1000, "after": list(range(max(0, step - 80), step)), "requires": "label", "affinity": "rack",
+     "image": "image"} for step in range(256)]}).encode()
+
 
 class LimitsTest(unittest.IsolatedAsyncioTestCase):
     """Base of the tests: a process that keeps its limits."""
@@ -64,6 +69,34 @@
             await node.stop()
 
 
+    async def test_callers_largest_usual_job(self):
+        """A job of the largest usual size is served in calm, however it is sent."""
+        node = PlatformNode()
+        head = b"Host: clients.example\r\nApi-Key: key-1\r\nConnection: close\r\n"
+        parts = [LARGE_JOB[start:start + 1000] for start in range(0, len(LARGE_JOB), 1000)]
+        chunks = [f"{len(part):x}\r\n".encode() + part + b"\r\n" for part in parts]
+        ways = {
+            "with its length": [f"Content-Length: {len(LARGE_JOB)}\r\n\r\n".encode(), LARGE_JOB],
+            "slowly": [f"Content-Length: {len(LARGE_JOB)}\r\n\r\n".encode(), *parts],
+            "chunked, with a trailer": [b"Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n", *chunks, b"0\r\nX-Sum: 1\r\n\r\n"],
+            "after 100 Continue": [f"Expect: 100-continue\r\nContent-Length: {len(LARGE_JOB)}\r\n\r\n".encode(), LARGE_JOB],
+        }
+        try:
+            await node.start()
+            for number, (way, texts) in enumerate(ways.items()):
+                reader, writer = await asyncio.open_connection(*node.LISTENERS["callers"][0])
+                writer.write(f"POST /a/{1000 + number:016x} HTTP/1.1\r\n".encode() + head)
+                for text in texts:
+                    writer.write(text)
+                    await writer.drain()
+                    await asyncio.sleep(PART_PAUSE_S)
+                reply = await asyncio.wait_for(reader.read(), REQUEST_TIMEOUT_S)
+                writer.close()
+                self.assertIn(b"HTTP/1.1 200", reply, way)
+            self.check_limits(node.process)
+        finally:
+            await node.stop()
+
     async def test_callers_large_jobs_while_the_store_is_silent(self):
         node = PlatformNode()
         job = json.dumps({"spec": "work", "steps": [{"count": 1, "cpu": 100, "mem_mb": 10, "requires": "x" * LARGE_LABEL_BYTES}]}).encode()
@@ -113,14 +146,11 @@
     async def test_callers_many_large_jobs(self):
         """Jobs of the largest usual size that are accepted and wait fill the owner's memory."""
         node = PlatformNode()
-        steps = [{"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 1000, "after": list(range(max(0, step - 80), step)), "requires": "label",
-                  "affinity": "rack", "image": "image"} for step in range(256)]
-        job = json.dumps({"spec": "x" * 4000, "steps": steps}).encode()
         try:
             await node.start()
             address, _ = node.LISTENERS["callers"]
             for first in range(0, WAITING_JOBS, 10):
-                await asyncio.gather(*(text_request(address, f"/a/{first + number + 1000:016x}", b"Api-Key: key-1\r\n", "POST", job) for number in range(10)))
+                await asyncio.gather(*(text_request(address, f"/a/{first + number + 1000:016x}", b"Api-Key: key-1\r\n", "POST", LARGE_JOB) for number in range(10)))
                 self.check_limits(node.process)
             self.assertIn(await node.ordinary_request("callers"), (200, 429, 503))
         finally:
