Leave the descriptors that a node's own connections need

Callers' idle connections could take the descriptors that an owner with many workers needs, so that it no longer reached workers or the store: with 3,000 workers an owner has 2,900 connections of 3,900, while its listeners may have 2,925.

Cause: the listeners' limits left a quarter of the sockets to the node, however many it uses.

Change: connections to upstreams are counted; each second the limit of every listener is lowered to its share of what is left beside them and a reserve of a sixteenth, and connections beyond it that are not being served are closed.

--- a/src/oleanderwick/http/internal/connection_table.cpp
+++ b/src/oleanderwick/http/internal/connection_table.cpp
@@ -61,6 +61,11 @@
 {
 }
 
+void ConnectionTable::setLimits(const ConnectionLimits &limits) noexcept
+{
+    m_limits = limits;
+}
+
 std::size_t ConnectionTable::size() const noexcept
 {
     return m_size;
--- a/src/oleanderwick/http/internal/connection_table.hpp
+++ b/src/oleanderwick/http/internal/connection_table.hpp
@@ -98,6 +98,12 @@
     ConnectionTable(const ConnectionTable &) = delete;
     ConnectionTable &operator=(const ConnectionTable &) = delete;
 
+    /**
+     * @brief Replaces the limits.
+     * @param limits New limits; connections beyond them stay until they are closed.
+     */
+    void setLimits(const ConnectionLimits &limits) noexcept;
+
     /** @return Number of connections. */
     [[nodiscard]] std::size_t size() const noexcept;
 
--- a/src/oleanderwick/http/internal/server_state.hpp
+++ b/src/oleanderwick/http/internal/server_state.hpp
@@ -73,6 +73,8 @@
         m_sessions.erase(session);
     }
 
+    void limitConnections(std::size_t maxConnections);
+
     void drain()
     {
         m_draining = true;
--- a/src/oleanderwick/http/limits.cpp
+++ b/src/oleanderwick/http/limits.cpp
@@ -31,6 +31,12 @@
     return limits;
 }
 
+std::size_t connectionsBeside(const core::ProcessLimits &process, std::size_t ownConnections, double share)
+{
+    const std::size_t kept = std::min(process.descriptors, ownConnections + process.descriptors / 16);
+    return std::max(internal::partOf(process.descriptors - kept, share), internal::minConnections);
+}
+
 std::size_t responseBytes(const core::ProcessLimits &process)
 {
     return std::max(process.memoryBytes / 8, 2 * Exchange{}.maxResponseBytes);
--- a/src/oleanderwick/http/limits.hpp
+++ b/src/oleanderwick/http/limits.hpp
@@ -18,6 +18,15 @@
  */
 [[nodiscard]] ServerLimits divideLimits(const core::ProcessLimits &process, double share, ServerLimits limits = {});
 
+/**
+ * @brief Returns how many connections a listener may have beside those of the process itself.
+ * @param process Descriptors that the process may use for sockets.
+ * @param ownConnections Connections that the process has made itself; as many again as a sixteenth of the sockets are kept free for more.
+ * @param share Share of the listener, as for `divideLimits`.
+ * @return Number of connections; not below the least that `divideLimits` gives to a listener.
+ */
+[[nodiscard]] std::size_t connectionsBeside(const core::ProcessLimits &process, std::size_t ownConnections, double share);
+
 /**
  * @brief Returns the memory of responses to the process's own requests.
  * @param process Memory of the process.
--- a/src/oleanderwick/http/server.cpp
+++ b/src/oleanderwick/http/server.cpp
@@ -150,6 +150,14 @@
     return true;
 }
 
+void ServerState::limitConnections(std::size_t maxConnections)
+{
+    ServerLimits limits = m_limits;
+    limits.maxConnections = std::min(limits.maxConnections, maxConnections);
+    m_table.setLimits(connectionLimits(limits));
+    while (m_table.size() > limits.maxConnections && closeOne()) { }
+}
+
 void ServerState::close()
 {
     m_draining = true;
@@ -190,6 +198,11 @@
     m_state->shutDown();
 }
 
+void Server::limitConnections(std::size_t maxConnections)
+{
+    m_state->limitConnections(maxConnections);
+}
+
 ServerFigures Server::figures() const
 {
     return m_state->figures();
--- a/src/oleanderwick/http/server.hpp
+++ b/src/oleanderwick/http/server.hpp
@@ -71,6 +71,12 @@
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
 
+    /**
+     * @brief Lowers the limit on connections for now, and closes those beyond it that are not being served. For the loop's thread only.
+     * @param maxConnections New limit; the one of the server's limits where that is lower.
+     */
+    void limitConnections(std::size_t maxConnections);
+
     /** @return Figures of this moment. For the loop's thread only. */
     [[nodiscard]] ServerFigures figures() const;
 
--- a/src/oleanderwick/http/upstream_links.cpp
+++ b/src/oleanderwick/http/upstream_links.cpp
@@ -36,9 +36,32 @@
 constexpr std::size_t bodyReadBytes = 16U << 10U;
 constexpr int serviceUnavailable = 503;
 
+/** @brief Socket to an upstream, which is counted while it exists. */
+class CountedSocket : public asio::ip::tcp::socket
+{
+public:
+    CountedSocket(asio::io_context &context, std::shared_ptr<std::size_t> count)
+        : asio::ip::tcp::socket{context}
+        , m_count{std::move(count)}
+    {
+        ++*m_count;
+    }
+
+    ~CountedSocket()
+    {
+        --*m_count;
+    }
+
+    CountedSocket(const CountedSocket &) = delete;
+    CountedSocket &operator=(const CountedSocket &) = delete;
+
+private:
+    std::shared_ptr<std::size_t> m_count;
+};
+
 /** @brief Open connection that no exchange uses. */
 struct IdleConnection {
-    std::unique_ptr<asio::ip::tcp::socket> stream;
+    std::unique_ptr<CountedSocket> stream;
     core::TimePoint since;
 };
 
@@ -77,6 +100,16 @@
     {
     }
 
+    [[nodiscard]] std::unique_ptr<CountedSocket> makeSocket()
+    {
+        return std::make_unique<CountedSocket>(m_loop.context, m_socketCount);
+    }
+
+    [[nodiscard]] std::size_t sockets() const noexcept
+    {
+        return *m_socketCount;
+    }
+
     [[nodiscard]] const std::shared_ptr<MemoryBudget> &memory() const noexcept
     {
         return m_memory;
@@ -87,7 +120,7 @@
         return m_loop;
     }
 
-    [[nodiscard]] std::unique_ptr<asio::ip::tcp::socket> takeIdle(const std::string &address, bool fresh)
+    [[nodiscard]] std::unique_ptr<CountedSocket> takeIdle(const std::string &address, bool fresh)
     {
         std::deque<IdleConnection> &connections = m_idle[address];
         const core::TimePoint now = core::BootClock::now();
@@ -98,7 +131,7 @@
             if (fresh && now - connections.back().since >= maxFreshIdleTime) {
                 return nullptr;
             }
-            std::unique_ptr<asio::ip::tcp::socket> stream = std::move(connections.back().stream);
+            std::unique_ptr<CountedSocket> stream = std::move(connections.back().stream);
             connections.pop_back();
             if (isReusable(*stream)) {
                 return stream;
@@ -107,7 +140,7 @@
         return nullptr;
     }
 
-    void keepIdle(const std::string &address, std::unique_ptr<asio::ip::tcp::socket> stream, std::size_t maxIdle)
+    void keepIdle(const std::string &address, std::unique_ptr<CountedSocket> stream, std::size_t maxIdle)
     {
         std::deque<IdleConnection> &connections = m_idle[address];
         connections.push_back(IdleConnection{std::move(stream), core::BootClock::now()});
@@ -149,6 +182,7 @@
 private:
     LoopState &m_loop;
     std::shared_ptr<MemoryBudget> m_memory;
+    std::shared_ptr<std::size_t> m_socketCount{std::make_shared<std::size_t>(0)};
     std::map<std::string, std::deque<IdleConnection>> m_idle;
     std::map<std::string, LimitedExchanges> m_limited;
 };
@@ -228,7 +262,7 @@
             finish(ExchangeOutcome::NotConnected);
             return;
         }
-        m_stream = std::make_unique<asio::ip::tcp::socket>(m_connections->loop().context);
+        m_stream = m_connections->makeSocket();
         m_timer.arm(std::min(m_deadline, core::BootClock::now() + connectTimeout));
         m_stream->async_connect(asio::ip::tcp::endpoint{address, endpoint->port}, [self = shared_from_this()](const error_code &failed) {
             if (failed || self->m_timedOut) {
@@ -381,7 +415,7 @@
     Deadlines::Timer m_timer;
     bool m_timedOut{false};
     bool m_isAdmitted{false}; /**< Counts towards the limit of its upstream. */
-    std::unique_ptr<asio::ip::tcp::socket> m_stream;
+    std::unique_ptr<CountedSocket> m_stream;
     Message m_message;
     beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
@@ -451,6 +485,11 @@
     std::make_shared<internal::Attempt>(m_state, std::move(exchange), std::move(onResult))->start();
 }
 
+std::size_t UpstreamConnections::connections() const noexcept
+{
+    return m_state->sockets();
+}
+
 std::size_t UpstreamConnections::heldBytes() const noexcept
 {
     return m_state->memory()->usedBytes();
--- a/src/oleanderwick/http/upstream_links.hpp
+++ b/src/oleanderwick/http/upstream_links.hpp
@@ -72,6 +72,9 @@
      */
     void start(Exchange exchange, OnResult onResult);
 
+    /** @return Number of connections to upstreams, also of those that are idle or not established yet. For the loop's thread only. */
+    [[nodiscard]] std::size_t connections() const noexcept;
+
     /** @return Memory that responses hold. */
     [[nodiscard]] std::size_t heldBytes() const noexcept;
 
--- a/src/oleanderwick/node/node.cpp
+++ b/src/oleanderwick/node/node.cpp
@@ -187,6 +187,9 @@
         m_listeners.add("callers", m_callerServer);
         m_listeners.add("control", m_controlServer);
         m_loop.every(internal::refusalReportInterval, [this] {
+            const std::size_t own = m_upstreams.connections();
+            m_callerServer.limitConnections(http::connectionsBeside(m_limits, own, internal::callerShare));
+            m_controlServer.limitConnections(http::connectionsBeside(m_limits, own, internal::controlShare));
             m_listeners.report([this](const std::string &listener, const char *reason, std::uint64_t count) {
                 log(telemetry::Event{"listener_refusals"}.with("listener", listener).with("reason", reason).with("count", static_cast<std::int64_t>(count)));
             });
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -28,6 +28,7 @@
 /** Shutdown finishes this long before the platform kills the process. */
 constexpr core::Duration killMargin = std::chrono::milliseconds{900};
 constexpr core::Duration refusalReportInterval = std::chrono::seconds{1};
+constexpr core::Duration connectionLimitInterval = std::chrono::seconds{1};
 constexpr core::Duration stopPollInterval = std::chrono::milliseconds{50};
 /** Number of CPU cores that a node needs to compete for ownership without an extra delay; nodes with fewer wait longer. */
 constexpr double sufficientCores = 0.5;
@@ -199,6 +200,12 @@
         m_listeners.add("callers", m_callerServer);
         m_listeners.add("readiness", m_readinessServer);
         m_listeners.add("internal", m_internalServer);
+        m_loop.every(connectionLimitInterval, [this] {
+            const std::size_t own = m_connections.connections();
+            m_callerServer.limitConnections(http::connectionsBeside(m_limits, own, callerShare));
+            m_readinessServer.limitConnections(http::connectionsBeside(m_limits, own, readinessShare));
+            m_internalServer.limitConnections(http::connectionsBeside(m_limits, own, internalShare));
+        });
         m_loop.every(refusalReportInterval, [this] {
             m_listeners.report([this](const std::string &listener, const char *reason, std::uint64_t count) {
                 m_log.add(
--- a/test/oleanderwick/http/connection_table.cpp
+++ b/test/oleanderwick/http/connection_table.cpp
@@ -129,6 +129,14 @@
     CHECK(connections * 8192 <= process.memoryBytes / 4);
 }
 
+TEST_CASE("connectionsBeside leaves the sockets that the process uses itself, and some more", "[http]")
+{
+    const core::ProcessLimits process{260 * megabyte, 3200};
+    CHECK(http::connectionsBeside(process, 0, 1.0) == 3000);
+    CHECK(http::connectionsBeside(process, 2000, 0.5) == 500);
+    CHECK(http::connectionsBeside(process, 5000, 1.0) == 8);
+}
+
 TEST_CASE("processLimits takes the settings' limits, but not more than the system allows", "[core]")
 {
     const core::ProcessLimits system = core::processLimits({});
--- a/test/platform/clients/answers.py
+++ b/test/platform/clients/answers.py
@@ -1,5 +1,8 @@
 """Answers of servers that do not behave: an instance, a worker or a store that does not end what it sends."""
 
+import asyncio
+
+SILENCE_S = 30
 BLOCK_BYTES = 64 * 1024
 TOTAL_BYTES = 256 << 20
 OK = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -14,6 +17,10 @@
         await writer.drain()
 
 
+async def silent(_writer):
+    await asyncio.sleep(SILENCE_S)
+
+
 async def endless_trailers(writer):
     await send(writer, CHUNKED + b"2\r\n{}\r\n0\r\n", HEADER_LINE * (BLOCK_BYTES // len(HEADER_LINE)), TOTAL_BYTES)
 
--- a/test/platform/clients/processes.py
+++ b/test/platform/clients/processes.py
@@ -22,7 +22,7 @@
 FREE_DESCRIPTORS = 16
 REQUEST_TIMEOUT_S = 30.0
 LARGE_ANSWER_BYTES = 4 << 20
-START_TIMEOUT_S = 20.0
+START_TIMEOUT_S = 40.0
 SAMPLE_INTERVAL_S = 0.02
 SETTLE_TIMEOUT_S = 10.0
 SETTLE_INTERVAL_S = 0.25
@@ -129,11 +129,14 @@
 
 
 async def wait_until(condition, what):
-    for _ in range(int(START_TIMEOUT_S / 0.05)):
-        if await condition():
-            return
-        await asyncio.sleep(0.05)
-    raise RuntimeError("timed out: " + what)
+    async def poll():
+        while not await condition():
+            await asyncio.sleep(0.05)
+
+    try:
+        await asyncio.wait_for(poll(), START_TIMEOUT_S)
+    except asyncio.TimeoutError:
+        raise RuntimeError("timed out: " + what) from None
 
 
 async def exchange(address, path, headers=b"", method="GET", body=b""):
--- a/test/platform/clients/test_clients.py
+++ b/test/platform/clients/test_clients.py
@@ -4,11 +4,12 @@
 import re
 import unittest
 
-from answers import ANSWERS
-from crowds import CROWDS, Crowd
+from answers import ANSWERS, silent
+from crowds import CROWDS, Crowd, idle_connections
 from processes import DESCRIPTOR_LIMIT, FREE_DESCRIPTORS, MEMORY_LIMIT_BYTES, REQUEST_TIMEOUT_S, AnswerServer, PlatformNode, StandaloneNode, exchange, text_request, wait_until
 
 WORKERS = 24
+MANY_WORKERS = 140
 CALLS = 60
 JOBS = 140
 WAITING_JOBS = 1000
@@ -69,6 +70,24 @@
             await node.stop()
 
 
+    async def test_callers_idle_connections_beside_many_workers(self):
+        """Connections of clients must not take the descriptors that the node needs for its workers."""
+        node, worker = PlatformNode(), AnswerServer(None)
+        worker.use(silent)
+        await worker.start()
+        crowd = Crowd(*node.LISTENERS["callers"])
+        try:
+            await node.start(workers=[worker.port] * MANY_WORKERS)
+            await asyncio.sleep(ANSWER_S)
+            await idle_connections(crowd)
+            await asyncio.sleep(ANSWER_S)
+            self.check_limits(node.process)
+            self.assertEqual(await node.ordinary_request("callers"), 200)
+        finally:
+            await crowd.close()
+            await node.stop()
+            await worker.stop()
+
     async def test_callers_largest_usual_job(self):
         """A job of the largest usual size is served in calm, however it is sent."""
         node = PlatformNode()
