Ignore bytes of a connection that was closed before they are handled

A node could have read a session that has left its table, and ended: a connection may be closed for another one between the arrival of its bytes and their handler, which then continued with it. Found by reading; not seen in a run.

Change: handlers of a closed session end at once. A test lets 50 clients with requests wait before the loop runs, so that reads and closings fall into one turn; it passes, also with sanitizers. That it fails without the change is not shown.

--- a/src/oleanderwick/http/internal/session.cpp
+++ b/src/oleanderwick/http/internal/session.cpp
@@ -133,7 +133,11 @@
 
 void Session::onRead(const error_code &error, std::size_t bytes)
 {
-    if (m_isGivenUp && m_entry.has_value()) {
+    if (!m_entry.has_value()) {
+        // The connection was closed after the bytes had been received.
+        return;
+    }
+    if (m_isGivenUp) {
         refuseForRoom();
         return;
     }
@@ -194,7 +198,10 @@
     }
     static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
     asio::async_write(m_stream, asio::buffer(line), [self = shared_from_this()](const error_code &error, std::size_t) {
-        if (self->m_isGivenUp && self->m_entry.has_value()) {
+        if (!self->m_entry.has_value()) {
+            return;
+        }
+        if (self->m_isGivenUp) {
             self->refuseForRoom();
         } else if (error) {
             self->close();
@@ -270,6 +277,9 @@
     m_serializer->split(m_isHead);
     setTimeout(m_server->limits().bodyTimeout);
     beast::http::async_write(m_stream, *m_serializer, [self = shared_from_this(), closing](const error_code &error, std::size_t) {
+        if (!self->m_entry.has_value()) {
+            return;
+        }
         if (self->m_isRefused && !error) {
             self->linger();
             return;
@@ -289,9 +299,6 @@
 
 void Session::linger()
 {
-    if (!m_entry.has_value()) {
-        return;
-    }
     m_busy = false;
     error_code ignored;
     m_stream.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -302,6 +309,9 @@
 void Session::onDropped(const error_code &error, std::size_t bytes)
 {
     m_droppedBytes += bytes;
+    if (!m_entry.has_value()) {
+        return;
+    }
     if (error || m_droppedBytes > maxDroppedBytes) {
         close();
         return;
--- a/test/oleanderwick/http/server.cpp
+++ b/test/oleanderwick/http/server.cpp
@@ -219,6 +219,32 @@
     CHECK(echo.handled() == 0);
 }
 
+TEST_CASE("Bytes that arrived before their connection was closed for another one are not handled", "[http]")
+{
+    std::atomic<int> handled{0};
+    http::ServerLimits limits;
+    limits.maxConnections = 4;
+    http::Loop loop;
+    http::Server server{loop, limits, [&handled](const http::Request &, const http::Responder &respond) {
+                            ++handled;
+                            respond(http::Response{200, {}, {}});
+                        }};
+    const std::uint16_t port = server.listen("127.0.0.1:0").value();
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (int count = 0; count < 50; ++count) {
+        // All connections and their requests wait when the loop runs, so that reads and closings fall into one turn of it.
+        sockets.emplace_back(context).connect({asio::ip::address_v4::loopback(), port});
+        asio::write(sockets.back(), asio::buffer(std::string{"GET / HTTP/1.1\r\n\r\n"}));
+    }
+    loop.after(std::chrono::milliseconds{200}, [&loop] {
+        loop.stop();
+    });
+    loop.run();
+    CHECK(server.figures().connections <= limits.maxConnections);
+    CHECK(handled <= static_cast<int>(sockets.size()));
+}
+
 TEST_CASE("removeHopByHop removes hop-by-hop headers and those that Connection lists", "[http]")
 {
     std::vector<http::Header> headers{{"Connection", "close, X-Own"}, {"x-own", "1"}, {"TE", "trailers"}, {"Accept", "*/*"}};
