Lower the blocking client's limit on a response to 4 MiB

Cause: each of its duties has a client, and a body that grows to 8 MiB holds up to 24 MiB while it is copied.

Change: 4 MiB, also for a line of a stream.

--- a/src/oleanderwick/http/client.cpp
+++ b/src/oleanderwick/http/client.cpp
@@ -19,7 +19,7 @@
 using boost::system::error_code;
 
 /** Also limits a line of a stream. A node has several clients, each with its own thread. */
-constexpr std::size_t maxResponseBytes = 8U << 20U;
+constexpr std::size_t maxResponseBytes = 4U << 20U;
 /** Limits the headers, the trailers and each chunk header of a response, which have to fit into the buffer; a longer one is an error. */
 constexpr std::size_t maxBufferBytes = 128U << 10U;
 constexpr core::Duration streamWakeInterval = std::chrono::milliseconds{500};
@@ -197,7 +197,7 @@
             }
             text.append(chunk.data(), chunk.size() - parser.get().body().size);
             if (text.size() > maxResponseBytes) {
-                return absl::ResourceExhaustedError("a line of the stream is longer than 8 MiB");
+                return absl::ResourceExhaustedError("a line of the stream is longer than 4 MiB");
             }
             if (!deliverLines(text, onLine)) {
                 return absl::OkStatus();
