--- a/test/platform/clients/test_clients.py
+++ b/test/platform/clients/test_clients.py
@@ -1,5 +1,6 @@
 """Plays clients and servers that do not behave against real processes: these live, keep their limits, and serve an ordinary request afterwards."""
 import asyncio
+import functools
 import json
 import re
 import unittest
@@ -24,7 +25,21 @@
      "image": "image"} for step in range(256)]}).encode()
 
 
-class LimitsTest(unittest.IsolatedAsyncioTestCase):
+def on_loop(test):
+    """Runs an asynchronous test on a loop of its own, and does not wait for what the stubs still do when it is over."""
+
+    @functools.wraps(test)
+    def run(self):
+        loop = asyncio.new_event_loop()
+        try:
+            loop.run_until_complete(test(self))
+        finally:
+            loop.close()
+
+    return run
+
+
+class LimitsTest(unittest.TestCase):
     """Base of the tests: a process that keeps its limits."""
 
     def check_limits(self, process):
@@ -50,6 +65,7 @@
 
 
 class ClientsOfPlatformNode(LimitsTest):
+    @on_loop
     async def test_descriptors_used_up(self):
         """The process must not try to accept without a pause while it has no descriptors."""
         node = PlatformNode()
@@ -70,6 +86,7 @@
             await node.stop()
 
 
+    @on_loop
     async def test_callers_idle_connections_beside_many_workers(self):
         """Connections of clients must not take the descriptors that the node needs for its workers."""
         node, worker = PlatformNode(), AnswerServer(None)
@@ -88,6 +105,7 @@
             await node.stop()
             await worker.stop()
 
+    @on_loop
     async def test_callers_largest_usual_job(self):
         """A job of the largest usual size is served in calm, however it is sent."""
         node = PlatformNode()
@@ -116,6 +134,7 @@
         finally:
             await node.stop()
 
+    @on_loop
     async def test_callers_large_jobs_while_the_store_is_silent(self):
         node = PlatformNode()
         job = json.dumps({"spec": "work", "steps": [{"count": 1, "cpu": 100, "mem_mb": 10, "requires": "x" * LARGE_LABEL_BYTES}]}).encode()
@@ -139,6 +158,7 @@
 
 
 class ClientsOfStandaloneNode(LimitsTest):
+    @on_loop
     async def test_callers_large_answers_unread(self):
         async def ask(crowd):
             await crowd.send(CALLS, b"GET /q/queue/large HTTP/1.1\r\nHost: clients.example\r\n\r\n")
@@ -152,7 +172,7 @@
         for name, play_crowd in CROWDS.items():
             async def test(self, listener=listener, play_crowd=play_crowd):
                 await self.play(node_class(), listener, play_crowd)
-            setattr(test_class, f"test_{listener}_{name}", test)
+            setattr(test_class, f"test_{listener}_{name}", on_loop(test))
 
 
 add_crowds(ClientsOfPlatformNode, PlatformNode)
@@ -162,6 +182,7 @@
 class KnownRed(LimitsTest):
     """Tests that fail for faults listed in KNOWN-RED.txt; not run by CI."""
 
+    @on_loop
     async def test_callers_many_large_jobs(self):
         """Jobs of the largest usual size that are accepted and wait fill the owner's memory."""
         node = PlatformNode()
@@ -260,7 +281,7 @@
         for name, answer in ANSWERS.items():
             async def test(self, server=server, answer=answer):
                 await getattr(self, "check_" + server)(answer)
-            setattr(test_class, f"test_{server}_{name}", test)
+            setattr(test_class, f"test_{server}_{name}", on_loop(test))
 
 
 add_answers(ServersOfPlatformNode, ("workers", "store", "instances"))
