Bound the open tasks of accepted jobs

A hundred jobs of a hundred bytes each, accepted and waiting, ended the owner (std::bad_alloc): each had 10,000 tasks. The next owner loads them as well, so that it would end too (read, not run).

Cause: the owner opens all tasks of a job when it takes the job in, 384 bytes and more a task, however many wait already.

Change: OpenTasks counts them; without room a job waits unopened, in the order of its team and the teams in turn, and no team may use more than half. Runs that workers report still open their job, so that a change of owner is as before. Off without a limit in the settings of the scheduler; the platform's node sets it to a quarter of its memory.

A new owner with deferred jobs and silent workers may count less use for a team than before, as long as the jobs are unopened; not measured.

--- a/src/oleanderwick/http/limits.hpp
+++ b/src/oleanderwick/http/limits.hpp
@@ -21,7 +21,7 @@
 /**
  * @brief Returns how many connections a listener may have beside those of the process itself.
  * @param process Descriptors that the process may use for sockets.
- * @param ownConnections Connections that the process has made itself; as many again as a sixteenth of the sockets are kept free for more.
+ * @param ownConnections Connections that the process has made itself; a sixteenth of the sockets is kept free for more of them.
  * @param share Share of the listener, as for `divideLimits`.
  * @return Number of connections; not below the least that `divideLimits` gives to a listener.
  */
--- a/src/oleanderwick/jobnode/job_node.cpp
+++ b/src/oleanderwick/jobnode/job_node.cpp
@@ -112,6 +112,11 @@
     return !m_stopping && m_config.configVersion > 0;
 }
 
+jobs::OpenTaskFigures JobNode::openTasks() const noexcept
+{
+    return m_term == nullptr ? jobs::OpenTaskFigures{} : m_term->openTasks();
+}
+
 bool JobNode::isOwner() const noexcept
 {
     return m_ownership->token() != 0;
--- a/src/oleanderwick/jobnode/job_node.hpp
+++ b/src/oleanderwick/jobnode/job_node.hpp
@@ -46,6 +46,9 @@
     /** @return True if submitters may call this node: it has a configuration and is not stopping. */
     [[nodiscard]] bool isReady() const noexcept;
 
+    /** @return Open tasks of all jobs, and jobs that wait for room, if this node is the owner. */
+    [[nodiscard]] jobs::OpenTaskFigures openTasks() const noexcept;
+
     /** @return True while this node is the owner. */
     [[nodiscard]] bool isOwner() const noexcept;
 
--- a/src/oleanderwick/jobnode/owner_term.cpp
+++ b/src/oleanderwick/jobnode/owner_term.cpp
@@ -438,6 +438,11 @@
     }
 }
 
+jobs::OpenTaskFigures OwnerTerm::openTasks() const noexcept
+{
+    return m_state->scheduler.openTasks();
+}
+
 void OwnerTerm::handleNotices(const std::vector<OwnerNotice> &notices)
 {
     if (m_state->missedChanges != nullptr) {
--- a/src/oleanderwick/jobnode/owner_term.hpp
+++ b/src/oleanderwick/jobnode/owner_term.hpp
@@ -69,6 +69,9 @@
      */
     void restoreLoad(const admission::LoadFigures &figures);
 
+    /** @return Open tasks of all jobs, and jobs that wait for room. */
+    [[nodiscard]] jobs::OpenTaskFigures openTasks() const noexcept;
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/src/oleanderwick/jobs/job_progress.cpp
+++ b/src/oleanderwick/jobs/job_progress.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
@@ -23,6 +24,14 @@
     return std::max<std::int64_t>(job.repeatCount, 1);
 }
 
+/** Number of tasks of one occurrence. */
+std::int64_t taskCount(const Job &job)
+{
+    return std::accumulate(job.steps.begin(), job.steps.end(), std::int64_t{0}, [](std::int64_t sum, const Step &step) {
+        return sum + step.count;
+    });
+}
+
 /** Unix time in milliseconds from which an occurrence may start; 0 for a job that does not repeat. */
 std::int64_t dueMs(const Job &job, std::int64_t occurrence)
 {
@@ -31,11 +40,17 @@
 
 } // namespace internal
 
-JobProgress::JobProgress(const Collaborators &collaborators)
+JobProgress::JobProgress(const Collaborators &collaborators, std::int64_t maxOpenTasks)
     : m_with{collaborators}
+    , m_openTasks{maxOpenTasks}
 {
 }
 
+const OpenTasks &JobProgress::openTasks() const noexcept
+{
+    return m_openTasks;
+}
+
 void JobProgress::add(Job job, const std::optional<JobRecord> &record, bool predatesTerm, core::TimePoint now)
 {
     const bool isEnded = record.has_value() && isFinal(record->state);
@@ -121,6 +136,7 @@
 
 void JobProgress::openOccurrence(JobEntry &entry, std::int64_t number, const std::vector<std::vector<TaskRecord>> *records)
 {
+    m_openTasks.add(entry.job.team, internal::taskCount(entry.job));
     Occurrence &occurrence = entry.occurrences[number];
     occurrence.dueMs = internal::dueMs(entry.job, number);
     for (std::size_t index = 0; index < entry.job.steps.size(); ++index) {
@@ -145,12 +161,34 @@
     }
 }
 
-void JobProgress::openDueOccurrences(JobEntry &entry, std::int64_t wallMs)
+bool JobProgress::openDueOccurrences(JobEntry &entry, std::int64_t wallMs)
 {
+    const std::int64_t tasks = internal::taskCount(entry.job);
     while (entry.nextOccurrence < internal::occurrenceCount(entry.job) && internal::dueMs(entry.job, entry.nextOccurrence) <= wallMs) {
+        if (!m_openTasks.hasRoom(entry.job.team, tasks)) {
+            return false;
+        }
         openOccurrence(entry, entry.nextOccurrence, nullptr);
         ++entry.nextOccurrence;
     }
+    return true;
+}
+
+bool JobProgress::openJob(const std::string &id, std::int64_t wallMs)
+{
+    JobEntry *entry = m_with.state.findJob(id);
+    if (entry == nullptr || isFinal(entry->state)) {
+        return true;
+    }
+    const std::int64_t before = entry->nextOccurrence;
+    const bool hadRoom = openDueOccurrences(*entry, wallMs);
+    if (before != entry->nextOccurrence) {
+        m_with.state.requestPlacement();
+        if (entry->job.repeatCount > 0) {
+            m_with.saves.markChanged(*entry);
+        }
+    }
+    return hadRoom;
 }
 
 bool JobProgress::openReported(JobEntry &entry, std::int64_t occurrence)
@@ -170,22 +208,22 @@
 
 void JobProgress::openOccurrences(std::int64_t wallMs)
 {
-    for (auto id = m_unopened.begin(); id != m_unopened.end();) {
-        JobEntry *entry = m_with.state.findJob(*id);
-        if (entry == nullptr || isFinal(entry->state)) {
-            id = m_unopened.erase(id);
-            continue;
+    m_openTasks.openDeferred([this, wallMs](const std::string &id) {
+        if (!openJob(id, wallMs)) {
+            return false;
         }
-        const std::int64_t before = entry->nextOccurrence;
-        openDueOccurrences(*entry, wallMs);
-        if (before != entry->nextOccurrence) {
-            m_with.state.requestPlacement();
-            if (entry->job.repeatCount > 0) {
-                m_with.saves.markChanged(*entry);
-            }
+        m_unopened.insert(id);
+        return true;
+    });
+    for (auto id = m_unopened.begin(); id != m_unopened.end();) {
+        const bool hadRoom = openJob(*id, wallMs);
+        const JobEntry *entry = m_with.state.findJob(*id);
+        if (!hadRoom) {
+            m_with.output.logDecision("job_deferred", *id, "", absl::StrCat("team=", entry->job.team, " open_tasks=", m_openTasks.count()));
+            m_openTasks.defer(entry->job.team, *id);
         }
-        const bool opened = entry->nextOccurrence >= internal::occurrenceCount(entry->job);
-        id = opened ? m_unopened.erase(id) : std::next(id);
+        const bool isWaiting = entry != nullptr && !isFinal(entry->state) && entry->nextOccurrence < internal::occurrenceCount(entry->job);
+        id = hadRoom && isWaiting ? std::next(id) : m_unopened.erase(id);
     }
 }
 
@@ -309,6 +347,7 @@
             if (entry->predatesTerm) {
                 m_with.state.keepEndedJob(entry->job, entry->state);
             }
+            m_openTasks.remove(entry->job.team, internal::taskCount(entry->job) * static_cast<std::int64_t>(entry->occurrences.size()));
             m_with.state.jobs().erase(*id);
             id = ended.erase(id);
         } else {
--- a/src/oleanderwick/jobs/job_progress.hpp
+++ b/src/oleanderwick/jobs/job_progress.hpp
@@ -8,6 +8,7 @@
 
 #include "job_classifier.hpp"
 #include "load_meter.hpp"
+#include "open_tasks.hpp"
 #include "save_queue.hpp"
 #include "scheduler_output.hpp"
 #include "task_stopper.hpp"
@@ -34,8 +35,12 @@
     /**
      * @brief Creates the object for one owner's term.
      * @param collaborators Objects that take part.
+     * @param maxOpenTasks See `SchedulerLimits::maxOpenTasks`.
      */
-    explicit JobProgress(const Collaborators &collaborators);
+    JobProgress(const Collaborators &collaborators, std::int64_t maxOpenTasks);
+
+    /** @return Open tasks of all jobs, and the jobs that wait for room. */
+    [[nodiscard]] const OpenTasks &openTasks() const noexcept;
 
     /** @brief See `Scheduler::addJob`. */
     void add(Job job, const std::optional<JobRecord> &record, bool predatesTerm, core::TimePoint now);
@@ -94,8 +99,11 @@
     void fail(JobEntry &entry, std::string reason, std::int64_t wallMs, core::TimePoint now);
 
 private:
-    static void openOccurrence(JobEntry &entry, std::int64_t number, const std::vector<std::vector<TaskRecord>> *records);
-    static void openDueOccurrences(JobEntry &entry, std::int64_t wallMs);
+    void openOccurrence(JobEntry &entry, std::int64_t number, const std::vector<std::vector<TaskRecord>> *records);
+    /** Opens the due occurrences that there is room for; returns false if one is left. */
+    bool openDueOccurrences(JobEntry &entry, std::int64_t wallMs);
+    /** Opens the due occurrences of a job, if it has not ended; returns false if there is no room for one of them. */
+    bool openJob(const std::string &id, std::int64_t wallMs);
     void openOccurrences(std::int64_t wallMs);
     void completeRestored(core::TimePoint now, std::int64_t wallMs);
     void completeIfDone(JobEntry &entry, std::int64_t wallMs, core::TimePoint now);
@@ -106,7 +114,8 @@
     Collaborators m_with;
     std::map<std::string, std::int64_t> m_earlyCancels; /**< Unix time of cancellation by job, for jobs that were cancelled before they were added. */
     std::set<std::string> m_restored; /**< Jobs added with a stored state, in which all tasks may be done while the job is not completed. */
-    std::set<std::string> m_unopened; /**< Jobs with occurrences that have not been opened. */
+    std::set<std::string> m_unopened; /**< Jobs with occurrences that have not been opened, but for those that wait for room. */
+    OpenTasks m_openTasks;
 };
 
 } // namespace oleanderwick::jobs
--- a/src/oleanderwick/jobs/scheduler.cpp
+++ b/src/oleanderwick/jobs/scheduler.cpp
@@ -57,6 +57,7 @@
         , classifier{state, limits, output}
         , health{state, output, limits.attributeFailures}
         , leases{state, limits, termStart}
+        , jobs{{state, loads, classifier, saves, tickets, stopper, output}, limits.maxOpenTasks}
         , crashes{{state, jobs, saves, output}, termStart}
         , racks{state, health, index, limits.remoteFactor}
         , finder{state, leases, estimates, index, limits.teamShares}
@@ -91,7 +92,7 @@
     WorkerLeases leases;
     UnreportedUse unreportedUse{state, leases};
     WorkerPolls polls{state, leases};
-    JobProgress jobs{{state, loads, classifier, saves, tickets, stopper, output}};
+    JobProgress jobs;
     CrashAttribution crashes;
     RunTracker runs{{state, jobs, health, crashes, acks, saves, tickets, stopper, strays, output}};
     WorkerRegistry registry{state, output};
@@ -152,6 +153,11 @@
     m_components->jobs.add(std::move(job), record, predatesTerm, now);
 }
 
+OpenTaskFigures Scheduler::openTasks() const noexcept
+{
+    return {m_components->jobs.openTasks().count(), static_cast<std::int64_t>(m_components->jobs.openTasks().deferredJobs())};
+}
+
 void Scheduler::cancelJob(const std::string &id, std::int64_t wallMs, core::TimePoint now)
 {
     m_components->jobs.cancel(id, wallMs, now);
--- a/src/oleanderwick/jobs/scheduler.hpp
+++ b/src/oleanderwick/jobs/scheduler.hpp
@@ -10,6 +10,7 @@
 
 #include "../admission/overload_control.hpp"
 #include "commands.hpp"
+#include "open_tasks.hpp"
 #include "scheduler_limits.hpp"
 #include "table.hpp"
 #include "wait_reason.hpp"
@@ -78,6 +79,9 @@
      */
     void addJob(Job job, const std::optional<JobRecord> &record, bool predatesTerm, core::TimePoint now);
 
+    /** @return Open tasks of all jobs, and jobs that wait for room; see `SchedulerLimits::maxOpenTasks`. */
+    [[nodiscard]] OpenTaskFigures openTasks() const noexcept;
+
     /**
      * @brief Cancels a job. The cancellation of an unknown job is applied when the job is added.
      * @param id Name of the job.
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -12,6 +12,7 @@
 #include "oleanderwick/http/limits.hpp"
 #include "oleanderwick/http/listener_watch.hpp"
 #include "oleanderwick/jobnode/failover_store.hpp"
+#include "oleanderwick/jobs/table.hpp"
 #include "relay.hpp"
 #include "service_clients.hpp"
 #include "store_client.hpp"
@@ -34,6 +35,9 @@
 constexpr double sufficientCores = 0.5;
 constexpr double electionDelayMsPerCore = 600.0;
 constexpr std::size_t maxCallBytes = 1U << 20U;
+/** Memory of an open task in the owner, with its record and a share of the indexes. */
+constexpr std::size_t bytesPerOpenTask = 768;
+static_assert(sizeof(jobs::Task) < bytesPerOpenTask);
 
 std::string uniqueName(const std::string &node)
 {
@@ -41,9 +45,10 @@
     return absl::StrCat(node, "#", absl::Hex(source()), absl::Hex(source()));
 }
 
-jobnode::OwnerOptions ownerOptionsOf(const settings::JobSettings &settings)
+jobnode::OwnerOptions ownerOptionsOf(const settings::JobSettings &settings, const core::ProcessLimits &process)
 {
     jobnode::OwnerOptions options;
+    options.scheduler.maxOpenTasks = static_cast<std::int64_t>(process.memoryBytes / 4 / bytesPerOpenTask);
     options.scheduler.maxLease = settings.longestLease;
     options.scheduler.teamShares = settings.teamShares;
     options.scheduler.teamRateWindow = settings.teamRateWindow;
@@ -131,7 +136,7 @@
         , m_advice{m_connections, settings.advice}
         , m_translator{m_log}
         , m_notices{m_connections}
-        , m_node{m_loop, jobnode::Ports{m_store, m_workers, m_instances, m_advice, m_translator, &m_notices}, m_name, ownerOptionsOf(settings), m_log}
+        , m_node{m_loop, jobnode::Ports{m_store, m_workers, m_instances, m_advice, m_translator, &m_notices}, m_name, ownerOptionsOf(settings, m_limits), m_log}
         , m_ingress{m_loop, m_node, m_translator, m_log}
         , m_callerServer{m_loop,
                          callerLimits(m_limits),
@@ -237,6 +242,9 @@
         metrics.setGauge("ready", m_node.isReady() ? 1 : 0);
         metrics.setGauge("config_version", m_node.configVersion());
         metrics.setGauge("log_lines_suppressed", static_cast<std::int64_t>(m_log.suppressedLines()));
+        const jobs::OpenTaskFigures openTasks = m_node.openTasks();
+        metrics.setGauge("open_tasks", openTasks.tasks);
+        metrics.setGauge("deferred_jobs", openTasks.deferredJobs);
         metrics.setGauge("response_held_bytes", static_cast<std::int64_t>(m_connections.heldBytes()));
         m_listeners.exportGauges([&metrics](const std::string &name, std::int64_t value) {
             metrics.setGauge(name, value);
--- a/test/platform/clients/test_clients.py
+++ b/test/platform/clients/test_clients.py
@@ -7,19 +7,21 @@
 
 from answers import ANSWERS, silent
 from crowds import CROWDS, Crowd, idle_connections
-from processes import DESCRIPTOR_LIMIT, FREE_DESCRIPTORS, MEMORY_LIMIT_BYTES, REQUEST_TIMEOUT_S, AnswerServer, PlatformNode, StandaloneNode, exchange, text_request, wait_until
+from processes import (DESCRIPTOR_LIMIT, FREE_DESCRIPTORS, MEMORY_LIMIT_BYTES, REQUEST_TIMEOUT_S, AnswerServer, PlatformNode, StandaloneNode, exchange,
+                       text_request, wait_until)
 
 WORKERS = 24
 MANY_WORKERS = 140
 CALLS = 60
 JOBS = 140
 WAITING_JOBS = 1000
+JOBS_WITH_MANY_TASKS = 300
 LARGE_LABEL_BYTES = 900_000
 ANSWER_S = 4.0  # For so long a server gives its answers.
 NO_MORE_DESCRIPTORS = 3  # Those of the standard streams, which stay open.
 MAX_ACCEPT_FAILURES = 1000  # In that time.
-
 PART_PAUSE_S = 0.01
+# About the largest job that a client sends: the most steps, with all fields that take room.
 LARGE_JOB = json.dumps({"spec": "x" * 4000, "steps": [
     {"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 1000, "after": list(range(max(0, step - 80), step)), "requires": "label", "affinity": "rack",
      "image": "image"} for step in range(256)]}).encode()
@@ -85,7 +87,6 @@
         finally:
             await node.stop()
 
-
     @on_loop
     async def test_callers_idle_connections_beside_many_workers(self):
         """Connections of clients must not take the descriptors that the node needs for its workers."""
@@ -136,6 +137,7 @@
 
     @on_loop
     async def test_callers_large_jobs_while_the_store_is_silent(self):
+        """Jobs that wait until the store has them must not fill the memory."""
         node = PlatformNode()
         job = json.dumps({"spec": "work", "steps": [{"count": 1, "cpu": 100, "mem_mb": 10, "requires": "x" * LARGE_LABEL_BYTES}]}).encode()
         try:
@@ -157,9 +159,29 @@
             await node.stop()
 
 
+    @on_loop
+    async def test_callers_jobs_with_many_tasks(self):
+        """The tasks of short jobs that are accepted and wait must not fill the owner's memory."""
+        node = PlatformNode()
+        job = json.dumps({"spec": "x", "steps": [{"count": 10_000, "cpu": 100, "mem_mb": 10, "estimate_ms": 1000}]}).encode()
+        try:
+            await node.start()
+            address, _ = node.LISTENERS["callers"]
+            for first in range(0, JOBS_WITH_MANY_TASKS, 10):
+                await asyncio.gather(*(text_request(address, f"/a/{number:016x}", b"Api-Key: key-1\r\n", "POST", job)
+                                       for number in range(1000 + first, 1010 + first)))
+            await asyncio.sleep(ANSWER_S)
+            status = await node.ordinary_request("callers")
+            self.check_limits(node.process)
+            self.assertEqual(status, 200)
+        finally:
+            await node.stop()
+
+
 class ClientsOfStandaloneNode(LimitsTest):
     @on_loop
     async def test_callers_large_answers_unread(self):
+        """Answers that nobody reads must not fill the memory."""
         async def ask(crowd):
             await crowd.send(CALLS, b"GET /q/queue/large HTTP/1.1\r\nHost: clients.example\r\n\r\n")
 
@@ -190,7 +212,8 @@
             await node.start()
             address, _ = node.LISTENERS["callers"]
             for first in range(0, WAITING_JOBS, 10):
-                await asyncio.gather(*(text_request(address, f"/a/{first + number + 1000:016x}", b"Api-Key: key-1\r\n", "POST", LARGE_JOB) for number in range(10)))
+                await asyncio.gather(*(text_request(address, f"/a/{number:016x}", b"Api-Key: key-1\r\n", "POST", LARGE_JOB)
+                                       for number in range(1000 + first, 1010 + first)))
                 self.check_limits(node.process)
             self.assertIn(await node.ordinary_request("callers"), (200, 429, 503))
         finally:
