--- a/review/fleet-3/deployment.py
+++ b/review/fleet-3/deployment.py
@@ -105,7 +105,7 @@
     def store_address(self, index):
         return f"127.0.0.1:{self.store_server.port}"
 
-    async def start_node(self, index):
+    def write_settings(self, index):
         host = self.host(index)
         fields = {
             "node": f"edge-{index}", "zone": "z1", "ip": host, "listen": {"front": f"{host}:{self.front}", "ready": f"{host}:{self.ready}",
@@ -116,6 +116,10 @@
         }
         settings = self.folder / f"settings-{index}.json"
         settings.write_text(render((ROOT / self.role["template"]).read_text(), fields))
+        return settings
+
+    async def start_node(self, index):
+        settings = self.write_settings(index)
         words = [str(settings) if word.endswith("settings.json") else word for word in self.role["run"].split(" ")]
         with open(self.folder / f"node-{index}.log", "ab") as log:
             self.processes[index] = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stdout=log, stderr=log)
--- a/review/fleet-3/runners.py
+++ b/review/fleet-3/runners.py
@@ -11,10 +11,8 @@
 
 
 class Runner:
-    """One life of a machine's runner. It runs what the text `spec` of a task says: {"ms": N}, or {"lasts": true}.
-
-    `on_start` may be set to a coroutine function of a start, which is awaited before the start is handled and returns False if it gets
-    no answer at all.
+    """One life of a machine's runner. It runs what the text `spec` of a task says: {"ms": N}, {"lasts": true}, or
+    {"ms": N, "fails": true} with or without "lasts".
     """
 
     def __init__(self, fleet, name, machine):
@@ -87,7 +85,7 @@
                     await self._end(name, "lapsed")
                 elif run["stop_at"] and now >= run["stop_at"]:
                     await self._end(name, "stopped")
-                elif not run["lasts"] and run["done_ms"] >= run["ms"]:
+                elif (run["fails"] or not run["lasts"]) and run["done_ms"] >= run["ms"]:
                     await self._end(name, "failed" if run["fails"] else "done")
 
     async def handle(self, method, path, query, headers, body):
@@ -146,7 +144,7 @@
     def _percent(self, run):
         if run["lasts"]:
             return 100 if time.monotonic() - run["at"] > STARTUP_S else 0
-        return int(min(99, 100 * run["done_ms"] / max(run["ms"], 1)))
+        return round(min(99.0, 100 * run["done_ms"] / max(run["ms"], 1)), 2)
 
     async def _hold(self, value):
         self._extend(value)
